--- /dev/null
+++ b/internal/simwire/read.go
@@ -0,0 +1,264 @@
+// Package simwire speaks the bench's line protocol: it turns wire lines into the decision
+// module's events and the module's actions into wire lines. It decides nothing.
+package simwire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"gullstair/logic"
+)
+
+// Batch is what happened at one moment, by broker, in the order in which the brokers were first named.
+type Batch struct {
+	Now   float64
+	Turns []*Turn
+}
+
+// Turn holds one broker's events of a batch. Stopped says that what ran before them is gone.
+type Turn struct {
+	Broker  int64
+	Stopped bool
+	Events  []logic.Event
+}
+
+// Reader reads batches. Numbered node lists outlive the batch that brought them.
+type Reader struct {
+	in    *bufio.Reader
+	line  int
+	lists map[int64][]logic.Entry
+}
+
+func NewReader(in io.Reader) *Reader {
+	return &Reader{in: bufio.NewReaderSize(in, 1<<20), lists: map[int64][]logic.Entry{}}
+}
+
+// Next returns the next batch, or io.EOF at the end of input between two batches.
+func (r *Reader) Next() (*Batch, error) {
+	var b *Batch
+	byBroker := map[int64]*Turn{}
+	for {
+		text, err := r.readLine()
+		if errors.Is(err, io.EOF) && b == nil {
+			return nil, io.EOF
+		}
+		if errors.Is(err, io.EOF) {
+			return nil, fmt.Errorf("line %d: input ends within a batch", r.line)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("line %d: %w", r.line+1, err)
+		}
+		if text == "" {
+			continue
+		}
+		word, rest, _ := strings.Cut(text, " ")
+		f := &fields{word: word, rest: rest}
+		switch {
+		case b == nil && word == "BEGIN_BATCH":
+			b = &Batch{Now: f.ms("time", true)}
+		case b == nil:
+			f.fail("a batch must begin with BEGIN_BATCH")
+		case word == "YOUR_TURN":
+			return b, nil
+		case word == "DIRECTORY":
+			r.readList(f)
+		default:
+			r.readEvent(f, b, byBroker)
+		}
+		if f.err != nil {
+			return nil, fmt.Errorf("line %d: %w: %.200q", r.line, f.err, text)
+		}
+	}
+}
+
+func (r *Reader) readLine() (string, error) {
+	s, err := r.in.ReadString('\n')
+	if s == "" || (err != nil && !errors.Is(err, io.EOF)) {
+		return "", err
+	}
+	r.line++
+	return strings.TrimRight(s, "\r\n"), nil
+}
+
+func (r *Reader) readList(f *fields) {
+	table, n := f.integer("table", true), f.integer("rowsIn", true)
+	if f.err == nil && n < 0 {
+		f.fail("a list cannot hold fewer than no rows")
+	}
+	var rows []logic.Entry
+	for i := int64(0); i < n && f.err == nil; i++ {
+		text, err := r.readLine()
+		if err != nil {
+			f.err = fmt.Errorf("list cut short after %d of %d rows: %w", i, n, err)
+			return
+		}
+		word, rest, _ := strings.Cut(text, " ")
+		row := &fields{word: word, rest: rest}
+		if word != "ROW" {
+			row.fail("a row of the list is missing")
+		}
+		e := logic.Entry{Node: row.integer("node", true), Zone: int(row.integer("rackZone", false)),
+			Kind: int(row.integer("kind", false)), Cell: int(row.integer("cell", false)),
+			Readiness: pick(row, "readiness", readiness), Units: row.number("units", false),
+			Born: row.ms("bootTime", false)}
+		if row.err != nil {
+			f.err = fmt.Errorf("%w (row %.200q)", row.err, text)
+			return
+		}
+		rows = append(rows, e)
+	}
+	r.lists[table] = rows
+}
+
+func (r *Reader) readEvent(f *fields, b *Batch, byBroker map[int64]*Turn) {
+	id := f.integer("brokerId", true)
+	turn := byBroker[id]
+	if turn == nil {
+		turn = &Turn{Broker: id}
+		byBroker[id] = turn
+		b.Turns = append(b.Turns, turn)
+	}
+	var e logic.Event
+	switch f.word {
+	case "STOP":
+		turn.Stopped, turn.Events = true, nil
+		return
+	case "LAUNCH":
+		turn.Stopped, turn.Events = true, nil
+		e.Kind, e.Seed, e.Terms = logic.Started, uint64(f.integer("prng", true)), f.terms("options")
+	case "ANNOUNCE":
+		e.Kind, e.List = logic.ListArrived, pick(f, "kind", listKinds)
+		if f.err == nil && e.List != logic.ListFailed {
+			table := f.integer("table", true)
+			rows, known := r.lists[table]
+			if !known {
+				f.fail(fmt.Sprintf("no list has the number %d", table))
+			}
+			e.Entries = rows
+		}
+	case "QUERY":
+		e.Kind, e.ID, e.Scan = logic.ScanArrived, f.integer("msgId", true), int64(f.number("queryNo", true))
+		e.Amount, e.Budget = f.number("sizeOrWeight", false), f.ms("timeBudget", false)
+		e.TableType, e.Tenant = int(f.integer("tierClass", false)), int(f.integer("org", false))
+		e.Hint, e.Flags, e.Shard = f.ms("work", false), f.integer("options", false), int(f.number("slab", true))
+		if e.Shard >= 0 {
+			e.Kind = logic.PartArrived
+		}
+	case "CLOSED_ATTEMPT":
+		e.Kind, e.ID, e.Dispatch = logic.DispatchEnded, f.integer("msgId", true), int(f.integer("n", true))
+		e.Node, e.Outcome, e.Elapsed = f.integer("node", true), pick(f, "rc", outcomes), f.ms("elapsed", false)
+		e.Closed, e.Load = f.integer("complete", false) == 1, f.load("stats")
+	case "PROBE_RESULT":
+		e.Kind, e.Node, e.Outcome = logic.ProbeEnded, f.integer("node", true), pick(f, "rc", outcomes)
+		e.Elapsed, e.Load = f.ms("elapsed", false), f.load("stats")
+	case "LEFT":
+		e.Kind, e.ID = logic.ClientLeft, f.integer("msgId", true)
+	case "TIMER":
+		e.Kind, e.Timer = logic.TimerDue, f.integer("cookie", true)
+	case "FIRST_BYTE":
+		e.Kind, e.ID = logic.StreamBegan, f.integer("msgId", true)
+	case "NOTE_FROM":
+		e.Kind = logic.PeerNote
+	default:
+		f.fail("unknown event")
+	}
+	turn.Events = append(turn.Events, e)
+}
+
+// fields reads the name=value pairs of one line; the first thing wrong stays in err.
+type fields struct {
+	word, rest string
+	err        error
+}
+
+func (f *fields) fail(why string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("%s: %s", f.word, why)
+	}
+}
+
+// textual names the fields that run to the end of the line, spaces included.
+var textual = map[string]bool{"options": true, "bodyText": true}
+
+func (f *fields) get(name string, needed bool) (string, bool) {
+	textOpens := f.word == "LAUNCH"
+	for rest := f.rest; rest != ""; {
+		pair, tail, _ := strings.Cut(rest, " ")
+		key, val, ok := strings.Cut(pair, "=")
+		if !ok {
+			f.fail(fmt.Sprintf("%q is no name=value pair", pair))
+			return "", false
+		}
+		if textOpens && textual[key] {
+			_, val, _ = strings.Cut(rest, "=")
+			tail = ""
+		}
+		if key == name {
+			return val, true
+		}
+		rest = tail
+	}
+	if needed {
+		f.fail("no " + name)
+	}
+	return "", false
+}
+
+func (f *fields) integer(name string, needed bool) int64 {
+	s, ok := f.get(name, needed)
+	if !ok {
+		return 0
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		f.fail(fmt.Sprintf("%s=%s is no whole number", name, s))
+	}
+	return n
+}
+
+func (f *fields) number(name string, needed bool) float64 {
+	s, ok := f.get(name, needed)
+	if !ok {
+		return 0
+	}
+	x, err := parseNumber(s)
+	if err != nil {
+		f.fail(fmt.Sprintf("%s=%s is no number", name, s))
+	}
+	return x
+}
+
+func (f *fields) ms(name string, needed bool) float64 { return f.number(name, needed) * 1000 }
+
+func (f *fields) load(name string) map[string]float64 {
+	s, ok := f.get(name, false)
+	if !ok || s == "" {
+		return nil
+	}
+	load := map[string]float64{}
+	for _, pair := range strings.Split(s, ",") {
+		key, val, ok := strings.Cut(pair, ":")
+		x, err := parseNumber(val)
+		if !ok || err != nil {
+			f.fail(fmt.Sprintf("load report %q is no name:value", pair))
+			return nil
+		}
+		if column, known := columns[key]; known {
+			load[column] = x
+		}
+	}
+	return load
+}
+
+func pick[T any](f *fields, name string, words map[string]T) T {
+	s, _ := f.get(name, true)
+	v, ok := words[s]
+	if !ok {
+		f.fail(fmt.Sprintf("%s=%s is not known", name, s))
+	}
+	return v
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,890 @@
+// Package logic decides for one broker: which nodes get the parts of a scan, when to ask again, when to
+// answer, what to turn away. It is called through Broker.Step alone: what happened goes in, what is to be
+// done comes out; events, actions and outcomes are in types.go. It reads no clock, shares nothing with
+// other brokers, and the same events give the same actions. Times are milliseconds, as is work.
+//
+// The design (docs/design.md): a scan's parts go to a smallest or near-smallest set of nodes that together
+// hold all its shards, one call a node, and of those sets to the one with the least load. Beside it:
+//  1. further dispatches: late or failed parts take the cover path again, through one gate (mayDispatch)
+//  2. health: successes among a node's last few outcomes; a node that does poorly rests, then is tried
+//  3. cold allowance: this broker's share of what a node that has just started can bear
+//  4. throttling: when target times are about to be missed, by chance, cheaper scans more often
+//  5. answering early: from a part of a scan where its table type allows it and waiting pays less
+//  6. following the list: late, stale or cached, whole or in changes
+package logic
+
+import (
+	"fmt"
+	"math"
+	"math/bits"
+	"sort"
+)
+
+const (
+	recent      = 5000.0 // a latency older than this says nothing of its node any more
+	latShare    = 0.25   // share of the newest latency in a node's mean,
+	typShare    = 0.05   // and in a table type's
+	lateDevs    = 4.0    // a part is late when it is so many mean deviations over the mean
+	copyShare   = 0.15   // second copies for each part taken, at most,
+	copyBurst   = 10.0   // and so many at once
+	goodEnough  = 6      // successes among a node's last eight outcomes that let it work as usual
+	restFirst   = 500.0  // first rest of a node that does poorly; doubled at each failed trial,
+	restMost    = 8000.0 // up to this
+	searchSteps = 4000   // bound of the exact cover search, lightest nodes first
+	throttleAt  = 0.7    // predicted share of the target time at which throttling begins,
+	throttleAll = 1.4    // and at which a scan of mean value is turned away for sure
+	lookAgain   = 100.0  // wait before looking again at a part that has no holder to go to
+	rateWindow  = 5000.0 // over which a node's completed work is judged
+	coldSafety  = 0.8    // part of the cold allowance that is used
+	longAgo     = -1e15
+)
+
+type call struct {
+	node, open int
+	work       float64
+}
+
+type dispatch struct {
+	node         int
+	call         *call
+	at, late     float64
+	open, ran    bool // ran: it may have run
+	markedAsLate bool
+}
+
+type part struct {
+	id           int64
+	scan         *scan
+	shard, open  int
+	weight, work float64
+	done         bool
+	tries        []dispatch
+	firstRun     float64 // when the first dispatch that may have run was sent; below 0: none
+}
+
+type scan struct {
+	id, num                         int64
+	typ, step                       int
+	parts                           []*part // of the present step
+	got                             float64 // their weight that has completed
+	placed, ended, dirty, overShare bool
+	targetAt, endAt                 float64 // the answer must leave by then: for the whole benefit, at all
+	look                            float64 // the timer set for it
+}
+
+type tableType struct {
+	target, timeout, benefit, lateBenefit, repeatWindow, need, floor, partial float64
+	fetch                                                                     int
+	effect                                                                    string
+	mean, dev, work, budget                                                   float64 // as seen
+}
+
+// Broker is one instance of the module.
+type Broker struct {
+	terms   map[string]any // what the site states at start
+	fault   string
+	now     float64
+	out     []Action
+	chance  pcg
+	types   []tableType
+	scans   map[int64]*scan // by id
+	byNum   map[int64]*scan
+	parts   map[int64]*part
+	changed []*scan
+	turn    map[int]*call // this turn's call to each node
+
+	// Nodes: parallel arrays under a dense index.
+	index                      map[int64]int
+	nodeID                     []int64
+	cell, zone, outCalls       []int
+	state                      []Readiness
+	history                    []uint8        // last eight outcomes, the newest lowest, 1 = success
+	units, born, outWork       []float64      // outWork: outstanding, calls counted
+	latency, latAt, heard      []float64      // latency: recent, as a share of the target time
+	rest, restEnd              []float64      // how long and until when it rests
+	doneWork, doneAt           []float64      // completed work, fading
+	coldSent                   [][][2]float64 // time and work of what went to it while cold
+	holders                    [][]int        // by shard
+	meanLat, meanValue, copies float64
+	warmRate, warmRateAt       float64
+	extras, taken              []float64 // times, for a stated budget
+	shareLeft, shareAt         []float64 // by tenant
+}
+
+// NewBroker returns an instance that waits for its Started event.
+func NewBroker() *Broker { return &Broker{} }
+
+// Step takes what happened to this broker at one moment and returns what is to be done.
+func (b *Broker) Step(now float64, events []Event) []Action {
+	b.now, b.out, b.changed, b.turn = now, nil, nil, map[int]*call{}
+	for i := range events {
+		e := &events[i]
+		if e.Kind == Started {
+			b.start(e)
+		}
+		if b.fault != "" {
+			return []Action{{Kind: Fatal, Text: b.fault}}
+		}
+		if b.terms == nil {
+			continue // not started yet
+		}
+		switch e.Kind {
+		case ListArrived:
+			b.followList(e)
+		case ScanArrived:
+			b.takeScan(e)
+		case PartArrived:
+			b.takePart(e)
+		case DispatchEnded:
+			b.dispatchEnded(e)
+		case ClientLeft:
+			if s := b.scans[e.ID]; s != nil {
+				b.end(s)
+			}
+		case TimerDue:
+			if s := b.byNum[e.Timer]; s != nil {
+				b.touch(s)
+			} else if e.Timer < 0 {
+				b.do(Action{Kind: Subscribe})
+			}
+		}
+	}
+	for i := 0; i < len(b.changed); i++ {
+		b.changed[i].dirty = false
+		b.review(b.changed[i])
+	}
+	return b.out
+}
+
+// review carries one scan on as far as it goes now: the ordinary path, from top to bottom.
+func (b *Broker) review(s *scan) {
+	if s.ended {
+		return
+	}
+	typ := &b.types[s.typ]
+	// Answer when the parts that the table type needs are in.
+	if all := b.allIn(s); all || s.step == 1 && s.got >= typ.need-0.00005 && s.got > 0 {
+		b.do(Action{Kind: Answer, ID: s.id, Whole: true})
+		if s.step == 2 || typ.fetch == 0 {
+			b.end(s)
+			return
+		}
+		b.dropParts(s)
+		s.step, s.got, s.parts = 2, 0, nil // the second step's parts are on their way
+	}
+	// Mechanism 5: answer from a part when the target time is here; answer or fail when time is up.
+	if b.due(s.endAt) || b.due(s.targetAt) && b.partialPays(s) {
+		b.giveUp(s)
+		return
+	}
+	ask, hold, lost, next := b.missing(s)
+	if lost > 1-b.least(s)+0.00005 || len(s.parts) == 0 && s.step == 1 {
+		b.giveUp(s) // what is left cannot make an answer any more
+		return
+	}
+	if len(ask) > 0 {
+		node, worst := b.cover(s, ask, hold)
+		// Mechanism 4: turn the scan away by chance before anything of it is sent.
+		if !s.placed && b.turnedAway(s, worst) {
+			b.giveUp(s)
+			return
+		}
+		s.placed = true
+		for i, p := range ask { // one call a node: what goes to one node in one turn travels together
+			if node[i] >= 0 {
+				next = min(next, b.send(p, node[i]))
+			} else {
+				next = min(next, b.now+lookAgain)
+			}
+		}
+	}
+	if !b.due(s.targetAt) {
+		next = min(next, s.targetAt)
+	}
+	if next = min(next, s.endAt); s.look <= b.now || s.look > next {
+		s.look = next
+		b.do(Action{Kind: SetTimer, Timer: s.num, After: max(0, next-b.now)})
+	}
+}
+
+// missing returns the parts of s to be asked now with the holders each may go to, the weight that can no
+// longer come, and when to look again. A part that is late may get a second copy; where the site allows none,
+// the late dispatch is recalled and its outcome brings the part back here.
+func (b *Broker) missing(s *scan) (ask []*part, hold [][]int, lost, next float64) {
+	next = s.endAt
+	for _, p := range s.parts {
+		late := p.open > 0
+		for i := range p.tries {
+			if d := &p.tries[i]; d.open && !p.done && !b.due(d.late) {
+				late, next = false, min(next, d.late)
+			} else if d.open && !p.done && !d.markedAsLate {
+				d.markedAsLate = true
+				b.sawLate(d, s)
+			}
+		}
+		if p.done || p.open > 0 && !late {
+			continue
+		}
+		if !b.mayDispatch(p) {
+			if p.open == 0 {
+				lost += p.weight
+			}
+			continue
+		}
+		nodes := b.eligible(p)
+		if p.open == 0 && len(nodes) == 0 {
+			next = min(next, b.now+lookAgain)
+		} else if p.open == 0 {
+			ask, hold = append(ask, p), append(hold, nodes)
+		} else if p.open == 1 && len(nodes) > 0 && b.copies >= 1 && !b.tried(p, nodes[0]) {
+			if b.flag("limit.secondCopies") {
+				b.copies--
+				ask, hold = append(ask, p), append(hold, nodes)
+			} else if b.flag("limit.cancelling") {
+				b.copies--
+				b.recall(p)
+			}
+		}
+	}
+	return
+}
+
+// mayDispatch is the one gate for every dispatch of a part: it guards the rules on effects, on the number
+// of dispatches and on their budget, whatever the reason for asking again.
+func (b *Broker) mayDispatch(p *part) bool {
+	typ := &b.types[p.scan.typ]
+	if len(p.tries) == 0 {
+		return true
+	}
+	if len(p.tries) >= int(b.num("limit.dispatches")) {
+		return false
+	}
+	if p.firstRun >= 0 && typ.effect != "replayable" &&
+		(typ.effect != "keyed" || b.now > p.firstRun+typ.repeatWindow-4*b.num("turn")) {
+		return false
+	}
+	if window, stated := b.terms["rules.budgetWindow"].(float64); stated {
+		b.extras, b.taken = after(b.extras, b.now-window), after(b.taken, b.now-window)
+		most := b.num("rules.spareDispatches") + b.num("rules.spareShare")*float64(len(b.taken))
+		return float64(len(b.extras))+1 <= most
+	}
+	return true
+}
+
+// eligible returns the holders that p may go to now: sound ones that it has not been to, else sound ones,
+// else the least bad. A holder that drains, is gone, or is cold and has had its share is never among them.
+func (b *Broker) eligible(p *part) (best []int) {
+	rank := 4
+	for _, n := range b.holders[p.shard] {
+		r := 1
+		if b.sick(n) {
+			r = 3
+		} else if b.tried(p, n) {
+			r = 2
+		}
+		if r > rank || b.coldLeft(n) < b.num("layout.callWork")+p.work {
+			continue
+		}
+		if r < rank {
+			best, rank = nil, r
+		}
+		if r == 3 && len(best) > 0 && b.restEnd[n] < b.restEnd[best[0]] {
+			best = nil
+		}
+		if r < 3 || len(best) == 0 {
+			best = append(best, n)
+		}
+	}
+	return best
+}
+
+func (b *Broker) tried(p *part, n int) bool {
+	for i := range p.tries {
+		if p.tries[i].node == n {
+			return true
+		}
+	}
+	return false
+}
+
+// cover chooses a node for each part: of the smallest sets that hold them all and those one larger, the one
+// with the least load. It returns each part's node, -1 for none, and the worst predicted latency among them.
+// Exceptions: a scan with more than 64 candidates is covered in stretches; past searchSteps the best set so
+// far stands; where no set has room, each part goes to the least loaded of its holders, past the batch limit.
+func (b *Broker) cover(s *scan, ask []*part, hold [][]int) (best []int, worst float64) {
+	var all []int // candidates; sets of them are bit masks
+	at := map[int]int{}
+	mask, order := make([]uint64, len(ask)), make([]int, len(ask))
+	for i, nodes := range hold {
+		order[i] = i
+		if len(all)+len(nodes) > 64 && i > 0 {
+			head, w1 := b.cover(s, ask[:i], hold[:i])
+			tail, w2 := b.cover(s, ask[i:], hold[i:])
+			return append(head, tail...), max(w1, w2)
+		}
+		for _, n := range nodes {
+			if _, known := at[n]; !known {
+				at[n] = 0
+				all = append(all, n)
+			}
+		}
+	}
+	sort.SliceStable(all, func(i, j int) bool { return b.outWork[all[i]]*b.weigh(all[i]) < b.outWork[all[j]]*b.weigh(all[j]) })
+	for k, n := range all {
+		at[n] = k
+	}
+	for i, nodes := range hold {
+		for _, n := range nodes {
+			mask[i] |= 1 << at[n]
+		}
+	}
+	sort.SliceStable(order, func(i, j int) bool { return len(hold[order[i]]) < len(hold[order[j]]) })
+	room, lowest, steps := int(b.num("layout.batch")), math.Inf(1), 0
+	try := func(set uint64) bool {
+		steps++
+		node, cost := b.share(s, ask, mask, order, all, set, room)
+		if node != nil && cost < lowest {
+			best, lowest = node, cost
+		}
+		return node != nil
+	}
+	// Exact search: the first part that no chosen node holds goes to each of its holders in turn.
+	var grow func(set uint64, left int) bool
+	grow = func(set uint64, left int) (found bool) {
+		if steps++; steps > searchSteps {
+			return false
+		}
+		for _, i := range order {
+			if mask[i]&set != 0 {
+				continue
+			}
+			for m := mask[i]; m != 0 && left > 0; m &= m - 1 {
+				found = grow(set|m&-m, left-1) || found
+			}
+			return found
+		}
+		found = try(set)
+		for k := 0; k < len(all) && left > 0; k++ {
+			if set>>k&1 == 0 {
+				found = try(set|1<<k) || found
+			}
+		}
+		return found
+	}
+	for size := 1; size <= len(ask) && best == nil && steps <= searchSteps; size++ {
+		if grow(0, size) {
+			grow(0, size+1)
+		}
+	}
+	if best == nil {
+		best, _ = b.share(s, ask, mask, order, all, math.MaxUint64, len(ask)+room)
+	}
+	for i := range ask {
+		if len(best) <= i {
+			best = append(best, -1)
+		} else {
+			worst = max(worst, b.lat(best[i]))
+		}
+	}
+	return best, worst
+}
+
+// share gives each part to the least loaded node of the set that holds it and has room, and returns what
+// the set would then bear: outstanding work, calls counted, each weighed by the node's recent latency.
+func (b *Broker) share(s *scan, ask []*part, mask []uint64, order, all []int, set uint64, room int) ([]int, float64) {
+	node, count := make([]int, len(ask)), make([]int, len(all))
+	load, left := make([]float64, len(all)), make([]float64, len(all))
+	for k, n := range all {
+		load[k], left[k] = b.outWork[n], b.coldLeft(n)
+		if c := b.turn[n]; c != nil {
+			count[k] = c.open
+		} else {
+			load[k] += b.num("layout.callWork")
+			left[k] -= b.num("layout.callWork")
+		}
+	}
+	cross, cost := b.num("prices.crossZone")*b.types[s.typ].target, 0.0
+	for _, i := range order {
+		to, low := -1, math.Inf(1)
+		for m := mask[i] & set; m != 0; m &= m - 1 {
+			k := bits.TrailingZeros64(m)
+			c := load[k] * b.weigh(all[k])
+			if b.zone[all[k]] != int(b.num("zone")) {
+				c += cross
+			}
+			if count[k] < room && ask[i].work <= left[k] && c < low {
+				to, low = k, c
+			}
+		}
+		if to < 0 {
+			return nil, 0
+		}
+		node[i] = all[to]
+		count[to]++
+		load[to] += ask[i].work
+		left[to] -= ask[i].work
+		if b.zone[all[to]] != int(b.num("zone")) {
+			cost += cross
+		}
+	}
+	for m := set & (1<<len(all) - 1); m != 0; m &= m - 1 {
+		k := bits.TrailingZeros64(m)
+		cost += load[k] * b.weigh(all[k])
+	}
+	return node, cost
+}
+
+// weigh is the node's recent latency over the mean one; a failing node's work counts as done again.
+func (b *Broker) weigh(n int) float64 {
+	w := 1.0
+	if b.meanLat > 0 {
+		w = min(max(b.lat(n)/b.meanLat, 0.2), 8)
+	}
+	return w * 8 / max(1, float64(bits.OnesCount8(b.history[n])))
+}
+
+// lat is the node's recent latency against its target; a node without one counts as average.
+func (b *Broker) lat(n int) float64 {
+	if b.now-b.latAt[n] < recent {
+		return b.latency[n]
+	}
+	return b.meanLat
+}
+
+// send dispatches p to node n in this turn's call and returns when the dispatch will be late.
+func (b *Broker) send(p *part, n int) float64 {
+	s, typ, c := p.scan, &b.types[p.scan.typ], b.turn[n]
+	if c == nil || c.open >= int(b.num("layout.batch")) {
+		c = &call{node: n, work: b.num("layout.callWork")}
+		b.turn[n] = c
+		b.outCalls[n]++
+		b.load(n, c.work)
+	}
+	c.open++
+	b.load(n, p.work)
+	if len(p.tries) > 0 {
+		b.extras = append(b.extras, b.now)
+	}
+	// A node may drop work whose time-out has passed: let it, when nobody would take the answer any more.
+	limit := s.endAt
+	if b.least(s) < typ.need && !b.due(s.targetAt) {
+		limit = min(limit, s.targetAt+2*b.num("turn"))
+	}
+	late := b.now + max(typ.mean+lateDevs*typ.dev, 4*b.num("turn"))
+	if !b.flag("limit.secondCopies") && !b.flag("limit.cancelling") {
+		limit = min(limit, late)
+	}
+	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, open: true, ran: true})
+	p.open++
+	if p.firstRun < 0 {
+		p.firstRun = b.now
+	}
+	b.do(Action{Kind: Dispatch, ID: p.id, Node: b.nodeID[n], After: limit - b.now})
+	return late
+}
+
+// load adds work to what node n has outstanding and, while it is cold, to what it was sent.
+func (b *Broker) load(n int, work float64) {
+	b.outWork[n] += work
+	if b.cold(n) {
+		b.coldSent[n] = append(b.coldSent[n], [2]float64{b.now, work})
+	}
+}
+
+func (b *Broker) dispatchEnded(e *Event) {
+	p := b.parts[e.ID]
+	if p == nil || e.Dispatch < 0 || e.Dispatch >= len(p.tries) || !p.tries[e.Dispatch].open {
+		return
+	}
+	d := &p.tries[e.Dispatch]
+	n, s, typ := d.node, p.scan, &b.types[p.scan.typ]
+	d.open, p.open, d.call.open = false, p.open-1, d.call.open-1
+	b.outWork[n] = max(0, b.outWork[n]-p.work)
+	if d.call.open == 0 {
+		b.outWork[n] = max(0, b.outWork[n]-d.call.work)
+		b.outCalls[n]--
+	}
+	switch e.Outcome {
+	case Completed:
+		b.heard[n] = b.now
+		b.sawLatency(n, e.Elapsed/typ.target)
+		typ.dev += typShare * (math.Abs(e.Elapsed-typ.mean) - typ.dev)
+		typ.mean += typShare * (e.Elapsed - typ.mean)
+		typ.work = min(typ.work*1.01, max(1, e.Elapsed-b.num("layout.callWork")))
+		b.doneWork[n] = b.doneWork[n]*math.Exp((b.doneAt[n]-b.now)/rateWindow) + p.work
+		b.doneAt[n] = b.now
+		b.judge(n, true)
+		if !p.done {
+			p.done = true
+			s.got += p.weight
+			b.recall(p)
+		}
+	case Errored, Severed:
+		b.judge(n, false)
+	case ConnRefused: // nobody is there: no need for more proof
+		b.history[n] = 0
+		b.judge(n, false)
+	case Saturated: // full, not ill: it counts as slow
+		b.heard[n] = b.now
+		b.sawLatency(n, max(1, b.lat(n)))
+	case Overdue, Recalled: // it took this long at least
+		if !d.markedAsLate {
+			b.sawLatency(n, max(b.lat(n), (b.now-d.at)/typ.target))
+		}
+	}
+	if e.Outcome == Saturated || e.Outcome == ConnRefused || e.Outcome == Superseded { // it never ran
+		d.ran, p.firstRun = false, -1
+		for i := len(p.tries) - 1; i >= 0; i-- {
+			if p.tries[i].ran {
+				p.firstRun = p.tries[i].at
+			}
+		}
+	}
+	if s.ended && p.open == 0 {
+		delete(b.parts, p.id)
+	}
+	b.touch(s)
+}
+
+// sawLate counts a dispatch that has outstayed its patience: as slowness, and as a failure when its node has
+// said nothing since (crashed, cut off, or its answers are lost: the symptom is silence).
+func (b *Broker) sawLate(d *dispatch, s *scan) {
+	b.sawLatency(d.node, max(b.lat(d.node), (b.now-d.at)/b.types[s.typ].target))
+	if b.heard[d.node] < d.at {
+		b.judge(d.node, false)
+	}
+}
+
+func (b *Broker) sawLatency(n int, share float64) {
+	if b.now-b.latAt[n] > recent {
+		b.latency[n] = b.meanLat
+	}
+	b.latency[n] += latShare * (share - b.latency[n])
+	b.latAt[n] = b.now
+	sum, count := 0.0, 0.0
+	for m := range b.latency {
+		if b.state[m] == Ready && b.now-b.latAt[m] < recent {
+			sum, count = sum+b.latency[m], count+1
+		}
+	}
+	b.meanLat = sum / max(1, count)
+}
+
+// judge keeps the last eight outcomes of a node. One that does poorly rests and then gets one call at a time.
+func (b *Broker) judge(n int, good bool) {
+	poor := bits.OnesCount8(b.history[n]) < goodEnough
+	b.history[n] <<= 1
+	if good {
+		b.history[n] |= 1
+		if poor { // a trial that went well counts twice
+			b.history[n], b.restEnd[n] = b.history[n]<<1|1, b.now
+		}
+		if bits.OnesCount8(b.history[n]) >= goodEnough {
+			b.rest[n] = restFirst
+		}
+	} else if bits.OnesCount8(b.history[n]) < goodEnough && b.now >= b.restEnd[n] {
+		b.restEnd[n] = b.now + b.rest[n]
+		b.rest[n] = min(restMost, 2*b.rest[n])
+	}
+}
+
+func (b *Broker) sick(n int) bool {
+	return bits.OnesCount8(b.history[n]) < goodEnough && (b.now < b.restEnd[n] || b.outCalls[n] > 0)
+}
+
+func (b *Broker) cold(n int) bool { return b.born[n] > 0 && b.now-b.born[n] < b.num("rules.cold") }
+
+// coldLeft is the work that this broker may still send to the node now. A node that has just started can bear
+// a multiple of its present capacity over a window; this broker takes its share among all, judged by what
+// warm nodes of like size complete for it, and by one core at least.
+func (b *Broker) coldLeft(n int) float64 {
+	if !b.cold(n) {
+		return math.Inf(1)
+	}
+	if b.warmRateAt != b.now {
+		rate, units := 0.0, 0.0
+		for m := range b.nodeID {
+			if b.state[m] == Ready && !b.cold(m) && b.doneAt[m] > longAgo {
+				rate += b.doneWork[m] * math.Exp((b.doneAt[m]-b.now)/rateWindow) / rateWindow
+				units += b.units[m]
+			}
+		}
+		b.warmRate, b.warmRateAt = rate/max(units, 0.01), b.now
+	}
+	from, share := b.num("rules.startCapacity"), 1/b.num("brokers")
+	part := from + (1-from)*max(0, b.now-b.born[n])/b.num("rules.cold")
+	left := coldSafety * b.num("rules.fallMultiple") * part * b.num("rules.fall") *
+		max(b.warmRate*b.units[n], share)
+	b.coldSent[n] = after2(b.coldSent[n], b.now-b.num("rules.fall"))
+	for _, sent := range b.coldSent[n] {
+		left -= sent[1]
+	}
+	return left
+}
+
+// turnedAway throttles by chance when the scan's nodes are predicted to miss its target time.
+func (b *Broker) turnedAway(s *scan, worst float64) bool {
+	typ, work := &b.types[s.typ], 0.0
+	value := typ.benefit
+	if s.overShare {
+		value *= b.num("overShareBenefit")
+	}
+	if b.due(s.targetAt) {
+		value *= typ.lateBenefit
+	}
+	for _, p := range s.parts {
+		work += p.work
+	}
+	if b.terms["countedBy"] != "work" {
+		value /= max(1, work)
+	}
+	if b.meanValue == 0 {
+		b.meanValue = value
+	}
+	b.meanValue += 0.02 * (value - b.meanValue)
+	ramp := min(1, max(0, (worst-throttleAt)/(throttleAll-throttleAt)))
+	return ramp > 0 && b.chance.float() < math.Pow(ramp, value/b.meanValue)
+}
+
+// least is the weight that an answer of s must rest on.
+func (b *Broker) least(s *scan) float64 {
+	typ := &b.types[s.typ]
+	if s.step == 2 && typ.floor >= typ.need {
+		return 1
+	}
+	return min(typ.floor, typ.need)
+}
+
+// partialPays says whether an answer from what is in is allowed, and pays more than a whole one after the target.
+func (b *Broker) partialPays(s *scan) bool {
+	typ := &b.types[s.typ]
+	return s.got > 0 && s.got >= b.least(s)-0.00005 && typ.partial*s.got/typ.need > typ.lateBenefit
+}
+
+// giveUp ends the scan with the best final answer that is still honest, and at once.
+func (b *Broker) giveUp(s *scan) {
+	harmless := s.step == 1 && len(s.parts) > 0
+	for _, p := range s.parts {
+		harmless = harmless && (b.types[s.typ].effect == "replayable" || p.firstRun < 0)
+	}
+	if s.got > 0 && s.got >= b.least(s)-0.00005 {
+		b.do(Action{Kind: Answer, ID: s.id})
+	} else if harmless && b.flag("limit.retryAfter") {
+		b.do(Action{Kind: Throttle, ID: s.id, After: b.num("limit.maxRetryAfter")})
+	} else if harmless {
+		b.do(Action{Kind: Throttle, ID: s.id})
+	} else {
+		b.do(Action{Kind: Abandon, ID: s.id})
+	}
+	b.end(s)
+}
+
+func (b *Broker) end(s *scan) {
+	s.ended = true
+	delete(b.scans, s.id)
+	delete(b.byNum, s.num)
+	b.dropParts(s)
+}
+
+func (b *Broker) dropParts(s *scan) {
+	for _, p := range s.parts {
+		b.recall(p)
+		p.done = true
+		if p.open == 0 {
+			delete(b.parts, p.id)
+		}
+	}
+}
+
+// recall stops waiting for p's open dispatches; a node may then drop what it has not begun.
+func (b *Broker) recall(p *part) {
+	for i := range p.tries {
+		if d := &p.tries[i]; d.open && b.flag("limit.cancelling") {
+			d.late = math.Inf(1)
+			b.do(Action{Kind: Recall, ID: p.id, Dispatch: i})
+		}
+	}
+}
+
+func (b *Broker) allIn(s *scan) bool {
+	for _, p := range s.parts {
+		if !p.done {
+			return false
+		}
+	}
+	return len(s.parts) > 0
+}
+
+func (b *Broker) takeScan(e *Event) {
+	if e.TableType < 0 || e.TableType >= len(b.types) || e.Scan < 0 {
+		b.do(Action{Kind: Abandon, ID: e.ID})
+		return
+	}
+	typ, spent, turn := &b.types[e.TableType], 0.0, b.num("turn")
+	// A budget shorter than usual is what an earlier try has left: the target time runs from that try.
+	typ.budget = max(typ.budget, e.Budget)
+	if e.Budget < typ.budget-1 {
+		spent = max(0, typ.timeout-e.Budget)
+	}
+	s := &scan{id: e.ID, num: e.Scan, typ: e.TableType, step: 1, look: longAgo,
+		endAt: b.now + e.Budget - 2*turn, targetAt: b.now + typ.target - spent - 2*turn}
+	if t := e.Tenant; t >= 0 && t < len(b.shareLeft) {
+		rate := b.num(fmt.Sprintf("tenant.%d.perSecond", t)) / 1000 / b.num("brokers")
+		b.shareLeft[t] = min(max(1, 2000*rate), b.shareLeft[t]+rate*(b.now-b.shareAt[t]))
+		b.shareAt[t] = b.now
+		if s.overShare = b.shareLeft[t] < 1; !s.overShare {
+			b.shareLeft[t]--
+		}
+	}
+	b.scans[s.id], b.byNum[s.num] = s, s
+	b.taken = append(b.taken, b.now)
+	b.touch(s)
+}
+
+func (b *Broker) takePart(e *Event) {
+	s := b.byNum[e.Scan]
+	if s == nil || e.Shard >= len(b.holders) {
+		return // ended meanwhile, or a shard that the told placement does not know
+	}
+	p := &part{id: e.ID, scan: s, shard: e.Shard, weight: e.Amount, work: e.Hint, firstRun: -1}
+	if p.work <= 0 {
+		p.work = b.types[s.typ].work
+	}
+	s.parts = append(s.parts, p)
+	b.parts[p.id] = p
+	b.taken = append(b.taken, b.now)
+	b.copies = min(copyBurst, b.copies+copyShare)
+	b.touch(s)
+}
+
+// followList keeps the node arrays and the holder table in step with the list, however late it is: what is
+// named stays known, and only nodes that are called ready get work.
+func (b *Broker) followList(e *Event) {
+	if e.List == ListFailed {
+		b.do(Action{Kind: SetTimer, Timer: -1, After: restFirst})
+		return
+	}
+	for n := range b.state {
+		if e.List != ListChanges {
+			b.state[n] = Gone
+		}
+	}
+	for _, en := range e.Entries {
+		n, known := b.index[en.Node]
+		if !known {
+			n = len(b.nodeID)
+			b.index[en.Node] = n
+			b.nodeID, b.state, b.history = append(b.nodeID, en.Node), append(b.state, Gone), append(b.history, 0xff)
+			b.cell, b.zone, b.outCalls = append(b.cell, 0), append(b.zone, 0), append(b.outCalls, 0)
+			b.coldSent = append(b.coldSent, nil)
+			for _, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.latency, &b.doneWork, &b.rest} {
+				*col = append(*col, 0)
+			}
+			for _, col := range []*[]float64{&b.latAt, &b.heard, &b.restEnd, &b.doneAt} {
+				*col = append(*col, longAgo)
+			}
+			b.rest[n] = restFirst
+		} else if en.Born > b.born[n] { // a new process: what the old one did says nothing
+			b.history[n], b.rest[n], b.restEnd[n] = 0xff, restFirst, longAgo
+			b.latAt[n], b.doneAt[n], b.coldSent[n] = longAgo, longAgo, nil
+		}
+		b.cell[n], b.zone[n], b.state[n] = en.Cell, en.Zone, en.Readiness
+		b.units[n], b.born[n] = max(en.Units, 0.01), max(b.born[n], en.Born)
+	}
+	cells, reach := int(b.num("layout.cells")), int(b.num("layout.reach"))
+	b.holders = make([][]int, int(b.num("layout.shards")))
+	for s := range b.holders {
+		for n, c := range b.cell {
+			if b.state[n] == Ready && ((c-s)%cells+cells)%cells < reach {
+				b.holders[s] = append(b.holders[s], n)
+			}
+		}
+	}
+}
+
+func (b *Broker) start(e *Event) {
+	*b = Broker{now: b.now, terms: e.Terms, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
+		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*call{}, copies: copyBurst,
+		chance: pcg{e.Seed}, warmRateAt: longAgo}
+	if b.terms == nil {
+		b.terms = map[string]any{}
+	}
+	for _, name := range []string{"layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers",
+		"limit.dispatches", "tableType.count"} {
+		b.need(name, 1)
+	}
+	for _, name := range []string{"turn", "rules.cold", "rules.fall", "rules.fallMultiple", "rules.startCapacity"} {
+		b.need(name, 0)
+	}
+	for i := 0; i < int(b.num("tableType.count")) && b.fault == ""; i++ {
+		at := func(name string) string { return fmt.Sprintf("tableType.%d.%s", i, name) }
+		in := func(name string) string { return fmt.Sprintf("layout.%s.%d", name, i) }
+		t := tableType{target: b.need(at("target"), 0.001), timeout: b.need(at("timeout"), 0.001),
+			benefit: b.need(at("benefit"), 0), lateBenefit: b.num(at("lateBenefit")),
+			repeatWindow: b.num(at("repeatWindow")), need: b.need(in("need"), 0), floor: b.need(in("floor"), 0),
+			partial: b.num(in("partialBenefit")), fetch: int(b.num(in("fetch")))}
+		t.effect, _ = b.terms[at("effect")].(string)
+		t.mean, t.dev, t.work = t.target/5, t.target/10, t.target/20
+		b.types = append(b.types, t)
+	}
+	b.shareLeft = make([]float64, int(b.num("tenant.count")))
+	b.shareAt = make([]float64, len(b.shareLeft))
+	if b.terms["discovery"] == "subscribe" {
+		b.do(Action{Kind: Subscribe})
+	}
+}
+
+// need is num for what the module cannot do without.
+func (b *Broker) need(name string, least float64) float64 {
+	x, ok := b.terms[name].(float64)
+	if (!ok || x < least || x > 1e9) && b.fault == "" {
+		b.fault = fmt.Sprintf("start setting %s is missing or impossible: %v", name, b.terms[name])
+	}
+	return x
+}
+
+func (b *Broker) num(name string) float64 {
+	x, _ := b.terms[name].(float64)
+	return x
+}
+
+func (b *Broker) flag(name string) bool {
+	on, _ := b.terms[name].(bool)
+	return on
+}
+
+func (b *Broker) do(a Action) { b.out = append(b.out, a) }
+
+// due says whether a moment has come; timers may fire a hair early by rounding.
+func (b *Broker) due(at float64) bool { return at <= b.now+0.01 }
+
+func (b *Broker) touch(s *scan) {
+	if !s.dirty && !s.ended {
+		s.dirty = true
+		b.changed = append(b.changed, s)
+	}
+}
+
+func after(times []float64, limit float64) []float64 {
+	for len(times) > 0 && times[0] <= limit {
+		times = times[1:]
+	}
+	return times
+}
+
+func after2(sent [][2]float64, limit float64) [][2]float64 {
+	for len(sent) > 0 && sent[0][0] <= limit {
+		sent = sent[1:]
+	}
+	return sent
+}
+
+// pcg is a permuted congruential generator (PCG-XSH-RR).
+type pcg struct{ state uint64 }
+
+func (c *pcg) float() float64 {
+	old := c.state
+	c.state = old*6364136223846793005 + 1442695040888963407
+	x := bits.RotateLeft32(uint32((old>>18^old)>>27), -int(old>>59))
+	return float64(x) / (1 << 32)
+}
--- /dev/null
+++ b/logic/types.go
@@ -0,0 +1,119 @@
+package logic
+
+// EventKind says what happened.
+type EventKind int
+
+const (
+	Started EventKind = iota + 1
+	ListArrived
+	ScanArrived
+	PartArrived
+	DispatchEnded
+	ClientLeft
+	TimerDue
+	ProbeEnded
+	StreamBegan
+	PeerNote
+)
+
+// Event is one thing that happened to this broker. Only the fields of its kind are filled.
+type Event struct {
+	Kind EventKind
+
+	Seed  uint64
+	Terms map[string]any // what the site states at start: names to values, times in milliseconds
+
+	List    ListKind
+	Entries []Entry
+
+	ID        int64 // of the scan or the part
+	Scan      int64 // number that a scan shares with its parts
+	Shard     int   // of a part
+	Amount    float64
+	Budget    float64 // how long the client still waits
+	TableType int
+	Tenant    int
+	Hint      float64 // expected work; 0 when the site gives none
+	Flags     int64
+
+	Dispatch int // number of the dispatch among those of its part
+	Node     int64
+	Outcome  Outcome
+	Elapsed  float64
+	Closed   bool
+	Load     map[string]float64 // load report, by the names told at start
+
+	Timer int64
+}
+
+// ListKind says how a node list is to be read.
+type ListKind int
+
+const (
+	ListChanges ListKind = iota + 1
+	ListWhole
+	ListCached
+	ListFailed
+)
+
+// Entry is one line of a node list.
+type Entry struct {
+	Node      int64
+	Zone      int
+	Kind      int
+	Cell      int
+	Readiness Readiness
+	Units     float64
+	Born      float64 // clock time of the latest start; 0 means long ago
+}
+
+// Readiness is what the list says of a node.
+type Readiness int
+
+const (
+	Ready Readiness = iota + 1
+	Draining
+	Gone
+)
+
+// Outcome says how a dispatch ended.
+type Outcome int
+
+const (
+	Completed Outcome = iota + 1
+	Errored
+	Saturated
+	Overdue
+	ConnRefused
+	Severed
+	Recalled
+	Superseded
+)
+
+// ActionKind says what is to be done.
+type ActionKind int
+
+const (
+	Dispatch ActionKind = iota + 1
+	Recall
+	Answer
+	Throttle
+	Abandon
+	SetTimer
+	Probe
+	Subscribe
+	Note
+	Fatal
+)
+
+// Action is one thing to be done. Only the fields of its kind are filled.
+type Action struct {
+	Kind     ActionKind
+	ID       int64
+	Node     int64
+	Dispatch int
+	After    float64 // time-out of a dispatch, delay of a timer, or when a throttled client may return
+	Timer    int64
+	Whole    bool
+	Text     string
+}
