--- a/logic/logic.go
+++ b/logic/logic.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"math"
 	"math/bits"
+	"slices"
 	"sort"
 )
 
@@ -36,6 +37,7 @@
 	lookAgain   = 100.0  // wait before looking again at a part that has no holder to go to
 	rateWindow  = 5000.0 // over which a node's completed work is judged
 	coldSafety  = 0.8    // part of the cold allowance that is used
+	retrySign   = 0.95   // a client's budget under this share of the longest seen tells of an earlier try
 	longAgo     = -1e15
 )
 
@@ -72,6 +74,12 @@
 	look                            float64 // the timer set for it
 }
 
+type field struct { // what a cover is chosen from
+	ask         []*part
+	all, order  []int    // candidate nodes; parts, those with the fewest holders first
+	mask, holds []uint64 // candidates that hold each part; parts that each candidate holds
+}
+
 type tableType struct {
 	target, timeout, benefit, lateBenefit, repeatWindow, need, floor, partial float64
 	fetch                                                                     int
@@ -309,57 +317,59 @@
 
 // cover chooses a node for each part: of the smallest sets that hold them all and those one larger, the one
 // with the least load. It returns each part's node, -1 for none, and the worst predicted latency among them.
-// Exceptions: a scan with more than 64 candidates is covered in stretches; past searchSteps the best set so
-// far stands; where no set has room, each part goes to the least loaded of its holders, past the batch limit.
+// Exceptions: past 64 parts or candidates a scan is covered in stretches; past searchSteps the best set so far
+// stands; where no set has room, each part goes to the least loaded of its holders, past the batch limit.
 func (b *Broker) cover(s *scan, ask []*part, hold [][]int) (best []int, worst float64) {
-	var all []int // candidates; sets of them are bit masks
-	at := map[int]int{}
-	mask, order := make([]uint64, len(ask)), make([]int, len(ask))
+	var all []int // candidates, the lightest first; sets of them, and of parts, are bit masks
 	for i, nodes := range hold {
-		order[i] = i
-		if len(all)+len(nodes) > 64 && i > 0 {
-			head, w1 := b.cover(s, ask[:i], hold[:i])
-			tail, w2 := b.cover(s, ask[i:], hold[i:])
-			return append(head, tail...), max(w1, w2)
-		}
 		for _, n := range nodes {
-			if _, known := at[n]; !known {
-				at[n] = 0
+			if !slices.Contains(all, n) {
 				all = append(all, n)
 			}
 		}
+		if i > 0 && (i == 64 || len(all) > 64) {
+			head, w1 := b.cover(s, ask[:i], hold[:i])
+			tail, w2 := b.cover(s, ask[i:], hold[i:])
+			return append(head, tail...), max(w1, w2)
+		}
 	}
 	sort.SliceStable(all, func(i, j int) bool { return b.outWork[all[i]]*b.weigh(all[i]) < b.outWork[all[j]]*b.weigh(all[j]) })
-	for k, n := range all {
-		at[n] = k
-	}
-	for i, nodes := range hold {
-		for _, n := range nodes {
-			mask[i] |= 1 << at[n]
+	f := field{ask: ask, all: all, mask: make([]uint64, len(ask)), holds: make([]uint64, len(all))}
+	for i := range ask {
+		f.order = append(f.order, i)
+		for k, n := range all {
+			if slices.Contains(hold[i], n) {
+				f.mask[i], f.holds[k] = f.mask[i]|1<<k, f.holds[k]|1<<i
+			}
 		}
 	}
-	sort.SliceStable(order, func(i, j int) bool { return len(hold[order[i]]) < len(hold[order[j]]) })
+	sort.SliceStable(f.order, func(i, j int) bool { return len(hold[f.order[i]]) < len(hold[f.order[j]]) })
 	room, lowest, steps := int(b.num("layout.batch")), math.Inf(1), 0
 	try := func(set uint64) bool {
 		steps++
-		node, cost := b.share(s, ask, mask, order, all, set, room)
+		node, cost := b.share(s, &f, set, room)
 		if node != nil && cost < lowest {
 			best, lowest = node, cost
 		}
 		return node != nil
 	}
-	// Exact search: the first part that no chosen node holds goes to each of its holders in turn.
-	var grow func(set uint64, left int) bool
-	grow = func(set uint64, left int) (found bool) {
-		if steps++; steps > searchSteps {
+	// Exact search: the first part that no chosen node holds goes to each of its holders in turn, as long as
+	// the nodes left could hold all that is missing.
+	var grow func(set, missing uint64, left int) bool
+	grow = func(set, missing uint64, left int) (found bool) {
+		most := 0
+		for _, h := range f.holds {
+			most = max(most, min(room, bits.OnesCount64(h&missing)))
+		}
+		if steps++; steps > searchSteps || bits.OnesCount64(missing) > left*most {
 			return false
 		}
-		for _, i := range order {
-			if mask[i]&set != 0 {
+		for _, i := range f.order {
+			if missing>>i&1 == 0 {
 				continue
 			}
-			for m := mask[i]; m != 0 && left > 0; m &= m - 1 {
-				found = grow(set|m&-m, left-1) || found
+			for m := f.mask[i]; m != 0; m &= m - 1 {
+				found = grow(set|m&-m, missing&^f.holds[bits.TrailingZeros64(m)], left-1) || found
 			}
 			return found
 		}
@@ -371,13 +381,14 @@
 		}
 		return found
 	}
+	every := uint64(1)<<len(ask) - 1
 	for size := 1; size <= len(ask) && best == nil && steps <= searchSteps; size++ {
-		if grow(0, size) {
-			grow(0, size+1)
+		if grow(0, every, size) {
+			grow(0, every, size+1)
 		}
 	}
 	if best == nil {
-		best, _ = b.share(s, ask, mask, order, all, math.MaxUint64, len(ask)+room)
+		best, _ = b.share(s, &f, math.MaxUint64, math.MaxInt)
 	}
 	for i := range ask {
 		if len(best) <= i {
@@ -391,45 +402,45 @@
 
 // share gives each part to the least loaded node of the set that holds it and has room, and returns what
 // the set would then bear: outstanding work, calls counted, each weighed by the node's recent latency.
-func (b *Broker) share(s *scan, ask []*part, mask []uint64, order, all []int, set uint64, room int) ([]int, float64) {
-	node, count := make([]int, len(ask)), make([]int, len(all))
-	load, left := make([]float64, len(all)), make([]float64, len(all))
-	for k, n := range all {
-		load[k], left[k] = b.outWork[n], b.coldLeft(n)
-		if c := b.turn[n]; c != nil {
-			count[k] = c.open
-		} else {
-			load[k] += b.num("layout.callWork")
-			left[k] -= b.num("layout.callWork")
+func (b *Broker) share(s *scan, f *field, set uint64, room int) ([]int, float64) {
+	set &= 1<<len(f.all) - 1
+	node, count := make([]int, len(f.ask)), make([]int, len(f.all))
+	load, left := make([]float64, len(f.all)), make([]float64, len(f.all))
+	cross, cost := b.num("prices.crossZone")*b.types[s.typ].target, 0.0
+	for m := set; m != 0; m &= m - 1 {
+		k := bits.TrailingZeros64(m)
+		n := f.all[k]
+		load[k], left[k] = b.outWork[n]+b.num("layout.callWork"), b.coldLeft(n)-b.num("layout.callWork")
+		if c := b.turn[n]; c != nil { // scans of one turn share calls
+			count[k], load[k], left[k] = c.open, b.outWork[n], b.coldLeft(n)
 		}
 	}
-	cross, cost := b.num("prices.crossZone")*b.types[s.typ].target, 0.0
-	for _, i := range order {
+	for _, i := range f.order {
 		to, low := -1, math.Inf(1)
-		for m := mask[i] & set; m != 0; m &= m - 1 {
+		for m := f.mask[i] & set; m != 0; m &= m - 1 {
 			k := bits.TrailingZeros64(m)
-			c := load[k] * b.weigh(all[k])
-			if b.zone[all[k]] != int(b.num("zone")) {
+			c := load[k] * b.weigh(f.all[k])
+			if b.zone[f.all[k]] != int(b.num("zone")) {
 				c += cross
 			}
-			if count[k] < room && ask[i].work <= left[k] && c < low {
+			if count[k] < room && f.ask[i].work <= left[k] && c < low {
 				to, low = k, c
 			}
 		}
 		if to < 0 {
 			return nil, 0
 		}
-		node[i] = all[to]
+		node[i] = f.all[to]
 		count[to]++
-		load[to] += ask[i].work
-		left[to] -= ask[i].work
-		if b.zone[all[to]] != int(b.num("zone")) {
+		load[to] += f.ask[i].work
+		left[to] -= f.ask[i].work
+		if b.zone[f.all[to]] != int(b.num("zone")) {
 			cost += cross
 		}
 	}
-	for m := set & (1<<len(all) - 1); m != 0; m &= m - 1 {
+	for m := set; m != 0; m &= m - 1 {
 		k := bits.TrailingZeros64(m)
-		cost += load[k] * b.weigh(all[k])
+		cost += load[k] * b.weigh(f.all[k])
 	}
 	return node, cost
 }
@@ -721,9 +732,10 @@
 		return
 	}
 	typ, spent, turn := &b.types[e.TableType], 0.0, b.num("turn")
-	// A budget shorter than usual is what an earlier try has left: the target time runs from that try.
+	// A budget clearly shorter than usual (they differ a little by the way to us) is what an earlier try has
+	// left: the target time runs from that try.
 	typ.budget = max(typ.budget, e.Budget)
-	if e.Budget < typ.budget-1 {
+	if e.Budget < typ.budget*retrySign {
 		spent = max(0, typ.timeout-e.Budget)
 	}
 	s := &scan{id: e.ID, num: e.Scan, typ: e.TableType, step: 1, look: longAgo,
