--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -41,7 +41,7 @@
 			}
 			brk := brokers[turn.Broker]
 			if brk == nil {
-				brk = logic.NewBroker()
+				brk = &logic.Broker{}
 				brokers[turn.Broker] = brk
 			}
 			for _, act := range step(brk, batch.Now, turn.Events) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -14,11 +14,11 @@
 package logic
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/bits"
 	"slices"
-	"sort"
 )
 
 const (
@@ -41,17 +41,11 @@
 	longAgo     = -1e15
 )
 
-type call struct {
-	node, open int
-	work       float64
-}
-
 type dispatch struct {
-	node         int
-	call         *call
-	at, late     float64
-	open, ran    bool // ran: it may have run
-	markedAsLate bool
+	node                int
+	call                *int // parts of its call that are still out
+	at, late            float64
+	open, ran, lateSeen bool // ran: it may have run
 }
 
 type part struct {
@@ -61,7 +55,6 @@
 	weight, work float64
 	done         bool
 	tries        []dispatch
-	firstRun     float64 // when the first dispatch that may have run was sent; below 0: none
 }
 
 type scan struct {
@@ -74,10 +67,13 @@
 	look                            float64 // the timer set for it
 }
 
-type field struct { // what a cover is chosen from
-	ask         []*part
-	all, order  []int    // candidate nodes; parts, those with the fewest holders first
-	mask, holds []uint64 // candidates that hold each part; parts that each candidate holds
+type field struct { // what a cover is chosen from; sets of nodes and of parts are bit masks
+	ask                     []*part
+	all, order              []int // candidate nodes, the lightest first; parts, the fewest holders first
+	mask, holds             []uint64
+	load, left, far, weight []float64
+	count                   []int
+	room                    int
 }
 
 type tableType struct {
@@ -87,55 +83,50 @@
 	mean, dev, work, budget                                                   float64 // as seen
 }
 
-// Broker is one instance of the module.
+// Broker is one instance of the module; it waits for its Started event.
 type Broker struct {
-	terms   map[string]any // what the site states at start
-	fault   string
-	now     float64
-	out     []Action
-	chance  pcg
-	types   []tableType
-	scans   map[int64]*scan // by id
-	byNum   map[int64]*scan
-	parts   map[int64]*part
-	changed []*scan
-	turn    map[int]*call // this turn's call to each node
+	terms        map[string]any // what the site states at start
+	fault        string
+	now          float64
+	out          []Action
+	seed         uint64
+	types        []tableType
+	scans, byNum map[int64]*scan // by id, by number
+	parts        map[int64]*part
+	changed      []*scan
+	turn         map[int]*int // this turn's call to each node: its parts
 
 	// Nodes: parallel arrays under a dense index.
-	index                      map[int64]int
-	nodeID                     []int64
-	cell, zone, outCalls       []int
-	state                      []Readiness
-	history                    []uint8        // last eight outcomes, the newest lowest, 1 = success
-	units, born, outWork       []float64      // outWork: outstanding, calls counted
-	latency, latAt, heard      []float64      // latency: recent, as a share of the target time
-	rest, restEnd              []float64      // how long and until when it rests
-	doneWork, doneAt           []float64      // completed work, fading
-	coldSent                   [][][2]float64 // time and work of what went to it while cold
-	holders                    [][]int        // by shard
-	meanLat, meanValue, copies float64
-	warmRate, warmRateAt       float64
-	extras, taken              []float64 // times, for a stated budget
-	shareLeft, shareAt         []float64 // by tenant
-}
-
-// NewBroker returns an instance that waits for its Started event.
-func NewBroker() *Broker { return &Broker{} }
+	index                  map[int64]int
+	nodeID                 []int64
+	cell, zone, outCalls   []int
+	state                  []Readiness
+	history                []uint8        // last eight outcomes, the newest lowest, 1 = success
+	units, born, outWork   []float64      // outWork: outstanding, calls counted
+	latency, latAt, heard  []float64      // latency: recent, as a share of the target time
+	rest, restEnd          []float64      // how long and until when it rests
+	coldSent               [][][2]float64 // time and work of what went to it while cold
+	holders                [][]int        // by shard
+	meanLat, meanValue     float64
+	copies                 float64      // second copies that may go out now
+	done, doneAt, allUnits float64      // work completed, fading; units of all ready nodes
+	extras, taken          [][2]float64 // for a stated budget
+	shareLeft, shareAt     []float64    // by tenant
+}
 
 // Step takes what happened to this broker at one moment and returns what is to be done.
 func (b *Broker) Step(now float64, events []Event) []Action {
-	b.now, b.out, b.changed, b.turn = now, nil, nil, map[int]*call{}
+	b.now, b.out, b.changed, b.turn = now, nil, nil, map[int]*int{}
 	for i := range events {
 		e := &events[i]
 		if e.Kind == Started {
 			b.start(e)
+		} else if b.terms == nil {
+			continue // not started yet
 		}
 		if b.fault != "" {
 			return []Action{{Kind: Fatal, Text: b.fault}}
 		}
-		if b.terms == nil {
-			continue // not started yet
-		}
 		switch e.Kind {
 		case ListArrived:
 			b.followList(e)
@@ -225,8 +216,8 @@
 		for i := range p.tries {
 			if d := &p.tries[i]; d.open && !p.done && !b.due(d.late) {
 				late, next = false, min(next, d.late)
-			} else if d.open && !p.done && !d.markedAsLate {
-				d.markedAsLate = true
+			} else if d.open && !p.done && !d.lateSeen {
+				d.lateSeen = true
 				b.sawLate(d, s)
 			}
 		}
@@ -267,28 +258,38 @@
 	if len(p.tries) >= int(b.num("limit.dispatches")) {
 		return false
 	}
-	if p.firstRun >= 0 && typ.effect != "replayable" &&
-		(typ.effect != "keyed" || b.now > p.firstRun+typ.repeatWindow-4*b.num("turn")) {
+	if first := p.firstRun(); first >= 0 && typ.effect != "replayable" &&
+		(typ.effect != "keyed" || b.now > first+typ.repeatWindow-4*b.num("turn")) {
 		return false
 	}
 	if window, stated := b.terms["rules.budgetWindow"].(float64); stated {
-		b.extras, b.taken = after(b.extras, b.now-window), after(b.taken, b.now-window)
+		b.extras, b.taken = within(b.extras, b.now-window), within(b.taken, b.now-window)
 		most := b.num("rules.spareDispatches") + b.num("rules.spareShare")*float64(len(b.taken))
 		return float64(len(b.extras))+1 <= most
 	}
 	return true
 }
 
+// firstRun says when the first dispatch that may have run was sent; below 0: none may have.
+func (p *part) firstRun() float64 {
+	for i := range p.tries {
+		if p.tries[i].ran {
+			return p.tries[i].at
+		}
+	}
+	return -1
+}
+
 // eligible returns the holders that p may go to now: sound ones that it has not been to, else sound ones,
-// else the least bad. A holder that drains, is gone, or is cold and has had its share is never among them.
+// else any. A holder that drains, is gone, or is cold and has had its share is never among them.
 func (b *Broker) eligible(p *part) (best []int) {
-	rank := 4
+	rank := 3
 	for _, n := range b.holders[p.shard] {
-		r := 1
+		r := 0
 		if b.sick(n) {
-			r = 3
-		} else if b.tried(p, n) {
 			r = 2
+		} else if b.tried(p, n) {
+			r = 1
 		}
 		if r > rank || b.coldLeft(n) < b.num("layout.callWork")+p.work {
 			continue
@@ -296,23 +297,13 @@
 		if r < rank {
 			best, rank = nil, r
 		}
-		if r == 3 && len(best) > 0 && b.restEnd[n] < b.restEnd[best[0]] {
-			best = nil
-		}
-		if r < 3 || len(best) == 0 {
-			best = append(best, n)
-		}
+		best = append(best, n)
 	}
 	return best
 }
 
 func (b *Broker) tried(p *part, n int) bool {
-	for i := range p.tries {
-		if p.tries[i].node == n {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.tries, func(d dispatch) bool { return d.node == n })
 }
 
 // cover chooses a node for each part: of the smallest sets that hold them all and those one larger, the one
@@ -320,75 +311,78 @@
 // Exceptions: past 64 parts or candidates a scan is covered in stretches; past searchSteps the best set so far
 // stands; where no set has room, each part goes to the least loaded of its holders, past the batch limit.
 func (b *Broker) cover(s *scan, ask []*part, hold [][]int) (best []int, worst float64) {
-	var all []int // candidates, the lightest first; sets of them, and of parts, are bit masks
+	f := field{ask: ask, mask: make([]uint64, len(ask)), room: int(b.num("layout.batch"))}
 	for i, nodes := range hold {
+		f.order = append(f.order, i)
 		for _, n := range nodes {
-			if !slices.Contains(all, n) {
-				all = append(all, n)
+			if !slices.Contains(f.all, n) {
+				f.all = append(f.all, n)
 			}
 		}
-		if i > 0 && (i == 64 || len(all) > 64) {
+		if i > 0 && (i == 64 || len(f.all) > 64) {
 			head, w1 := b.cover(s, ask[:i], hold[:i])
 			tail, w2 := b.cover(s, ask[i:], hold[i:])
 			return append(head, tail...), max(w1, w2)
 		}
 	}
-	sort.SliceStable(all, func(i, j int) bool { return b.outWork[all[i]]*b.weigh(all[i]) < b.outWork[all[j]]*b.weigh(all[j]) })
-	f := field{ask: ask, all: all, mask: make([]uint64, len(ask)), holds: make([]uint64, len(all))}
-	for i := range ask {
-		f.order = append(f.order, i)
-		for k, n := range all {
+	slices.SortStableFunc(f.all, func(m, n int) int { return cmp.Compare(b.outWork[m]*b.weigh(m), b.outWork[n]*b.weigh(n)) })
+	slices.SortStableFunc(f.order, func(i, j int) int { return len(hold[i]) - len(hold[j]) })
+	f.holds = make([]uint64, len(f.all))
+	for k, n := range f.all {
+		work, count, far := b.num("layout.callWork"), 0, 0.0
+		if c := b.turn[n]; c != nil { // scans of one turn share calls
+			work, count = 0, *c
+		}
+		if b.zone[n] != int(b.num("zone")) {
+			far = b.num("prices.crossZone") * b.types[s.typ].target
+		}
+		f.load, f.left = append(f.load, b.outWork[n]+work), append(f.left, b.coldLeft(n)-work)
+		f.count, f.far, f.weight = append(f.count, count), append(f.far, far), append(f.weight, b.weigh(n))
+		for i := range ask {
 			if slices.Contains(hold[i], n) {
 				f.mask[i], f.holds[k] = f.mask[i]|1<<k, f.holds[k]|1<<i
 			}
 		}
 	}
-	sort.SliceStable(f.order, func(i, j int) bool { return len(hold[f.order[i]]) < len(hold[f.order[j]]) })
-	room, lowest, steps := int(b.num("layout.batch")), math.Inf(1), 0
-	try := func(set uint64) bool {
-		steps++
-		node, cost := b.share(s, &f, set, room)
-		if node != nil && cost < lowest {
-			best, lowest = node, cost
-		}
-		return node != nil
-	}
+	lowest, steps := math.Inf(1), 0
 	// Exact search: the first part that no chosen node holds goes to each of its holders in turn, as long as
 	// the nodes left could hold all that is missing.
-	var grow func(set, missing uint64, left int) bool
-	grow = func(set, missing uint64, left int) (found bool) {
+	var grow func(set, missing uint64, left int)
+	grow = func(set, missing uint64, left int) {
 		most := 0
 		for _, h := range f.holds {
-			most = max(most, min(room, bits.OnesCount64(h&missing)))
+			most = max(most, min(f.room, bits.OnesCount64(h&missing)))
 		}
 		if steps++; steps > searchSteps || bits.OnesCount64(missing) > left*most {
-			return false
+			return
 		}
 		for _, i := range f.order {
-			if missing>>i&1 == 0 {
-				continue
+			if missing>>i&1 == 1 {
+				for m := f.mask[i]; m != 0; m &= m - 1 {
+					grow(set|m&-m, missing&^f.holds[bits.TrailingZeros64(m)], left-1)
+				}
+				return
 			}
-			for m := f.mask[i]; m != 0; m &= m - 1 {
-				found = grow(set|m&-m, missing&^f.holds[bits.TrailingZeros64(m)], left-1) || found
-			}
-			return found
 		}
-		found = try(set)
-		for k := 0; k < len(all) && left > 0; k++ {
-			if set>>k&1 == 0 {
-				found = try(set|1<<k) || found
+		for k := 0; k == 0 || k < len(f.all) && left > 0; k++ { // the set itself, or with one more
+			grown := set | 1<<k
+			if left == 0 {
+				grown = set
+			}
+			if node, cost := f.share(grown); node != nil && cost < lowest {
+				best, lowest = node, cost
 			}
+			steps++
 		}
-		return found
 	}
-	every := uint64(1)<<len(ask) - 1
-	for size := 1; size <= len(ask) && best == nil && steps <= searchSteps; size++ {
-		if grow(0, every, size) {
-			grow(0, every, size+1)
+	for size, more := 1, 2; size <= len(ask)+1 && more > 0; size++ {
+		if grow(0, uint64(1)<<len(ask)-1, size); best != nil {
+			more--
 		}
 	}
 	if best == nil {
-		best, _ = b.share(s, &f, math.MaxUint64, math.MaxInt)
+		f.room = math.MaxInt
+		best, _ = f.share(uint64(1)<<len(f.all) - 1)
 	}
 	for i := range ask {
 		if len(best) <= i {
@@ -402,28 +396,14 @@
 
 // share gives each part to the least loaded node of the set that holds it and has room, and returns what
 // the set would then bear: outstanding work, calls counted, each weighed by the node's recent latency.
-func (b *Broker) share(s *scan, f *field, set uint64, room int) ([]int, float64) {
-	set &= 1<<len(f.all) - 1
-	node, count := make([]int, len(f.ask)), make([]int, len(f.all))
-	load, left := make([]float64, len(f.all)), make([]float64, len(f.all))
-	cross, cost := b.num("prices.crossZone")*b.types[s.typ].target, 0.0
-	for m := set; m != 0; m &= m - 1 {
-		k := bits.TrailingZeros64(m)
-		n := f.all[k]
-		load[k], left[k] = b.outWork[n]+b.num("layout.callWork"), b.coldLeft(n)-b.num("layout.callWork")
-		if c := b.turn[n]; c != nil { // scans of one turn share calls
-			count[k], load[k], left[k] = c.open, b.outWork[n], b.coldLeft(n)
-		}
-	}
+func (f *field) share(set uint64) (node []int, cost float64) {
+	node, count := make([]int, len(f.ask)), slices.Clone(f.count)
+	load, left := slices.Clone(f.load), slices.Clone(f.left)
 	for _, i := range f.order {
 		to, low := -1, math.Inf(1)
 		for m := f.mask[i] & set; m != 0; m &= m - 1 {
 			k := bits.TrailingZeros64(m)
-			c := load[k] * b.weigh(f.all[k])
-			if b.zone[f.all[k]] != int(b.num("zone")) {
-				c += cross
-			}
-			if count[k] < room && f.ask[i].work <= left[k] && c < low {
+			if c := load[k]*f.weight[k] + f.far[k]; count[k] < f.room && f.ask[i].work <= left[k] && c < low {
 				to, low = k, c
 			}
 		}
@@ -434,13 +414,11 @@
 		count[to]++
 		load[to] += f.ask[i].work
 		left[to] -= f.ask[i].work
-		if b.zone[f.all[to]] != int(b.num("zone")) {
-			cost += cross
-		}
+		cost += f.far[to]
 	}
 	for m := set; m != 0; m &= m - 1 {
 		k := bits.TrailingZeros64(m)
-		cost += load[k] * b.weigh(f.all[k])
+		cost += load[k] * f.weight[k]
 	}
 	return node, cost
 }
@@ -465,16 +443,16 @@
 // send dispatches p to node n in this turn's call and returns when the dispatch will be late.
 func (b *Broker) send(p *part, n int) float64 {
 	s, typ, c := p.scan, &b.types[p.scan.typ], b.turn[n]
-	if c == nil || c.open >= int(b.num("layout.batch")) {
-		c = &call{node: n, work: b.num("layout.callWork")}
+	if c == nil || *c >= int(b.num("layout.batch")) {
+		c = new(int)
 		b.turn[n] = c
 		b.outCalls[n]++
-		b.load(n, c.work)
+		b.load(n, b.num("layout.callWork"))
 	}
-	c.open++
+	*c++
 	b.load(n, p.work)
 	if len(p.tries) > 0 {
-		b.extras = append(b.extras, b.now)
+		b.extras = append(b.extras, [2]float64{b.now})
 	}
 	// A node may drop work whose time-out has passed: let it, when nobody would take the answer any more.
 	limit := s.endAt
@@ -487,9 +465,6 @@
 	}
 	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, open: true, ran: true})
 	p.open++
-	if p.firstRun < 0 {
-		p.firstRun = b.now
-	}
 	b.do(Action{Kind: Dispatch, ID: p.id, Node: b.nodeID[n], After: limit - b.now})
 	return late
 }
@@ -509,10 +484,10 @@
 	}
 	d := &p.tries[e.Dispatch]
 	n, s, typ := d.node, p.scan, &b.types[p.scan.typ]
-	d.open, p.open, d.call.open = false, p.open-1, d.call.open-1
+	d.open, p.open = false, p.open-1
 	b.outWork[n] = max(0, b.outWork[n]-p.work)
-	if d.call.open == 0 {
-		b.outWork[n] = max(0, b.outWork[n]-d.call.work)
+	if *d.call--; *d.call == 0 {
+		b.outWork[n] = max(0, b.outWork[n]-b.num("layout.callWork"))
 		b.outCalls[n]--
 	}
 	switch e.Outcome {
@@ -522,8 +497,7 @@
 		typ.dev += typShare * (math.Abs(e.Elapsed-typ.mean) - typ.dev)
 		typ.mean += typShare * (e.Elapsed - typ.mean)
 		typ.work = min(typ.work*1.01, max(1, e.Elapsed-b.num("layout.callWork")))
-		b.doneWork[n] = b.doneWork[n]*math.Exp((b.doneAt[n]-b.now)/rateWindow) + p.work
-		b.doneAt[n] = b.now
+		b.done, b.doneAt = b.done*math.Exp((b.doneAt-b.now)/rateWindow)+p.work, b.now
 		b.judge(n, true)
 		if !p.done {
 			p.done = true
@@ -539,18 +513,11 @@
 		b.heard[n] = b.now
 		b.sawLatency(n, max(1, b.lat(n)))
 	case Overdue, Recalled: // it took this long at least
-		if !d.markedAsLate {
+		if !d.lateSeen {
 			b.sawLatency(n, max(b.lat(n), (b.now-d.at)/typ.target))
 		}
 	}
-	if e.Outcome == Saturated || e.Outcome == ConnRefused || e.Outcome == Superseded { // it never ran
-		d.ran, p.firstRun = false, -1
-		for i := len(p.tries) - 1; i >= 0; i-- {
-			if p.tries[i].ran {
-				p.firstRun = p.tries[i].at
-			}
-		}
-	}
+	d.ran = e.Outcome != Saturated && e.Outcome != ConnRefused && e.Outcome != Superseded // else it never ran
 	if s.ended && p.open == 0 {
 		delete(b.parts, p.id)
 	}
@@ -607,26 +574,16 @@
 
 // coldLeft is the work that this broker may still send to the node now. A node that has just started can bear
 // a multiple of its present capacity over a window; this broker takes its share among all, judged by what
-// warm nodes of like size complete for it, and by one core at least.
+// nodes of like size complete for it, and by one core at least.
 func (b *Broker) coldLeft(n int) float64 {
 	if !b.cold(n) {
 		return math.Inf(1)
 	}
-	if b.warmRateAt != b.now {
-		rate, units := 0.0, 0.0
-		for m := range b.nodeID {
-			if b.state[m] == Ready && !b.cold(m) && b.doneAt[m] > longAgo {
-				rate += b.doneWork[m] * math.Exp((b.doneAt[m]-b.now)/rateWindow) / rateWindow
-				units += b.units[m]
-			}
-		}
-		b.warmRate, b.warmRateAt = rate/max(units, 0.01), b.now
-	}
-	from, share := b.num("rules.startCapacity"), 1/b.num("brokers")
+	from := b.num("rules.startCapacity")
 	part := from + (1-from)*max(0, b.now-b.born[n])/b.num("rules.cold")
-	left := coldSafety * b.num("rules.fallMultiple") * part * b.num("rules.fall") *
-		max(b.warmRate*b.units[n], share)
-	b.coldSent[n] = after2(b.coldSent[n], b.now-b.num("rules.fall"))
+	rate := b.done * math.Exp((b.doneAt-b.now)/rateWindow) / rateWindow * b.units[n] / b.allUnits
+	left := coldSafety * b.num("rules.fallMultiple") * part * b.num("rules.fall") * max(rate, 1/b.num("brokers"))
+	b.coldSent[n] = within(b.coldSent[n], b.now-b.num("rules.fall"))
 	for _, sent := range b.coldSent[n] {
 		left -= sent[1]
 	}
@@ -654,7 +611,7 @@
 	}
 	b.meanValue += 0.02 * (value - b.meanValue)
 	ramp := min(1, max(0, (worst-throttleAt)/(throttleAll-throttleAt)))
-	return ramp > 0 && b.chance.float() < math.Pow(ramp, value/b.meanValue)
+	return ramp > 0 && b.float() < math.Pow(ramp, value/b.meanValue)
 }
 
 // least is the weight that an answer of s must rest on.
@@ -676,14 +633,12 @@
 func (b *Broker) giveUp(s *scan) {
 	harmless := s.step == 1 && len(s.parts) > 0
 	for _, p := range s.parts {
-		harmless = harmless && (b.types[s.typ].effect == "replayable" || p.firstRun < 0)
+		harmless = harmless && (b.types[s.typ].effect == "replayable" || p.firstRun() < 0)
 	}
 	if s.got > 0 && s.got >= b.least(s)-0.00005 {
 		b.do(Action{Kind: Answer, ID: s.id})
-	} else if harmless && b.flag("limit.retryAfter") {
-		b.do(Action{Kind: Throttle, ID: s.id, After: b.num("limit.maxRetryAfter")})
 	} else if harmless {
-		b.do(Action{Kind: Throttle, ID: s.id})
+		b.do(Action{Kind: Throttle, ID: s.id, After: b.num("limit.maxRetryAfter")}) // unheard where not allowed
 	} else {
 		b.do(Action{Kind: Abandon, ID: s.id})
 	}
@@ -718,12 +673,7 @@
 }
 
 func (b *Broker) allIn(s *scan) bool {
-	for _, p := range s.parts {
-		if !p.done {
-			return false
-		}
-	}
-	return len(s.parts) > 0
+	return len(s.parts) > 0 && !slices.ContainsFunc(s.parts, func(p *part) bool { return !p.done })
 }
 
 func (b *Broker) takeScan(e *Event) {
@@ -749,7 +699,7 @@
 		}
 	}
 	b.scans[s.id], b.byNum[s.num] = s, s
-	b.taken = append(b.taken, b.now)
+	b.taken = append(b.taken, [2]float64{b.now})
 	b.touch(s)
 }
 
@@ -758,13 +708,13 @@
 	if s == nil || e.Shard >= len(b.holders) {
 		return // ended meanwhile, or a shard that the told placement does not know
 	}
-	p := &part{id: e.ID, scan: s, shard: e.Shard, weight: e.Amount, work: e.Hint, firstRun: -1}
+	p := &part{id: e.ID, scan: s, shard: e.Shard, weight: e.Amount, work: e.Hint}
 	if p.work <= 0 {
 		p.work = b.types[s.typ].work
 	}
 	s.parts = append(s.parts, p)
 	b.parts[p.id] = p
-	b.taken = append(b.taken, b.now)
+	b.taken = append(b.taken, [2]float64{b.now})
 	b.copies = min(copyBurst, b.copies+copyShare)
 	b.touch(s)
 }
@@ -789,20 +739,26 @@
 			b.nodeID, b.state, b.history = append(b.nodeID, en.Node), append(b.state, Gone), append(b.history, 0xff)
 			b.cell, b.zone, b.outCalls = append(b.cell, 0), append(b.zone, 0), append(b.outCalls, 0)
 			b.coldSent = append(b.coldSent, nil)
-			for _, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.latency, &b.doneWork, &b.rest} {
+			for _, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.latency, &b.rest} {
 				*col = append(*col, 0)
 			}
-			for _, col := range []*[]float64{&b.latAt, &b.heard, &b.restEnd, &b.doneAt} {
+			for _, col := range []*[]float64{&b.latAt, &b.heard, &b.restEnd} {
 				*col = append(*col, longAgo)
 			}
 			b.rest[n] = restFirst
 		} else if en.Born > b.born[n] { // a new process: what the old one did says nothing
 			b.history[n], b.rest[n], b.restEnd[n] = 0xff, restFirst, longAgo
-			b.latAt[n], b.doneAt[n], b.coldSent[n] = longAgo, longAgo, nil
+			b.latAt[n], b.coldSent[n] = longAgo, nil
 		}
 		b.cell[n], b.zone[n], b.state[n] = en.Cell, en.Zone, en.Readiness
 		b.units[n], b.born[n] = max(en.Units, 0.01), max(b.born[n], en.Born)
 	}
+	b.allUnits = 0.01
+	for n, st := range b.state {
+		if st == Ready {
+			b.allUnits += b.units[n]
+		}
+	}
 	cells, reach := int(b.num("layout.cells")), int(b.num("layout.reach"))
 	b.holders = make([][]int, int(b.num("layout.shards")))
 	for s := range b.holders {
@@ -816,8 +772,8 @@
 
 func (b *Broker) start(e *Event) {
 	*b = Broker{now: b.now, terms: e.Terms, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
-		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*call{}, copies: copyBurst,
-		chance: pcg{e.Seed}, warmRateAt: longAgo}
+		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*int{}, copies: copyBurst,
+		seed: e.Seed}
 	if b.terms == nil {
 		b.terms = map[string]any{}
 	}
@@ -877,26 +833,18 @@
 	}
 }
 
-func after(times []float64, limit float64) []float64 {
-	for len(times) > 0 && times[0] <= limit {
-		times = times[1:]
-	}
-	return times
-}
-
-func after2(sent [][2]float64, limit float64) [][2]float64 {
-	for len(sent) > 0 && sent[0][0] <= limit {
-		sent = sent[1:]
+// within drops what is older than limit from a list of times with amounts.
+func within(list [][2]float64, limit float64) [][2]float64 {
+	for len(list) > 0 && list[0][0] <= limit {
+		list = list[1:]
 	}
-	return sent
+	return list
 }
 
-// pcg is a permuted congruential generator (PCG-XSH-RR).
-type pcg struct{ state uint64 }
-
-func (c *pcg) float() float64 {
-	old := c.state
-	c.state = old*6364136223846793005 + 1442695040888963407
+// float draws from a permuted congruential generator (PCG-XSH-RR).
+func (b *Broker) float() float64 {
+	old := b.seed
+	b.seed = old*6364136223846793005 + 1442695040888963407
 	x := bits.RotateLeft32(uint32((old>>18^old)>>27), -int(old>>59))
 	return float64(x) / (1 << 32)
 }
