--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,13 +31,14 @@
 	goodEnough  = 6      // successes among a node's last eight outcomes that let it work as usual
 	restFirst   = 500.0  // first rest of a node that does poorly; doubled at each failed trial,
 	restMost    = 8000.0 // up to this
+	callShare   = 0.4   // most work of a call, as a share of the target time
 	searchSteps = 4000   // bound of the exact cover search, lightest nodes first
 	throttleAt  = 0.7    // predicted share of the target time at which throttling begins,
 	throttleAll = 1.4    // and at which a scan of mean value is turned away for sure
 	lookAgain   = 100.0  // wait before looking again at a part that has no holder to go to
 	rateWindow  = 5000.0 // over which a node's completed work is judged
 	coldSafety  = 0.8    // part of the cold allowance that is used
-	retrySign   = 0.95   // a client's budget under this share of the longest seen tells of an earlier try
+	retrySign   = 0.02   // a client's budget so far from the usual one, by the timeout, tells of an earlier try
 	longAgo     = -1e15
 )
 
@@ -80,6 +81,7 @@
 	target, timeout, benefit, lateBenefit, repeatWindow, need, floor, partial float64
 	fetch                                                                     int
 	effect                                                                    string
+	agreed                                                                    int     // how firmly budget stands as the usual one
 	mean, dev, work, budget                                                   float64 // as seen
 }
 
@@ -311,8 +313,9 @@
 // Exceptions: past 64 parts or candidates a scan is covered in stretches; past searchSteps the best set so far
 // stands; where no set has room, each part goes to the least loaded of its holders, past the batch limit.
 func (b *Broker) cover(s *scan, ask []*part, hold [][]int) (best []int, worst float64) {
-	f := field{ask: ask, mask: make([]uint64, len(ask)), room: int(b.num("layout.batch"))}
+	f, work := field{ask: ask, mask: make([]uint64, len(ask))}, 0.0
 	for i, nodes := range hold {
+		work += ask[i].work / float64(len(ask))
 		f.order = append(f.order, i)
 		for _, n := range nodes {
 			if !slices.Contains(f.all, n) {
@@ -326,6 +329,7 @@
 		}
 	}
 	slices.SortStableFunc(f.all, func(m, n int) int { return cmp.Compare(b.outWork[m]*b.weigh(m), b.outWork[n]*b.weigh(n)) })
+	f.room = int(min(b.num("layout.batch"), max(1, callShare*b.types[s.typ].target/work)))
 	slices.SortStableFunc(f.order, func(i, j int) int { return len(hold[i]) - len(hold[j]) })
 	f.holds = make([]uint64, len(f.all))
 	for k, n := range f.all {
@@ -682,10 +686,13 @@
 		return
 	}
 	typ, spent, turn := &b.types[e.TableType], 0.0, b.num("turn")
-	// A budget clearly shorter than usual (they differ a little by the way to us) is what an earlier try has
-	// left: the target time runs from that try.
-	typ.budget = max(typ.budget, e.Budget)
-	if e.Budget < typ.budget*retrySign {
+	// Most first tries of a table type come with one budget, but for the way to us. Another one, shorter or
+	// longer, is what earlier tries have left of the query timeout: the target time runs from the first.
+	if math.Abs(e.Budget-typ.budget) < retrySign*typ.timeout {
+		typ.agreed++
+	} else if typ.agreed--; typ.agreed < 0 {
+		typ.budget, typ.agreed = e.Budget, 1
+	} else {
 		spent = max(0, typ.timeout-e.Budget)
 	}
 	s := &scan{id: e.ID, num: e.Scan, typ: e.TableType, step: 1, look: longAgo,
