--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,10 +31,10 @@
 	goodEnough  = 6      // successes among a node's last eight outcomes that let it work as usual
 	restFirst   = 500.0  // first rest of a node that does poorly; doubled at each failed trial,
 	restMost    = 8000.0 // up to this
-	callShare   = 0.4   // most work of a call, as a share of the target time
+	callShare   = 0.15   // most work of a call, as a share of the target time
 	searchSteps = 4000   // bound of the exact cover search, lightest nodes first
-	throttleAt  = 0.7    // predicted share of the target time at which throttling begins,
-	throttleAll = 1.4    // and at which a scan of mean value is turned away for sure
+	throttleAt  = 1.0    // predicted share of the target time at which throttling begins,
+	throttleAll = 2.0    // and at which a scan of mean value is turned away for sure
 	lookAgain   = 100.0  // wait before looking again at a part that has no holder to go to
 	rateWindow  = 5000.0 // over which a node's completed work is judged
 	coldSafety  = 0.8    // part of the cold allowance that is used
@@ -44,9 +44,9 @@
 
 type dispatch struct {
 	node                int
-	call                *int // parts of its call that are still out
-	at, late            float64
-	open, ran, lateSeen bool // ran: it may have run
+	call                *int    // parts of its call that are still out
+	at, late, load      float64 // load: work outstanding at the node with it
+	open, ran, lateSeen bool    // ran: it may have run
 }
 
 type part struct {
@@ -106,10 +106,12 @@
 	history                []uint8        // last eight outcomes, the newest lowest, 1 = success
 	units, born, outWork   []float64      // outWork: outstanding, calls counted
 	latency, latAt, heard  []float64      // latency: recent, as a share of the target time
+	under                  []float64      // the work that was outstanding then, as a share of the target time
 	rest, restEnd          []float64      // how long and until when it rests
 	coldSent               [][][2]float64 // time and work of what went to it while cold
 	holders                [][]int        // by shard
-	meanLat, meanValue     float64
+	meanLat, meanUnder     float64
+	meanValue              float64
 	copies                 float64      // second copies that may go out now
 	done, doneAt, allUnits float64      // work completed, fading; units of all ready nodes
 	extras, taken          [][2]float64 // for a stated budget
@@ -388,14 +390,38 @@
 		f.room = math.MaxInt
 		best, _ = f.share(uint64(1)<<len(f.all) - 1)
 	}
-	for i := range ask {
-		if len(best) <= i {
-			best = append(best, -1)
-		} else {
-			worst = max(worst, b.lat(best[i]))
+	for len(best) < len(ask) {
+		best = append(best, -1)
+	}
+	return best, b.predict(s, ask, best)
+}
+
+// predict says at what share of its target time the least part of the scan that makes an answer will be in: each
+// node answers in its recent latency, stretched by what is outstanding there now against what was then.
+func (b *Broker) predict(s *scan, ask []*part, node []int) (worst float64) {
+	added, lats := map[int]float64{}, [][2]float64{}
+	for i, n := range node {
+		if n >= 0 {
+			added[n] += ask[i].work
 		}
 	}
-	return best, worst
+	for i, n := range node {
+		lat, under := b.meanLat, b.meanUnder
+		if n < 0 {
+			lat = math.Inf(1)
+		} else if b.now-b.latAt[n] < recent {
+			lat, under = b.latency[n], b.under[n]
+		}
+		if n >= 0 && under > 0 {
+			lat *= (b.outWork[n] + b.num("layout.callWork") + added[n]) / b.types[s.typ].target / under
+		}
+		lats = append(lats, [2]float64{lat, ask[i].weight})
+	}
+	slices.SortFunc(lats, func(x, y [2]float64) int { return cmp.Compare(x[0], y[0]) })
+	for i, got := 0, 0.0; i < len(lats) && got < b.least(s)-0.00005; i++ {
+		got, worst = got+lats[i][1], lats[i][0]
+	}
+	return worst
 }
 
 // share gives each part to the least loaded node of the set that holds it and has room, and returns what
@@ -467,7 +493,8 @@
 	if !b.flag("limit.secondCopies") && !b.flag("limit.cancelling") {
 		limit = min(limit, late)
 	}
-	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, open: true, ran: true})
+	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, load: b.outWork[n],
+		open: true, ran: true})
 	p.open++
 	b.do(Action{Kind: Dispatch, ID: p.id, Node: b.nodeID[n], After: limit - b.now})
 	return late
@@ -497,7 +524,7 @@
 	switch e.Outcome {
 	case Completed:
 		b.heard[n] = b.now
-		b.sawLatency(n, e.Elapsed/typ.target)
+		b.sawLatency(d, e.Elapsed, typ.target)
 		typ.dev += typShare * (math.Abs(e.Elapsed-typ.mean) - typ.dev)
 		typ.mean += typShare * (e.Elapsed - typ.mean)
 		typ.work = min(typ.work*1.01, max(1, e.Elapsed-b.num("layout.callWork")))
@@ -515,10 +542,10 @@
 		b.judge(n, false)
 	case Saturated: // full, not ill: it counts as slow
 		b.heard[n] = b.now
-		b.sawLatency(n, max(1, b.lat(n)))
+		b.sawLatency(d, max(typ.target, b.lat(n)*typ.target), typ.target)
 	case Overdue, Recalled: // it took this long at least
 		if !d.lateSeen {
-			b.sawLatency(n, max(b.lat(n), (b.now-d.at)/typ.target))
+			b.sawLatency(d, max(b.lat(n)*typ.target, b.now-d.at), typ.target)
 		}
 	}
 	d.ran = e.Outcome != Saturated && e.Outcome != ConnRefused && e.Outcome != Superseded // else it never ran
@@ -531,25 +558,28 @@
 // sawLate counts a dispatch that has outstayed its patience: as slowness, and as a failure when its node has
 // said nothing since (crashed, cut off, or its answers are lost: the symptom is silence).
 func (b *Broker) sawLate(d *dispatch, s *scan) {
-	b.sawLatency(d.node, max(b.lat(d.node), (b.now-d.at)/b.types[s.typ].target))
+	target := b.types[s.typ].target
+	b.sawLatency(d, max(b.lat(d.node)*target, b.now-d.at), target)
 	if b.heard[d.node] < d.at {
 		b.judge(d.node, false)
 	}
 }
 
-func (b *Broker) sawLatency(n int, share float64) {
+func (b *Broker) sawLatency(d *dispatch, elapsed, target float64) {
+	n := d.node
 	if b.now-b.latAt[n] > recent {
-		b.latency[n] = b.meanLat
+		b.latency[n], b.under[n] = b.meanLat, b.meanUnder
 	}
-	b.latency[n] += latShare * (share - b.latency[n])
+	b.latency[n] += latShare * (elapsed/target - b.latency[n])
+	b.under[n] += latShare * (d.load/target - b.under[n])
 	b.latAt[n] = b.now
-	sum, count := 0.0, 0.0
+	lat, under, count := 0.0, 0.0, 0.0
 	for m := range b.latency {
 		if b.state[m] == Ready && b.now-b.latAt[m] < recent {
-			sum, count = sum+b.latency[m], count+1
+			lat, under, count = lat+b.latency[m], under+b.under[m], count+1
 		}
 	}
-	b.meanLat = sum / max(1, count)
+	b.meanLat, b.meanUnder = lat/max(1, count), under/max(1, count)
 }
 
 // judge keeps the last eight outcomes of a node. One that does poorly rests and then gets one call at a time.
@@ -746,7 +776,7 @@
 			b.nodeID, b.state, b.history = append(b.nodeID, en.Node), append(b.state, Gone), append(b.history, 0xff)
 			b.cell, b.zone, b.outCalls = append(b.cell, 0), append(b.zone, 0), append(b.outCalls, 0)
 			b.coldSent = append(b.coldSent, nil)
-			for _, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.latency, &b.rest} {
+			for _, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.latency, &b.under, &b.rest} {
 				*col = append(*col, 0)
 			}
 			for _, col := range []*[]float64{&b.latAt, &b.heard, &b.restEnd} {
