Spare the lightest parts of a scan before turning it away; throttle from 0.8 to 1.5

Should also help where holders of a few shards are lost; could harm where a partial answer is worth far less than its share.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,9 +32,10 @@
 	restFirst   = 500.0  // first rest of a node that does poorly; doubled at each failed trial,
 	restMost    = 8000.0 // up to this
 	callShare   = 0.15   // most work of a call, as a share of the target time
+	trimSlack   = 0.05   // weight kept beyond the least share when parts are spared
 	searchSteps = 4000   // bound of the exact cover search, lightest nodes first
-	throttleAt  = 1.0    // predicted share of the target time at which throttling begins,
-	throttleAll = 2.0    // and at which a scan of mean value is turned away for sure
+	throttleAt  = 0.8    // predicted share of the target time at which throttling begins,
+	throttleAll = 1.5    // and at which a scan of mean value is turned away for sure
 	lookAgain   = 100.0  // wait before looking again at a part that has no holder to go to
 	rateWindow  = 5000.0 // over which a node's completed work is judged
 	coldSafety  = 0.8    // part of the cold allowance that is used
@@ -54,7 +55,7 @@
 	scan         *scan
 	shard, open  int
 	weight, work float64
-	done         bool
+	done, spared bool // spared: not asked at all
 	tries        []dispatch
 }
 
@@ -176,7 +177,7 @@
 		s.step, s.got, s.parts = 2, 0, nil // the second step's parts are on their way
 	}
 	// Mechanism 5: answer from a part when the target time is here; answer or fail when time is up.
-	if b.due(s.endAt) || b.due(s.targetAt) && b.partialPays(s) {
+	if b.due(s.endAt) || (b.due(s.targetAt) || b.allAskedIn(s)) && b.partialPays(s) {
 		b.giveUp(s)
 		return
 	}
@@ -189,8 +190,13 @@
 		node, worst := b.cover(s, ask, hold)
 		// Mechanism 4: turn the scan away by chance before anything of it is sent.
 		if !s.placed && b.turnedAway(s, worst) {
-			b.giveUp(s)
-			return
+			if ask, hold = b.trim(s, ask, hold); len(ask) > 0 {
+				node, worst = b.cover(s, ask, hold)
+			}
+			if len(ask) == 0 || b.turnedAway(s, worst) {
+				b.giveUp(s)
+				return
+			}
 		}
 		s.placed = true
 		for i, p := range ask { // one call a node: what goes to one node in one turn travels together
@@ -225,7 +231,7 @@
 				b.sawLate(d, s)
 			}
 		}
-		if p.done || p.open > 0 && !late {
+		if p.done || p.spared || p.open > 0 && !late {
 			continue
 		}
 		if !b.mayDispatch(p) {
@@ -635,7 +641,9 @@
 		value *= typ.lateBenefit
 	}
 	for _, p := range s.parts {
-		work += p.work
+		if !p.spared {
+			work += p.work
+		}
 	}
 	if b.terms["countedBy"] != "work" {
 		value /= max(1, work)
@@ -648,6 +656,27 @@
 	return ramp > 0 && b.float() < math.Pow(ramp, value/b.meanValue)
 }
 
+// trim spares the lightest parts of a scan that may be answered from the heaviest, before it is turned away:
+// what is left makes an answer with trimSlack to lose. It returns what is still to be asked, if any.
+func (b *Broker) trim(s *scan, ask []*part, hold [][]int) (kept []*part, holds [][]int) {
+	typ, got := &b.types[s.typ], 0.0
+	if typ.floor >= typ.need || s.step > 1 {
+		return nil, nil
+	}
+	heavy := slices.Clone(s.parts)
+	slices.SortStableFunc(heavy, func(p, q *part) int { return cmp.Compare(q.weight, p.weight) })
+	for _, p := range heavy {
+		p.spared = got >= typ.floor+trimSlack
+		got += p.weight
+	}
+	for i, p := range ask {
+		if !p.spared {
+			kept, holds = append(kept, p), append(holds, hold[i])
+		}
+	}
+	return kept, holds
+}
+
 // least is the weight that an answer of s must rest on.
 func (b *Broker) least(s *scan) float64 {
 	typ := &b.types[s.typ]
@@ -710,6 +739,11 @@
 	return len(s.parts) > 0 && !slices.ContainsFunc(s.parts, func(p *part) bool { return !p.done })
 }
 
+// allAskedIn says that a scan of which parts were spared has all it asked for.
+func (b *Broker) allAskedIn(s *scan) bool {
+	return s.got > 0 && !slices.ContainsFunc(s.parts, func(p *part) bool { return !p.done && !p.spared })
+}
+
 func (b *Broker) takeScan(e *Event) {
 	if e.TableType < 0 || e.TableType >= len(b.types) || e.Scan < 0 {
 		b.do(Action{Kind: Abandon, ID: e.ID})
