--- a/logic/logic.go
+++ b/logic/logic.go
@@ -55,18 +55,18 @@
 	scan         *scan
 	shard, open  int
 	weight, work float64
-	done, spared bool // spared: not asked at all
+	done         bool
 	tries        []dispatch
 }
 
 type scan struct {
-	id, num                         int64
-	typ, step                       int
-	parts                           []*part // of the present step
-	got                             float64 // their weight that has completed
-	placed, ended, dirty, overShare bool
-	targetAt, endAt                 float64 // the answer must leave by then: for the whole benefit, at all
-	look                            float64 // the timer set for it
+	id, num                                 int64
+	typ, step                               int
+	parts                                   []*part // of the present step
+	got                                     float64 // their weight that has completed
+	placed, ended, dirty, overShare, spared bool
+	targetAt, endAt                         float64 // the answer must leave by then: for the whole benefit, at all
+	look                                    float64 // the timer set for it
 }
 
 type field struct { // what a cover is chosen from; sets of nodes and of parts are bit masks
@@ -88,11 +88,12 @@
 
 // Broker is one instance of the module; it waits for its Started event.
 type Broker struct {
-	terms        map[string]any // what the site states at start
+	terms        // what the site states at start
+	pcg          // chance
 	fault        string
+	started      bool
 	now          float64
 	out          []Action
-	seed         uint64
 	types        []tableType
 	scans, byNum map[int64]*scan // by id, by number
 	parts        map[int64]*part
@@ -126,7 +127,7 @@
 		e := &events[i]
 		if e.Kind == Started {
 			b.start(e)
-		} else if b.terms == nil {
+		} else if !b.started {
 			continue // not started yet
 		}
 		if b.fault != "" {
@@ -142,13 +143,9 @@
 		case DispatchEnded:
 			b.dispatchEnded(e)
 		case ClientLeft:
-			if s := b.scans[e.ID]; s != nil {
-				b.end(s)
-			}
+			b.end(b.scans[e.ID])
 		case TimerDue:
-			if s := b.byNum[e.Timer]; s != nil {
-				b.touch(s)
-			} else if e.Timer < 0 {
+			if b.touch(b.byNum[e.Timer]); e.Timer < 0 {
 				b.do(Action{Kind: Subscribe})
 			}
 		}
@@ -167,17 +164,18 @@
 	}
 	typ := &b.types[s.typ]
 	// Answer when the parts that the table type needs are in.
-	if all := b.allIn(s); all || s.step == 1 && s.got >= typ.need-0.00005 && s.got > 0 {
+	all := len(s.parts) > 0 && !slices.ContainsFunc(s.parts, func(p *part) bool { return !p.done })
+	if all && !s.spared || s.step == 1 && s.got >= typ.need-0.00005 && s.got > 0 {
 		b.do(Action{Kind: Answer, ID: s.id, Whole: true})
 		if s.step == 2 || typ.fetch == 0 {
 			b.end(s)
 			return
 		}
 		b.dropParts(s)
-		s.step, s.got, s.parts = 2, 0, nil // the second step's parts are on their way
+		s.step, s.got, s.parts, all = 2, 0, nil, false // the second step's parts are on their way
 	}
 	// Mechanism 5: answer from a part when the target time is here; answer or fail when time is up.
-	if b.due(s.endAt) || (b.due(s.targetAt) || b.allAskedIn(s)) && b.partialPays(s) {
+	if b.due(s.endAt) || (b.due(s.targetAt) || all) && b.partialPays(s) {
 		b.giveUp(s)
 		return
 	}
@@ -188,15 +186,16 @@
 	}
 	if len(ask) > 0 {
 		node, worst := b.cover(s, ask, hold)
-		// Mechanism 4: turn the scan away by chance before anything of it is sent.
-		if !s.placed && b.turnedAway(s, worst) {
-			if ask, hold = b.trim(s, ask, hold); len(ask) > 0 {
-				node, worst = b.cover(s, ask, hold)
-			}
-			if len(ask) == 0 || b.turnedAway(s, worst) {
-				b.giveUp(s)
-				return
-			}
+		// Mechanism 4: turn the scan away by chance before anything of it is sent, or a part of it first.
+		away := !s.placed && b.turnedAway(s, worst)
+		if away && b.trim(s) {
+			ask, hold, lost, next = b.missing(s)
+			node, worst = b.cover(s, ask, hold)
+			away = b.turnedAway(s, worst)
+		}
+		if away {
+			b.giveUp(s)
+			return
 		}
 		s.placed = true
 		for i, p := range ask { // one call a node: what goes to one node in one turn travels together
@@ -231,7 +230,7 @@
 				b.sawLate(d, s)
 			}
 		}
-		if p.done || p.spared || p.open > 0 && !late {
+		if p.done || p.open > 0 && !late {
 			continue
 		}
 		if !b.mayDispatch(p) {
@@ -262,14 +261,11 @@
 // of dispatches and on their budget, whatever the reason for asking again.
 func (b *Broker) mayDispatch(p *part) bool {
 	typ := &b.types[p.scan.typ]
+	first, keyed := p.firstRun(), typ.effect == "keyed" && b.now <= p.firstRun()+typ.repeatWindow-4*b.num("turn")
 	if len(p.tries) == 0 {
 		return true
 	}
-	if len(p.tries) >= int(b.num("limit.dispatches")) {
-		return false
-	}
-	if first := p.firstRun(); first >= 0 && typ.effect != "replayable" &&
-		(typ.effect != "keyed" || b.now > first+typ.repeatWindow-4*b.num("turn")) {
+	if len(p.tries) >= int(b.num("limit.dispatches")) || first >= 0 && typ.effect != "replayable" && !keyed {
 		return false
 	}
 	if window, stated := b.terms["rules.budgetWindow"].(float64); stated {
@@ -294,7 +290,7 @@
 // else any. A holder that drains, is gone, or is cold and has had its share is never among them.
 func (b *Broker) eligible(p *part) (best []int) {
 	rank := 3
-	for _, n := range b.holders[p.shard] {
+	for _, n := range b.holders[min(p.shard, len(b.holders)-1)] {
 		r := 0
 		if b.sick(n) {
 			r = 2
@@ -412,13 +408,9 @@
 		}
 	}
 	for i, n := range node {
-		lat, under := b.meanLat, b.meanUnder
-		if n < 0 {
-			lat = math.Inf(1)
-		} else if b.now-b.latAt[n] < recent {
-			lat, under = b.latency[n], b.under[n]
-		}
-		if n >= 0 && under > 0 {
+		lat, under := math.Inf(1), 1.0
+		if n >= 0 {
+			lat, under = b.lat(n)
 			lat *= (b.outWork[n] + b.num("layout.callWork") + added[n]) / b.types[s.typ].target / under
 		}
 		lats = append(lats, [2]float64{lat, ask[i].weight})
@@ -461,19 +453,16 @@
 
 // weigh is the node's recent latency over the mean one; a failing node's work counts as done again.
 func (b *Broker) weigh(n int) float64 {
-	w := 1.0
-	if b.meanLat > 0 {
-		w = min(max(b.lat(n)/b.meanLat, 0.2), 8)
-	}
-	return w * 8 / max(1, float64(bits.OnesCount8(b.history[n])))
+	lat, _ := b.lat(n)
+	return min(max(lat/b.meanLat, 0.2), 8) * 8 / max(1, float64(bits.OnesCount8(b.history[n])))
 }
 
-// lat is the node's recent latency against its target; a node without one counts as average.
-func (b *Broker) lat(n int) float64 {
+// lat is the node's recent latency against its target, and the work it was under; without one it is average.
+func (b *Broker) lat(n int) (lat, under float64) {
 	if b.now-b.latAt[n] < recent {
-		return b.latency[n]
+		return b.latency[n], b.under[n]
 	}
-	return b.meanLat
+	return b.meanLat, b.meanUnder
 }
 
 // send dispatches p to node n in this turn's call and returns when the dispatch will be late.
@@ -530,7 +519,7 @@
 	switch e.Outcome {
 	case Completed:
 		b.heard[n] = b.now
-		b.sawLatency(d, e.Elapsed, typ.target)
+		b.sawLatency(d, s, e.Elapsed, false)
 		typ.dev += typShare * (math.Abs(e.Elapsed-typ.mean) - typ.dev)
 		typ.mean += typShare * (e.Elapsed - typ.mean)
 		typ.work = min(typ.work*1.01, max(1, e.Elapsed-b.num("layout.callWork")))
@@ -548,11 +537,9 @@
 		b.judge(n, false)
 	case Saturated: // full, not ill: it counts as slow
 		b.heard[n] = b.now
-		b.sawLatency(d, max(typ.target, b.lat(n)*typ.target), typ.target)
+		b.sawLatency(d, s, typ.target, true)
 	case Overdue, Recalled: // it took this long at least
-		if !d.lateSeen {
-			b.sawLatency(d, max(b.lat(n)*typ.target, b.now-d.at), typ.target)
-		}
+		b.sawLatency(d, s, b.now-d.at, true)
 	}
 	d.ran = e.Outcome != Saturated && e.Outcome != ConnRefused && e.Outcome != Superseded // else it never ran
 	if s.ended && p.open == 0 {
@@ -564,28 +551,25 @@
 // sawLate counts a dispatch that has outstayed its patience: as slowness, and as a failure when its node has
 // said nothing since (crashed, cut off, or its answers are lost: the symptom is silence).
 func (b *Broker) sawLate(d *dispatch, s *scan) {
-	target := b.types[s.typ].target
-	b.sawLatency(d, max(b.lat(d.node)*target, b.now-d.at), target)
+	b.sawLatency(d, s, b.now-d.at, true)
 	if b.heard[d.node] < d.at {
 		b.judge(d.node, false)
 	}
 }
 
-func (b *Broker) sawLatency(d *dispatch, elapsed, target float64) {
-	n := d.node
-	if b.now-b.latAt[n] > recent {
-		b.latency[n], b.under[n] = b.meanLat, b.meanUnder
+// sawLatency keeps the means of a node's latency and of the work it was under; atLeast tells that the true
+// latency is longer, so it never counts in a node's favour.
+func (b *Broker) sawLatency(d *dispatch, s *scan, elapsed float64, atLeast bool) {
+	n, target := d.node, b.types[s.typ].target
+	lat, under := b.lat(n)
+	if atLeast && elapsed/target < lat {
+		return
 	}
-	b.latency[n] += latShare * (elapsed/target - b.latency[n])
-	b.under[n] += latShare * (d.load/target - b.under[n])
+	b.latency[n] = lat + latShare*(elapsed/target-lat)
+	b.under[n] = under + latShare*(d.load/target-under)
 	b.latAt[n] = b.now
-	lat, under, count := 0.0, 0.0, 0.0
-	for m := range b.latency {
-		if b.state[m] == Ready && b.now-b.latAt[m] < recent {
-			lat, under, count = lat+b.latency[m], under+b.under[m], count+1
-		}
-	}
-	b.meanLat, b.meanUnder = lat/max(1, count), under/max(1, count)
+	b.meanLat += typShare * (elapsed/target - b.meanLat)
+	b.meanUnder += typShare * (d.load/target - b.meanUnder)
 }
 
 // judge keeps the last eight outcomes of a node. One that does poorly rests and then gets one call at a time.
@@ -641,9 +625,7 @@
 		value *= typ.lateBenefit
 	}
 	for _, p := range s.parts {
-		if !p.spared {
-			work += p.work
-		}
+		work += p.work
 	}
 	if b.terms["countedBy"] != "work" {
 		value /= max(1, work)
@@ -657,24 +639,24 @@
 }
 
 // trim spares the lightest parts of a scan that may be answered from the heaviest, before it is turned away:
-// what is left makes an answer with trimSlack to lose. It returns what is still to be asked, if any.
-func (b *Broker) trim(s *scan, ask []*part, hold [][]int) (kept []*part, holds [][]int) {
-	typ, got := &b.types[s.typ], 0.0
+// what is left makes an answer with trimSlack to lose.
+func (b *Broker) trim(s *scan) bool {
+	typ, got, all := &b.types[s.typ], 0.0, s.parts
 	if typ.floor >= typ.need || s.step > 1 {
-		return nil, nil
-	}
-	heavy := slices.Clone(s.parts)
-	slices.SortStableFunc(heavy, func(p, q *part) int { return cmp.Compare(q.weight, p.weight) })
-	for _, p := range heavy {
-		p.spared = got >= typ.floor+trimSlack
-		got += p.weight
+		return false
 	}
-	for i, p := range ask {
-		if !p.spared {
-			kept, holds = append(kept, p), append(holds, hold[i])
+	slices.SortStableFunc(all, func(p, q *part) int { return cmp.Compare(q.weight, p.weight) })
+	s.parts = nil
+	for _, p := range all {
+		if got < typ.floor+trimSlack {
+			s.parts = append(s.parts, p)
+		} else {
+			s.spared = true
+			delete(b.parts, p.id)
 		}
+		got += p.weight
 	}
-	return kept, holds
+	return s.spared
 }
 
 // least is the weight that an answer of s must rest on.
@@ -709,6 +691,9 @@
 }
 
 func (b *Broker) end(s *scan) {
+	if s == nil {
+		return
+	}
 	s.ended = true
 	delete(b.scans, s.id)
 	delete(b.byNum, s.num)
@@ -735,15 +720,6 @@
 	}
 }
 
-func (b *Broker) allIn(s *scan) bool {
-	return len(s.parts) > 0 && !slices.ContainsFunc(s.parts, func(p *part) bool { return !p.done })
-}
-
-// allAskedIn says that a scan of which parts were spared has all it asked for.
-func (b *Broker) allAskedIn(s *scan) bool {
-	return s.got > 0 && !slices.ContainsFunc(s.parts, func(p *part) bool { return !p.done && !p.spared })
-}
-
 func (b *Broker) takeScan(e *Event) {
 	if e.TableType < 0 || e.TableType >= len(b.types) || e.Scan < 0 {
 		b.do(Action{Kind: Abandon, ID: e.ID})
@@ -776,8 +752,8 @@
 
 func (b *Broker) takePart(e *Event) {
 	s := b.byNum[e.Scan]
-	if s == nil || e.Shard >= len(b.holders) {
-		return // ended meanwhile, or a shard that the told placement does not know
+	if s == nil {
+		return // ended meanwhile
 	}
 	p := &part{id: e.ID, scan: s, shard: e.Shard, weight: e.Amount, work: e.Hint}
 	if p.work <= 0 {
@@ -831,8 +807,8 @@
 		}
 	}
 	cells, reach := int(b.num("layout.cells")), int(b.num("layout.reach"))
-	b.holders = make([][]int, int(b.num("layout.shards")))
-	for s := range b.holders {
+	b.holders = make([][]int, int(b.num("layout.shards"))+1) // the last, always empty: any unknown shard
+	for s := range b.holders[:len(b.holders)-1] {
 		for n, c := range b.cell {
 			if b.state[n] == Ready && ((c-s)%cells+cells)%cells < reach {
 				b.holders[s] = append(b.holders[s], n)
@@ -842,29 +818,27 @@
 }
 
 func (b *Broker) start(e *Event) {
-	*b = Broker{now: b.now, terms: e.Terms, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
-		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*int{}, copies: copyBurst,
-		seed: e.Seed}
-	if b.terms == nil {
-		b.terms = map[string]any{}
-	}
+	*b = Broker{now: b.now, terms: e.Terms, started: true, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
+		parts: map[int64]*part{}, index: map[int64]int{}, holders: make([][]int, 1), turn: map[int]*int{}, copies: copyBurst,
+		pcg: pcg{e.Seed}}
 	for _, name := range []string{"layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers",
 		"limit.dispatches", "tableType.count"} {
-		b.need(name, 1)
+		b.need(name, 1, &b.fault)
 	}
 	for _, name := range []string{"turn", "rules.cold", "rules.fall", "rules.fallMultiple", "rules.startCapacity"} {
-		b.need(name, 0)
+		b.need(name, 0, &b.fault)
 	}
 	for i := 0; i < int(b.num("tableType.count")) && b.fault == ""; i++ {
 		at := func(name string) string { return fmt.Sprintf("tableType.%d.%s", i, name) }
 		in := func(name string) string { return fmt.Sprintf("layout.%s.%d", name, i) }
-		t := tableType{target: b.need(at("target"), 0.001), timeout: b.need(at("timeout"), 0.001),
-			benefit: b.need(at("benefit"), 0), lateBenefit: b.num(at("lateBenefit")),
-			repeatWindow: b.num(at("repeatWindow")), need: b.need(in("need"), 0), floor: b.need(in("floor"), 0),
+		t := tableType{target: b.need(at("target"), 0.001, &b.fault), timeout: b.need(at("timeout"), 0.001, &b.fault),
+			benefit: b.need(at("benefit"), 0, &b.fault), lateBenefit: b.num(at("lateBenefit")),
+			repeatWindow: b.num(at("repeatWindow")), need: b.need(in("need"), 0, &b.fault), floor: b.need(in("floor"), 0, &b.fault),
 			partial: b.num(in("partialBenefit")), fetch: int(b.num(in("fetch")))}
 		t.effect, _ = b.terms[at("effect")].(string)
 		t.mean, t.dev, t.work = t.target/5, t.target/10, t.target/20
 		b.types = append(b.types, t)
+		b.meanLat, b.meanUnder = t.mean/t.target, t.mean/t.target // until something is seen
 	}
 	b.shareLeft = make([]float64, int(b.num("tenant.count")))
 	b.shareAt = make([]float64, len(b.shareLeft))
@@ -873,49 +847,14 @@
 	}
 }
 
-// need is num for what the module cannot do without.
-func (b *Broker) need(name string, least float64) float64 {
-	x, ok := b.terms[name].(float64)
-	if (!ok || x < least || x > 1e9) && b.fault == "" {
-		b.fault = fmt.Sprintf("start setting %s is missing or impossible: %v", name, b.terms[name])
-	}
-	return x
-}
-
-func (b *Broker) num(name string) float64 {
-	x, _ := b.terms[name].(float64)
-	return x
-}
-
-func (b *Broker) flag(name string) bool {
-	on, _ := b.terms[name].(bool)
-	return on
-}
-
 func (b *Broker) do(a Action) { b.out = append(b.out, a) }
 
 // due says whether a moment has come; timers may fire a hair early by rounding.
 func (b *Broker) due(at float64) bool { return at <= b.now+0.01 }
 
 func (b *Broker) touch(s *scan) {
-	if !s.dirty && !s.ended {
+	if s != nil && !s.dirty && !s.ended {
 		s.dirty = true
 		b.changed = append(b.changed, s)
 	}
 }
-
-// within drops what is older than limit from a list of times with amounts.
-func within(list [][2]float64, limit float64) [][2]float64 {
-	for len(list) > 0 && list[0][0] <= limit {
-		list = list[1:]
-	}
-	return list
-}
-
-// float draws from a permuted congruential generator (PCG-XSH-RR).
-func (b *Broker) float() float64 {
-	old := b.seed
-	b.seed = old*6364136223846793005 + 1442695040888963407
-	x := bits.RotateLeft32(uint32((old>>18^old)>>27), -int(old>>59))
-	return float64(x) / (1 << 32)
-}
--- /dev/null
+++ b/logic/terms.go
@@ -0,0 +1,49 @@
+package logic
+
+import (
+	"fmt"
+	"math/bits"
+)
+
+// terms is what the site states at start: names to values.
+type terms map[string]any
+
+// num reads a number; one that is not stated is 0.
+func (t terms) num(name string) float64 {
+	x, _ := t[name].(float64)
+	return x
+}
+
+// flag reads a yes or no; one that is not stated is no.
+func (t terms) flag(name string) bool {
+	on, _ := t[name].(bool)
+	return on
+}
+
+// need reads a number that cannot be done without and notes the first that is missing or under least.
+func (t terms) need(name string, least float64, fault *string) float64 {
+	x, ok := t[name].(float64)
+	if (!ok || x < least || x > 1e9) && *fault == "" {
+		*fault = fmt.Sprintf("start setting %s is missing or impossible: %v", name, t[name])
+	}
+	return x
+}
+
+// pcg is a permuted congruential generator (PCG-XSH-RR).
+type pcg struct{ state uint64 }
+
+// float draws a number from 0 up to 1.
+func (c *pcg) float() float64 {
+	old := c.state
+	c.state = old*6364136223846793005 + 1442695040888963407
+	x := bits.RotateLeft32(uint32((old>>18^old)>>27), -int(old>>59))
+	return float64(x) / (1 << 32)
+}
+
+// within drops what is older than limit from a list of times with amounts.
+func within(list [][2]float64, limit float64) [][2]float64 {
+	for len(list) > 0 && list[0][0] <= limit {
+		list = list[1:]
+	}
+	return list
+}
