--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,24 +22,25 @@
 )
 
 const (
-	recent      = 5000.0 // a latency older than this says nothing of its node any more
-	latShare    = 0.25   // share of the newest latency in a node's mean,
-	typShare    = 0.05   // and in a table type's
-	lateDevs    = 4.0    // a part is late when it is so many mean deviations over the mean
-	copyShare   = 0.15   // second copies for each part taken, at most,
-	copyBurst   = 10.0   // and so many at once
-	goodEnough  = 6      // successes among a node's last eight outcomes that let it work as usual
-	restFirst   = 500.0  // first rest of a node that does poorly; doubled at each failed trial,
-	restMost    = 8000.0 // up to this
-	callShare   = 0.15   // most work of a call, as a share of the target time
-	trimSlack   = 0.05   // weight kept beyond the least share when parts are spared
-	searchSteps = 4000   // bound of the exact cover search, lightest nodes first
-	throttleAt  = 0.8    // predicted share of the target time at which throttling begins,
-	throttleAll = 1.5    // and at which a scan of mean value is turned away for sure
-	lookAgain   = 100.0  // wait before looking again at a part that has no holder to go to
-	rateWindow  = 5000.0 // over which a node's completed work is judged
-	coldSafety  = 0.8    // part of the cold allowance that is used
-	retrySign   = 0.02   // a client's budget so far from the usual one, by the timeout, tells of an earlier try
+	recent      = 5000.0  // a latency older than this says nothing of its node any more
+	latShare    = 0.25    // share of the newest latency in a node's mean,
+	typShare    = 0.05    // and in a table type's
+	lateDevs    = 4.0     // a part is late when it is so many mean deviations over the mean
+	copyShare   = 0.15    // second copies for each part taken, at most,
+	copyBurst   = 10.0    // and so many at once
+	goodEnough  = 6       // successes among a node's last eight outcomes that let it work as usual
+	restFirst   = 500.0   // first rest of a node that does poorly; doubled at each failed trial,
+	restMost    = 8000.0  // up to this
+	callShare   = 0.15    // most work of a call, as a share of the target time
+	trimSlack   = 0.05    // weight kept beyond the least share when parts are spared
+	searchSteps = 4000    // bound of the exact cover search, lightest nodes first
+	throttleAt  = 0.8     // predicted share of the target time at which throttling begins,
+	throttleAll = 1.5     // and at which a scan of mean value is turned away for sure
+	lookAgain   = 100.0   // wait before looking again at a part that has no holder to go to
+	rateWindow  = 5000.0  // over which a node's completed work is judged
+	coldSafety  = 0.8     // part of the cold allowance that is used
+	retrySign   = 0.02    // a client's budget so far from the usual one, by the timeout, tells of an earlier try
+	askList     = 1 << 62 // the timer to ask for the list again
 	longAgo     = -1e15
 )
 
@@ -145,7 +146,7 @@
 		case ClientLeft:
 			b.end(b.scans[e.ID])
 		case TimerDue:
-			if b.touch(b.byNum[e.Timer]); e.Timer < 0 {
+			if b.touch(b.byNum[e.Timer]); e.Timer == askList {
 				b.do(Action{Kind: Subscribe})
 			}
 		}
@@ -268,12 +269,10 @@
 	if len(p.tries) >= int(b.num("limit.dispatches")) || first >= 0 && typ.effect != "replayable" && !keyed {
 		return false
 	}
-	if window, stated := b.terms["rules.budgetWindow"].(float64); stated {
-		b.extras, b.taken = within(b.extras, b.now-window), within(b.taken, b.now-window)
-		most := b.num("rules.spareDispatches") + b.num("rules.spareShare")*float64(len(b.taken))
-		return float64(len(b.extras))+1 <= most
-	}
-	return true
+	window, stated := b.terms["rules.budgetWindow"].(float64)
+	b.extras, b.taken = within(b.extras, b.now-window), within(b.taken, b.now-window)
+	most := b.num("rules.spareDispatches") + b.num("rules.spareShare")*float64(len(b.taken))
+	return !stated || float64(len(b.extras))+1 <= most
 }
 
 // firstRun says when the first dispatch that may have run was sent; below 0: none may have.
@@ -327,12 +326,13 @@
 			}
 		}
 		if i > 0 && (i == 64 || len(f.all) > 64) {
-			head, w1 := b.cover(s, ask[:i], hold[:i])
-			tail, w2 := b.cover(s, ask[i:], hold[i:])
-			return append(head, tail...), max(w1, w2)
+			head, early := b.cover(s, ask[:i], hold[:i])
+			tail, late := b.cover(s, ask[i:], hold[i:])
+			return append(head, tail...), max(early, late)
 		}
 	}
-	slices.SortStableFunc(f.all, func(m, n int) int { return cmp.Compare(b.outWork[m]*b.weigh(m), b.outWork[n]*b.weigh(n)) })
+	light := func(m, n int) int { return cmp.Compare(b.outWork[m]*b.weigh(m), b.outWork[n]*b.weigh(n)) }
+	slices.SortStableFunc(f.all, light)
 	f.room = int(min(b.num("layout.batch"), max(1, callShare*b.types[s.typ].target/work)))
 	slices.SortStableFunc(f.order, func(i, j int) int { return len(hold[i]) - len(hold[j]) })
 	f.holds = make([]uint64, len(f.all))
@@ -372,15 +372,16 @@
 				return
 			}
 		}
-		for k := 0; k == 0 || k < len(f.all) && left > 0; k++ { // the set itself, or with one more
-			grown := set | 1<<k
-			if left == 0 {
-				grown = set
+		for k := 0; k < len(f.all); k++ { // the set itself, or with one more
+			if left == 0 && set>>k&1 == 0 {
+				continue
 			}
-			if node, cost := f.share(grown); node != nil && cost < lowest {
+			if node, cost := f.share(set | 1<<k); node != nil && cost < lowest {
 				best, lowest = node, cost
 			}
-			steps++
+			if steps++; left == 0 {
+				return
+			}
 		}
 	}
 	for size, more := 1, 2; size <= len(ask)+1 && more > 0; size++ {
@@ -392,8 +393,8 @@
 		f.room = math.MaxInt
 		best, _ = f.share(uint64(1)<<len(f.all) - 1)
 	}
-	for len(best) < len(ask) {
-		best = append(best, -1)
+	if best == nil {
+		best = slices.Repeat([]int{-1}, len(ask))
 	}
 	return best, b.predict(s, ask, best)
 }
@@ -731,7 +732,7 @@
 	if math.Abs(e.Budget-typ.budget) < retrySign*typ.timeout {
 		typ.agreed++
 	} else if typ.agreed--; typ.agreed < 0 {
-		typ.budget, typ.agreed = e.Budget, 1
+		typ.budget, typ.agreed = e.Budget, 0
 	} else {
 		spent = max(0, typ.timeout-e.Budget)
 	}
@@ -770,7 +771,7 @@
 // named stays known, and only nodes that are called ready get work.
 func (b *Broker) followList(e *Event) {
 	if e.List == ListFailed {
-		b.do(Action{Kind: SetTimer, Timer: -1, After: restFirst})
+		b.do(Action{Kind: SetTimer, Timer: askList, After: restFirst})
 		return
 	}
 	for n := range b.state {
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,404 @@
+package logic
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestCover(t *testing.T) {
+	wide := map[string]any{"layout.cells": 33.0, "layout.shards": 66.0}
+	many := make([]int, 26)
+	for i := range many {
+		many[i] = 25 + i
+	}
+	sets := map[string]any{"layout.reach": 1.0}
+	for _, c := range []struct {
+		name    string
+		changes map[string]any
+		list    []Entry
+		shards  []int
+		most    int // nodes asked
+		cap     int // parts to one node
+	}{
+		{"neighbours share a node", nil, ring(4), []int{0, 1}, 1, 2},
+		{"all shards on half the ring", nil, ring(4), []int{0, 1, 2, 3, 4, 5, 6, 7}, 3, 4},
+		{"sets need a node each", sets, ring(4), []int{0, 1, 2}, 3, 1},
+		{"two of one set travel together", sets, ring(4), []int{1, 5}, 1, 2},
+		{"no call over the batch", map[string]any{"layout.batch": 2.0}, ring(4), []int{0, 1, 4, 5}, 3, 2},
+		{"a wide scan still gets a small cover (incident i58f0d7)", wide, ring(33), many, 14, 3},
+	} {
+		r := play(t, c.changes, c.list)
+		sent := kinds(r.step(1, scanOf(1, 0, 6000, c.shards...)...), Dispatch)
+		assert.Len(t, sent, len(c.shards), c.name)
+		assert.LessOrEqual(t, len(nodes(sent)), c.most, c.name)
+		cells, reach := int(r.b.num("layout.cells")), int(r.b.num("layout.reach"))
+		for i, a := range sent {
+			from := c.shards[a.ID-1001] % cells
+			assert.Less(t, (int(a.Node)-100-from+cells)%cells, reach, "%s: part %d to a holder", c.name, i)
+			assert.LessOrEqual(t, nodes(sent)[a.Node], c.cap, c.name)
+		}
+	}
+}
+
+func TestLeastLoad(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before func(r *rig)
+		avoid  int64
+	}{
+		{"outstanding work", func(r *rig) { r.step(1, scanOf(9, 0, 6000, 0)...) }, 100},
+		{"slow before", func(r *rig) {
+			r.step(1, scanOf(9, 0, 6000, 0)...)
+			r.step(400, r.ended(9001, 0, Completed, 1500))
+		}, 100},
+		{"fails fast, so looks idle", func(r *rig) {
+			for i := int64(10); i < 14; i++ {
+				for _, a := range kinds(r.step(1, scanOf(i, 2, 6000, 0)...), Dispatch) {
+					if how := Completed; a.Node == 100 {
+						how = Errored
+						r.step(1, r.ended(a.ID, 0, how, 1))
+					} else {
+						r.step(1, r.ended(a.ID, 0, how, 150))
+					}
+				}
+			}
+		}, 100},
+	} {
+		r := play(t, nil, ring(4))
+		c.before(r)
+		for _, a := range kinds(r.step(1, scanOf(1, 0, 6000, 0)...), Dispatch) {
+			assert.NotEqual(t, c.avoid, a.Node, c.name)
+		}
+	}
+}
+
+func TestResend(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		typ   int
+		how   Outcome
+		wait  float64
+		again bool
+		final ActionKind // when it is not sent again, or at the end
+	}{
+		{"replayable after an error", 0, Errored, 10, true, Throttle},
+		{"keyed within its window", 1, Severed, 900, true, Abandon},
+		{"keyed past its window", 1, Severed, 1100, false, Abandon},
+		{"keyed past its window, never run", 1, Saturated, 1100, true, Throttle},
+		{"non-replayable that may have run", 2, Errored, 10, false, Abandon},
+		{"non-replayable that may run still", 2, Recalled, 10, false, Abandon},
+		{"non-replayable, refused connection", 2, ConnRefused, 10, true, Throttle},
+		{"non-replayable, full node", 2, Saturated, 10, true, Throttle},
+		{"non-replayable, never sent", 2, Superseded, 10, true, Throttle},
+	} {
+		r := play(t, nil, ring(4))
+		r.step(1, scanOf(1, c.typ, 6000, 0)...)
+		again := kinds(r.step(c.wait, r.ended(1001, 0, c.how, c.wait)), Dispatch)
+		require.Equal(t, c.again, len(again) == 1, c.name)
+		for n := 1; n < 3; n++ { // every further dispatch ends alike until none is left
+			r.step(c.wait, r.ended(1001, n, c.how, c.wait))
+		}
+		assert.LessOrEqual(t, len(kinds(r.acts, Dispatch)), 3, "%s: dispatches for a part", c.name)
+		if require.Len(t, r.final(1), 1, c.name); true {
+			assert.Equal(t, c.final, r.final(1)[0].Kind, c.name)
+			assert.Equal(t, c.final == Throttle, r.final(1)[0].After == 800, "%s: a time to come back", c.name)
+		}
+	}
+}
+
+func TestLateParts(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		changes map[string]any
+		typ     int
+		copies  int
+		recalls int
+	}{
+		{"a second copy", nil, 0, 1, 0},
+		{"a recall first where no second copy is allowed", map[string]any{"limit.secondCopies": false}, 0, 0, 1},
+		{"neither, where nothing may be recalled",
+			map[string]any{"limit.secondCopies": false, "limit.cancelling": false}, 0, 0, 0},
+		{"never for what may not run twice", nil, 2, 0, 0},
+		{"not past a stated budget", map[string]any{"rules.budgetWindow": 10000.0,
+			"rules.spareDispatches": 0.0, "rules.spareShare": 0.4}, 0, 0, 0},
+		{"within a stated budget", map[string]any{"rules.budgetWindow": 10000.0,
+			"rules.spareDispatches": 1.0, "rules.spareShare": 0.0}, 0, 1, 0},
+	} {
+		r := play(t, c.changes, ring(4))
+		r.step(1, scanOf(1, c.typ, 6000, 0)...)
+		acts := r.step(1900, timer(1))
+		assert.Len(t, kinds(acts, Dispatch), c.copies, c.name)
+		assert.Len(t, kinds(acts, Recall), c.recalls, c.name)
+		if c.recalls > 0 {
+			again := kinds(r.step(5, r.ended(1001, 0, Recalled, 1900)), Dispatch)
+			assert.Len(t, again, 1, c.name)
+		}
+	}
+}
+
+func TestBudgetWindow(t *testing.T) {
+	r := play(t, map[string]any{"rules.budgetWindow": 1000.0, "rules.spareDispatches": 1.0,
+		"rules.spareShare": 0.5}, ring(4))
+	for i := int64(1); i <= 4; i++ { // a scan and its part allow one further dispatch, and one is spare
+		r.step(1, scanOf(i, 0, 6000, 0)...)
+	}
+	extra := 0
+	for n := 0; n < 2; n++ {
+		for i := int64(1); i <= 4; i++ {
+			extra += len(kinds(r.step(1, r.ended(1000*i+1, n, Errored, 5)), Dispatch))
+		}
+	}
+	assert.Equal(t, 5, extra, "one spare and half of eight taken")
+	r.step(2000, scanOf(9, 0, 6000, 0)...)
+	assert.Len(t, kinds(r.step(1, r.ended(9001, 0, Errored, 5)), Dispatch), 1, "the window has moved on")
+}
+
+func TestList(t *testing.T) {
+	one := func(n int64, is Readiness) []Entry {
+		return []Entry{{Node: n, Cell: int(n - 100), Readiness: is, Units: 1}}
+	}
+	for _, c := range []struct {
+		name string
+		list Event
+		gets []int64 // who may get shard 0
+	}{
+		{"draining", Event{List: ListChanges, Entries: one(100, Draining)}, []int64{101}},
+		{"gone", Event{List: ListChanges, Entries: one(101, Gone)}, []int64{100}},
+		{"missing from a whole list", Event{List: ListWhole, Entries: one(101, Ready)}, []int64{101}},
+		{"empty list", Event{List: ListWhole}, nil},
+		{"failed call: the old list stays", Event{List: ListFailed}, []int64{100, 101}},
+	} {
+		r := play(t, nil, ring(4))
+		c.list.Kind = ListArrived
+		r.step(1, c.list)
+		for i := int64(1); i <= 6; i++ {
+			r.step(1, scanOf(i, 0, 6000, 0)...)
+		}
+		for n := range nodes(r.acts) {
+			assert.Contains(t, c.gets, n, c.name)
+		}
+		assert.Equal(t, len(c.gets), len(nodes(r.acts)), c.name)
+	}
+	r := play(t, nil, nil) // known nothing, then told: the waiting part goes out
+	r.step(1, scanOf(1, 0, 6000, 0, 99)...)
+	assert.Empty(t, kinds(r.acts, Dispatch))
+	r.step(50, Event{Kind: ListArrived, List: ListWhole, Entries: ring(4)})
+	assert.Len(t, kinds(r.step(100, timer(1)), Dispatch), 1, "the shard that nobody holds keeps waiting")
+	r.step(5850, timer(1))
+	assert.Len(t, r.final(1), 1)
+}
+
+func TestSubscribe(t *testing.T) {
+	r := play(t, map[string]any{"discovery": "subscribe"}, ring(4))
+	assert.Len(t, kinds(r.acts, Subscribe), 1)
+	waits := kinds(r.step(10, Event{Kind: ListArrived, List: ListFailed}), SetTimer)
+	require.Len(t, waits, 1)
+	assert.Len(t, kinds(r.step(waits[0].After, timer(waits[0].Timer)), Subscribe), 1)
+}
+
+func TestCold(t *testing.T) {
+	list := ring(2) // shard 0 on both, shard 1 on node 101 alone
+	list[1].Born = 49000
+	for _, c := range []struct {
+		name   string
+		shard  int
+		cold   int // most dispatches to node 101 in a window, at 0.28 of one core shared by two brokers
+		placed bool
+	}{
+		{"the warm holder takes the rest", 0, 2, true},
+		{"without one, parts wait rather than push it over", 1, 2, false},
+	} {
+		r := play(t, map[string]any{"layout.cells": 3.0, "layout.shards": 3.0}, list)
+		for i := int64(1); i <= 20; i++ {
+			r.step(10, scanOf(i, 0, 6000, c.shard)...)
+		}
+		got := nodes(r.acts)
+		work := 150.0 * float64(got[101])
+		assert.Positive(t, got[101], c.name)
+		assert.LessOrEqual(t, work, 2*0.3*3000/2, "%s: a share of multiple x capacity x window", c.name)
+		assert.Equal(t, c.placed, got[100] > 0, c.name)
+	}
+}
+
+func TestHonestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		typ   int
+		in    int // of four parts
+		wait  float64
+		kind  ActionKind // 0: none yet
+		whole bool
+	}{
+		{"all in", 0, 4, 300, Answer, true},
+		{"all but one, at the target time", 0, 3, 2000, 0, false},
+		{"all but one, at the end", 0, 3, 5992, Throttle, false},
+		{"half, before the target time", 3, 2, 1500, 0, false},
+		{"half, at the target time", 3, 2, 1991, Answer, false},
+		{"less than its floor, at the target time", 3, 1, 1991, 0, false},
+		{"less than its floor, at the end", 3, 1, 5992, Throttle, false},
+		{"non-replayable, at the end", 2, 3, 5992, Abandon, false},
+	} {
+		r := play(t, nil, ring(4))
+		r.step(0, scanOf(1, c.typ, 6000, 0, 1, 2, 3)...)
+		var events []Event
+		for i := 0; i < c.in; i++ {
+			events = append(events, r.ended(int64(1001+i), 0, Completed, 150), r.ended(int64(1001+i), 0, Completed, 150))
+		}
+		r.step(200, events...)
+		r.step(c.wait-200, timer(1))
+		if got := r.final(1); c.kind == 0 {
+			assert.Empty(t, got, c.name)
+		} else if assert.Len(t, got, 1, c.name) {
+			assert.Equal(t, c.kind, got[0].Kind, c.name)
+			assert.Equal(t, c.whole, got[0].Whole, c.name)
+		}
+	}
+}
+
+func TestSecondStep(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		how  Outcome
+		kind ActionKind
+	}{{"comes whole", Completed, Answer}, {"does not come", Overdue, Abandon}} {
+		r := play(t, nil, ring(4))
+		r.step(0, scanOf(1, 4, 6000, 0, 1)...)
+		r.step(200, r.ended(1001, 0, Completed, 200), r.ended(1002, 0, Completed, 200))
+		assert.Len(t, r.final(1), 1, "the first answer")
+		r.step(5, Event{Kind: PartArrived, ID: 1500, Scan: 1, TableType: 4, Amount: 1, Hint: 50})
+		for n := 0; n < 3; n++ {
+			r.step(100, r.ended(1500, n, c.how, 100))
+		}
+		if assert.Len(t, r.final(1), 2, c.name) {
+			assert.Equal(t, c.kind, r.final(1)[1].Kind, c.name)
+		}
+	}
+}
+
+func TestEveryScanEnds(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		typ    int
+		budget float64
+		shards []int
+		list   []Entry
+		wait   float64
+		kind   ActionKind
+	}{
+		{"no parts", 0, 6000, nil, ring(4), 0, Abandon},
+		{"no time", 0, 0, []int{0}, ring(4), 0, Throttle},
+		{"hardly any time", 0, 8, []int{0}, ring(4), 0, Throttle},
+		{"no holder", 0, 1000, []int{0}, nil, 995, Throttle},
+		{"no answers, timer late by a batch", 0, 1000, []int{0, 1}, ring(4), 995, Throttle},
+		{"unknown table type", 9, 1000, []int{0}, ring(4), 0, Abandon},
+	} {
+		r := play(t, nil, c.list)
+		acts := r.step(0, scanOf(1, c.typ, c.budget, c.shards...)...)
+		if c.wait > 0 {
+			looks := kinds(acts, SetTimer)
+			require.NotEmpty(t, looks, c.name)
+			assert.LessOrEqual(t, looks[0].After, c.wait, c.name)
+			r.step(c.wait, timer(1))
+		}
+		if assert.Len(t, r.final(1), 1, c.name) {
+			assert.Equal(t, c.kind, r.final(1)[0].Kind, c.name)
+		}
+		after := r.step(10, timer(1), r.ended(1001, 0, Errored, 5), r.ended(1002, 0, Recalled, 5), Event{Kind: ClientLeft, ID: 1000})
+		assert.Empty(t, kinds(after, Dispatch, Answer, Throttle, Abandon), "%s: nothing after the end", c.name)
+		assert.Empty(t, r.b.parts, "%s: nothing kept", c.name)
+	}
+}
+
+func TestSecondTries(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		budgets []float64
+		early   bool // the last scan is answered from a part before its own target time
+	}{
+		{"way times differ (incident i58f0d7)", []float64{3230, 3229, 3224}, false},
+		{"one last try with all the time left", []float64{6000, 3230, 3229, 3230}, false},
+		{"a short rest tells of an earlier try", []float64{3230, 3230, 3230, 2500}, true},
+	} {
+		r := play(t, nil, ring(4))
+		for i, budget := range c.budgets {
+			n := int64(i + 1)
+			r.step(10, scanOf(n, 3, budget, 0, 1, 2)...)
+			r.step(100, r.ended(1000*n+1, 0, Completed, 100), r.ended(1000*n+2, 0, Completed, 100))
+			last := i == len(c.budgets)-1
+			assert.Equal(t, last && c.early, len(r.final(n)) > 0, "%s: scan %d", c.name, n)
+		}
+	}
+}
+
+func TestOverload(t *testing.T) {
+	// The nodes answer in 1.5 target times; then come scans of one table type.
+	jam := func(changes map[string]any) *rig {
+		r := play(t, changes, ring(4))
+		for i := int64(1); i <= 12; i++ {
+			r.step(1, scanOf(i, 0, 6000, int(i)%4)...)
+		}
+		for i := int64(1); i <= 12; i++ {
+			r.step(1, r.ended(1000*i+1, 0, Completed, 3000))
+		}
+		return r
+	}
+	count := func(r *rig, typ int) (away, spared int) {
+		for i := int64(100); i < 160; i++ {
+			sent := kinds(r.step(1, scanOf(i, typ, 6000, 0, 1, 2, 3)...), Dispatch)
+			if f := r.final(i); len(f) > 0 {
+				away++
+			} else if len(sent) < 4 {
+				spared++
+			}
+			for _, a := range sent { // what goes out keeps the jam as it is
+				r.step(0, r.ended(a.ID, 0, Completed, 2300))
+			}
+		}
+		return
+	}
+	cheap, _ := count(jam(map[string]any{"tableType.4.benefit": 9.0}), 0)
+	dear, _ := count(jam(map[string]any{"tableType.4.benefit": 9.0}), 4)
+	assert.Greater(t, cheap, dear, "cheaper scans are turned away more often")
+	_, spared := count(jam(map[string]any{"tableType.3.benefit": 9.0}), 3)
+	assert.Positive(t, spared, "parts are spared where a part makes an answer")
+	idle, _ := count(play(t, nil, ring(4)), 0)
+	assert.Less(t, idle, cheap)
+}
+
+func TestStartSettings(t *testing.T) {
+	for name, changes := range map[string]map[string]any{
+		"none":          nil,
+		"no table type": {"tableType.count": 0.0},
+		"no cells":      {"layout.cells": nil},
+		"no target":     {"tableType.1.target": nil},
+		"not a number":  {"layout.shards": "many"},
+		"absurd":        {"layout.shards": 1e18},
+		"negative":      {"rules.cold": -1.0},
+		"not finite":    {"turn": math.NaN()},
+	} {
+		r := play(t, changes, ring(4))
+		fatal := kinds(r.acts, Fatal)
+		if changes == nil {
+			assert.Empty(t, fatal, name)
+		} else if assert.Len(t, fatal, 1, name) {
+			assert.NotEmpty(t, fatal[0].Text, name)
+		}
+	}
+	assert.Len(t, new(Broker).Step(1, []Event{{Kind: Started}}), 1, "no settings at all")
+	assert.Empty(t, new(Broker).Step(1, scanOf(1, 0, 100, 0)), "not started yet")
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() []Action {
+		r := play(t, nil, ring(4))
+		for i := int64(1); i <= 30; i++ {
+			r.step(7, scanOf(i, int(i)%5, 3000, int(i)%8, int(i+1)%8, int(i+2)%8)...)
+			r.step(3, r.ended(1000*i+1, 0, Outcome(1+i%7), 90), timer(i-3))
+		}
+		return r.acts
+	}
+	assert.Equal(t, run(), run())
+}
--- a/logic/terms.go
+++ b/logic/terms.go
@@ -23,7 +23,7 @@
 // need reads a number that cannot be done without and notes the first that is missing or under least.
 func (t terms) need(name string, least float64, fault *string) float64 {
 	x, ok := t[name].(float64)
-	if (!ok || x < least || x > 1e9) && *fault == "" {
+	if (!ok || !(x >= least && x <= 1e9)) && *fault == "" {
 		*fault = fmt.Sprintf("start setting %s is missing or impossible: %v", name, t[name])
 	}
 	return x
