Late parts are asked again only when their node has gone silent

Should also help where answers are lost one way; could harm where one node of many is merely very slow. A stated budget is now counted as parts are gathered: one scan's parts could pass it together.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,9 +25,7 @@
 	recent      = 5000.0  // a latency older than this says nothing of its node any more
 	latShare    = 0.25    // share of the newest latency in a node's mean,
 	typShare    = 0.05    // and in a table type's
-	lateDevs    = 4.0     // a part is late when it is so many mean deviations over the mean
-	copyShare   = 0.15    // second copies for each part taken, at most,
-	copyBurst   = 10.0    // and so many at once
+	lateDevs    = 8.0     // a part is late when it is so many mean deviations over the mean
 	goodEnough  = 6       // successes among a node's last eight outcomes that let it work as usual
 	restFirst   = 500.0   // first rest of a node that does poorly; doubled at each failed trial,
 	restMost    = 8000.0  // up to this
@@ -115,7 +113,6 @@
 	holders                [][]int        // by shard
 	meanLat, meanUnder     float64
 	meanValue              float64
-	copies                 float64      // second copies that may go out now
 	done, doneAt, allUnits float64      // work completed, fading; units of all ready nodes
 	extras, taken          [][2]float64 // for a stated budget
 	shareLeft, shareAt     []float64    // by tenant
@@ -217,8 +214,9 @@
 }
 
 // missing returns the parts of s to be asked now with the holders each may go to, the weight that can no
-// longer come, and when to look again. A part that is late may get a second copy; where the site allows none,
-// the late dispatch is recalled and its outcome brings the part back here.
+// longer come, and when to look again. A part that is late at a node gone silent gets a second copy; where the
+// site allows none, the late dispatch is recalled and its outcome brings the part back here. A part that is just
+// slow keeps its place: asking again would feed the jam that made it slow.
 func (b *Broker) missing(s *scan) (ask []*part, hold [][]int, lost, next float64) {
 	next = s.endAt
 	for _, p := range s.parts {
@@ -241,18 +239,16 @@
 			continue
 		}
 		nodes := b.eligible(p)
+		again := p.open == 1 && len(nodes) > 0 && !b.tried(p, nodes[0]) && !b.sick(nodes[0]) && b.silent(p)
 		if p.open == 0 && len(nodes) == 0 {
 			next = min(next, b.now+lookAgain)
-		} else if p.open == 0 {
+		} else if p.open == 0 || again && b.flag("limit.secondCopies") {
 			ask, hold = append(ask, p), append(hold, nodes)
-		} else if p.open == 1 && len(nodes) > 0 && b.copies >= 1 && !b.tried(p, nodes[0]) {
-			if b.flag("limit.secondCopies") {
-				b.copies--
-				ask, hold = append(ask, p), append(hold, nodes)
-			} else if b.flag("limit.cancelling") {
-				b.copies--
-				b.recall(p)
+			if len(p.tries) > 0 { // counted here, so that one scan's parts cannot pass the budget together
+				b.extras = append(b.extras, [2]float64{b.now})
 			}
+		} else if again && b.flag("limit.cancelling") {
+			b.recall(p)
 		}
 	}
 	return
@@ -307,6 +303,12 @@
 	return best
 }
 
+// silent says that the node of p's last dispatch does poorly and has answered nothing since.
+func (b *Broker) silent(p *part) bool {
+	d := &p.tries[len(p.tries)-1]
+	return bits.OnesCount8(b.history[d.node]) < goodEnough && b.heard[d.node] < d.at
+}
+
 func (b *Broker) tried(p *part, n int) bool {
 	return slices.ContainsFunc(p.tries, func(d dispatch) bool { return d.node == n })
 }
@@ -477,9 +479,6 @@
 	}
 	*c++
 	b.load(n, p.work)
-	if len(p.tries) > 0 {
-		b.extras = append(b.extras, [2]float64{b.now})
-	}
 	// A node may drop work whose time-out has passed: let it, when nobody would take the answer any more.
 	limit := s.endAt
 	if b.least(s) < typ.need && !b.due(s.targetAt) {
@@ -763,7 +762,6 @@
 	s.parts = append(s.parts, p)
 	b.parts[p.id] = p
 	b.taken = append(b.taken, [2]float64{b.now})
-	b.copies = min(copyBurst, b.copies+copyShare)
 	b.touch(s)
 }
 
@@ -820,7 +818,7 @@
 
 func (b *Broker) start(e *Event) {
 	*b = Broker{now: b.now, terms: e.Terms, started: true, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
-		parts: map[int64]*part{}, index: map[int64]int{}, holders: make([][]int, 1), turn: map[int]*int{}, copies: copyBurst,
+		parts: map[int64]*part{}, index: map[int64]int{}, holders: make([][]int, 1), turn: map[int]*int{},
 		pcg: pcg{e.Seed}}
 	for _, name := range []string{"layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers",
 		"limit.dispatches", "tableType.count"} {
