--- a/logic/logic.go
+++ b/logic/logic.go
@@ -207,7 +207,7 @@
 	if !b.due(s.targetAt) {
 		next = min(next, s.targetAt)
 	}
-	if next = min(next, s.endAt); s.look <= b.now || s.look > next {
+	if next = min(next, s.endAt); b.due(s.look) || s.look > next { // due: it may have fired a hair early
 		s.look = next
 		b.do(Action{Kind: SetTimer, Timer: s.num, After: max(0, next-b.now)})
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -322,6 +322,19 @@
 	}
 }
 
+func TestTimersOff(t *testing.T) { // a timer that fires early by rounding must not be the scan's last (incident i9de3e3)
+	for _, off := range []float64{-0.001, 0, 5} {
+		r := play(t, nil, nil)
+		looks := kinds(r.step(0, scanOf(1, 0, 1000, 0)...), SetTimer)
+		for n := 0; n < 20 && len(r.final(1)) == 0; n++ {
+			require.NotEmpty(t, looks, "off %v: nothing looks at the scan any more", off)
+			looks = kinds(r.step(looks[0].After+off, timer(1)), SetTimer)
+		}
+		assert.Len(t, r.final(1), 1, "off %v", off)
+		assert.Less(t, r.now, 51000.0, "off %v: in time", off)
+	}
+}
+
 func TestSecondTries(t *testing.T) {
 	for _, c := range []struct {
 		name    string
