--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,8 +27,7 @@
 	typShare    = 0.05    // and in a table type's
 	lateDevs    = 8.0     // a part is late when it is so many mean deviations over the mean
 	goodEnough  = 6       // successes among a node's last eight outcomes that let it work as usual
-	restFirst   = 500.0   // first rest of a node that does poorly; doubled at each failed trial,
-	restMost    = 8000.0  // up to this
+	restTime    = 1000.0  // how long a node rests that does poorly; then it is tried
 	callShare   = 0.15    // most work of a call, as a share of the target time
 	trimSlack   = 0.05    // weight kept beyond the least share when parts are spared
 	searchSteps = 4000    // bound of the exact cover search, lightest nodes first
@@ -59,13 +58,14 @@
 }
 
 type scan struct {
-	id, num                                 int64
-	typ, step                               int
-	parts                                   []*part // of the present step
-	got                                     float64 // their weight that has completed
-	placed, ended, dirty, overShare, spared bool
-	targetAt, endAt                         float64 // the answer must leave by then: for the whole benefit, at all
-	look                                    float64 // the timer set for it
+	id, num                      int64
+	typ, step                    int
+	parts                        []*part // of the present step
+	got                          float64 // their weight that has completed
+	placed, ended, dirty, spared bool
+	factor                       float64 // what its benefit is multiplied by: over its tenant's share, late from the start
+	targetAt, endAt              float64 // the answer must leave by then: for the whole benefit, at all
+	look                         float64 // the timer set for it
 }
 
 type field struct { // what a cover is chosen from; sets of nodes and of parts are bit masks
@@ -90,7 +90,6 @@
 	terms        // what the site states at start
 	pcg          // chance
 	fault        string
-	started      bool
 	now          float64
 	out          []Action
 	types        []tableType
@@ -108,11 +107,11 @@
 	units, born, outWork   []float64      // outWork: outstanding, calls counted
 	latency, latAt, heard  []float64      // latency: recent, as a share of the target time
 	under                  []float64      // the work that was outstanding then, as a share of the target time
-	rest, restEnd          []float64      // how long and until when it rests
-	coldSent               [][][2]float64 // time and work of what went to it while cold
+	restEnd                []float64      // until when it rests
+	sent                   [][][2]float64 // time and work of what went to it of late
 	holders                [][]int        // by shard
 	meanLat, meanUnder     float64
-	meanValue              float64
+	meanValue, valued      float64
 	done, doneAt, allUnits float64      // work completed, fading; units of all ready nodes
 	extras, taken          [][2]float64 // for a stated budget
 	shareLeft, shareAt     []float64    // by tenant
@@ -125,7 +124,7 @@
 		e := &events[i]
 		if e.Kind == Started {
 			b.start(e)
-		} else if !b.started {
+		} else if b.types == nil {
 			continue // not started yet
 		}
 		if b.fault != "" {
@@ -141,7 +140,9 @@
 		case DispatchEnded:
 			b.dispatchEnded(e)
 		case ClientLeft:
-			b.end(b.scans[e.ID])
+			if s := b.scans[e.ID]; s != nil {
+				b.end(s)
+			}
 		case TimerDue:
 			if b.touch(b.byNum[e.Timer]); e.Timer == askList {
 				b.do(Action{Kind: Subscribe})
@@ -220,13 +221,18 @@
 func (b *Broker) missing(s *scan) (ask []*part, hold [][]int, lost, next float64) {
 	next = s.endAt
 	for _, p := range s.parts {
-		late := p.open > 0
+		late, silent := p.open > 0, false
 		for i := range p.tries {
 			if d := &p.tries[i]; d.open && !p.done && !b.due(d.late) {
 				late, next = false, min(next, d.late)
 			} else if d.open && !p.done && !d.lateSeen {
 				d.lateSeen = true
-				b.sawLate(d, s)
+				if b.sawLatency(d, s, b.now-d.at, true); b.heard[d.node] < d.at {
+					b.judge(d.node, false) // crashed, cut off, or its answers are lost: the symptom is silence
+				}
+			}
+			if d := &p.tries[i]; d.open { // it does poorly and has answered nothing since
+				silent = b.poor(d.node) && b.heard[d.node] < d.at
 			}
 		}
 		if p.done || p.open > 0 && !late {
@@ -239,7 +245,7 @@
 			continue
 		}
 		nodes := b.eligible(p)
-		again := p.open == 1 && len(nodes) > 0 && !b.tried(p, nodes[0]) && !b.sick(nodes[0]) && b.silent(p)
+		again := p.open == 1 && len(nodes) > 0 && !b.tried(p, nodes[0]) && !b.sick(nodes[0]) && silent
 		if p.open == 0 && len(nodes) == 0 {
 			next = min(next, b.now+lookAgain)
 		} else if p.open == 0 || again && b.flag("limit.secondCopies") {
@@ -255,14 +261,15 @@
 }
 
 // mayDispatch is the one gate for every dispatch of a part: it guards the rules on effects, on the number
-// of dispatches and on their budget, whatever the reason for asking again.
+// of dispatches and on their budget, whatever the reason for asking again. Past its target time a scan asks
+// nothing again: the little benefit left is not worth feeding the jam that made it late.
 func (b *Broker) mayDispatch(p *part) bool {
 	typ := &b.types[p.scan.typ]
 	first, keyed := p.firstRun(), typ.effect == "keyed" && b.now <= p.firstRun()+typ.repeatWindow-4*b.num("turn")
 	if len(p.tries) == 0 {
 		return true
 	}
-	if len(p.tries) >= int(b.num("limit.dispatches")) || first >= 0 && typ.effect != "replayable" && !keyed {
+	if b.due(p.scan.targetAt) || len(p.tries) >= int(b.num("limit.dispatches")) || first >= 0 && typ.effect != "replayable" && !keyed {
 		return false
 	}
 	window, stated := b.terms["rules.budgetWindow"].(float64)
@@ -273,40 +280,33 @@
 
 // firstRun says when the first dispatch that may have run was sent; below 0: none may have.
 func (p *part) firstRun() float64 {
-	for i := range p.tries {
-		if p.tries[i].ran {
-			return p.tries[i].at
-		}
+	if i := slices.IndexFunc(p.tries, func(d dispatch) bool { return d.ran }); i >= 0 {
+		return p.tries[i].at
 	}
 	return -1
 }
 
 // eligible returns the holders that p may go to now: sound ones that it has not been to, else sound ones,
 // else any. A holder that drains, is gone, or is cold and has had its share is never among them.
-func (b *Broker) eligible(p *part) (best []int) {
-	rank := 3
+func (b *Broker) eligible(p *part) []int {
+	var fresh, sound, poor []int
 	for _, n := range b.holders[min(p.shard, len(b.holders)-1)] {
-		r := 0
-		if b.sick(n) {
-			r = 2
-		} else if b.tried(p, n) {
-			r = 1
-		}
-		if r > rank || b.coldLeft(n) < b.num("layout.callWork")+p.work {
+		if b.coldLeft(n) < b.num("layout.callWork")+p.work {
 			continue
+		} else if b.sick(n) {
+			poor = append(poor, n)
+		} else if b.tried(p, n) {
+			sound = append(sound, n)
+		} else {
+			fresh = append(fresh, n)
 		}
-		if r < rank {
-			best, rank = nil, r
-		}
-		best = append(best, n)
 	}
-	return best
-}
-
-// silent says that the node of p's last dispatch does poorly and has answered nothing since.
-func (b *Broker) silent(p *part) bool {
-	d := &p.tries[len(p.tries)-1]
-	return bits.OnesCount8(b.history[d.node]) < goodEnough && b.heard[d.node] < d.at
+	if len(fresh)+len(sound) == 0 {
+		return poor
+	} else if len(fresh) == 0 {
+		return sound
+	}
+	return fresh
 }
 
 func (b *Broker) tried(p *part, n int) bool {
@@ -479,14 +479,9 @@
 	}
 	*c++
 	b.load(n, p.work)
-	// A node may drop work whose time-out has passed: let it, when nobody would take the answer any more.
-	limit := s.endAt
-	if b.least(s) < typ.need && !b.due(s.targetAt) {
-		limit = min(limit, s.targetAt+2*b.num("turn"))
-	}
-	late := b.now + max(typ.mean+lateDevs*typ.dev, 4*b.num("turn"))
+	limit, late := s.endAt, b.now+max(typ.mean+lateDevs*typ.dev, 4*b.num("turn"))
 	if !b.flag("limit.secondCopies") && !b.flag("limit.cancelling") {
-		limit = min(limit, late)
+		limit = min(limit, late) // nothing but the time-out can take the part back from a silent node
 	}
 	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, load: b.outWork[n],
 		open: true, ran: true})
@@ -495,12 +490,10 @@
 	return late
 }
 
-// load adds work to what node n has outstanding and, while it is cold, to what it was sent.
+// load adds work to what node n has outstanding and was sent of late.
 func (b *Broker) load(n int, work float64) {
 	b.outWork[n] += work
-	if b.cold(n) {
-		b.coldSent[n] = append(b.coldSent[n], [2]float64{b.now, work})
-	}
+	b.sent[n] = append(within(b.sent[n], b.now-b.num("rules.fall")), [2]float64{b.now, work})
 }
 
 func (b *Broker) dispatchEnded(e *Event) {
@@ -548,15 +541,6 @@
 	b.touch(s)
 }
 
-// sawLate counts a dispatch that has outstayed its patience: as slowness, and as a failure when its node has
-// said nothing since (crashed, cut off, or its answers are lost: the symptom is silence).
-func (b *Broker) sawLate(d *dispatch, s *scan) {
-	b.sawLatency(d, s, b.now-d.at, true)
-	if b.heard[d.node] < d.at {
-		b.judge(d.node, false)
-	}
-}
-
 // sawLatency keeps the means of a node's latency and of the work it was under; atLeast tells that the true
 // latency is longer, so it never counts in a node's favour.
 func (b *Broker) sawLatency(d *dispatch, s *scan, elapsed float64, atLeast bool) {
@@ -574,24 +558,22 @@
 
 // judge keeps the last eight outcomes of a node. One that does poorly rests and then gets one call at a time.
 func (b *Broker) judge(n int, good bool) {
-	poor := bits.OnesCount8(b.history[n]) < goodEnough
+	poor := b.poor(n)
 	b.history[n] <<= 1
 	if good {
 		b.history[n] |= 1
 		if poor { // a trial that went well counts twice
 			b.history[n], b.restEnd[n] = b.history[n]<<1|1, b.now
 		}
-		if bits.OnesCount8(b.history[n]) >= goodEnough {
-			b.rest[n] = restFirst
-		}
-	} else if bits.OnesCount8(b.history[n]) < goodEnough && b.now >= b.restEnd[n] {
-		b.restEnd[n] = b.now + b.rest[n]
-		b.rest[n] = min(restMost, 2*b.rest[n])
+	} else if b.poor(n) && b.now >= b.restEnd[n] {
+		b.restEnd[n] = b.now + restTime
 	}
 }
 
+func (b *Broker) poor(n int) bool { return bits.OnesCount8(b.history[n]) < goodEnough }
+
 func (b *Broker) sick(n int) bool {
-	return bits.OnesCount8(b.history[n]) < goodEnough && (b.now < b.restEnd[n] || b.outCalls[n] > 0)
+	return b.poor(n) && (b.now < b.restEnd[n] || b.outCalls[n] > 0)
 }
 
 func (b *Broker) cold(n int) bool { return b.born[n] > 0 && b.now-b.born[n] < b.num("rules.cold") }
@@ -607,8 +589,7 @@
 	part := from + (1-from)*max(0, b.now-b.born[n])/b.num("rules.cold")
 	rate := b.done * math.Exp((b.doneAt-b.now)/rateWindow) / rateWindow * b.units[n] / b.allUnits
 	left := coldSafety * b.num("rules.fallMultiple") * part * b.num("rules.fall") * max(rate, 1/b.num("brokers"))
-	b.coldSent[n] = within(b.coldSent[n], b.now-b.num("rules.fall"))
-	for _, sent := range b.coldSent[n] {
+	for _, sent := range within(b.sent[n], b.now-b.num("rules.fall")) {
 		left -= sent[1]
 	}
 	return left
@@ -617,23 +598,15 @@
 // turnedAway throttles by chance when the scan's nodes are predicted to miss its target time.
 func (b *Broker) turnedAway(s *scan, worst float64) bool {
 	typ, work := &b.types[s.typ], 0.0
-	value := typ.benefit
-	if s.overShare {
-		value *= b.num("overShareBenefit")
-	}
-	if b.due(s.targetAt) {
-		value *= typ.lateBenefit
-	}
+	value := typ.benefit * s.factor
 	for _, p := range s.parts {
 		work += p.work
 	}
 	if b.terms["countedBy"] != "work" {
 		value /= max(1, work)
 	}
-	if b.meanValue == 0 {
-		b.meanValue = value
-	}
-	b.meanValue += 0.02 * (value - b.meanValue)
+	b.valued++
+	b.meanValue += (value - b.meanValue) / min(b.valued, 50)
 	ramp := min(1, max(0, (worst-throttleAt)/(throttleAll-throttleAt)))
 	return ramp > 0 && b.float() < math.Pow(ramp, value/b.meanValue)
 }
@@ -661,26 +634,28 @@
 
 // least is the weight that an answer of s must rest on.
 func (b *Broker) least(s *scan) float64 {
-	typ := &b.types[s.typ]
-	if s.step == 2 && typ.floor >= typ.need {
-		return 1
+	if typ := &b.types[s.typ]; s.step == 1 || typ.floor < typ.need {
+		return min(typ.floor, typ.need)
 	}
-	return min(typ.floor, typ.need)
+	return 1
 }
 
+func (b *Broker) enough(s *scan) bool { return s.got > 0 && s.got >= b.least(s)-0.00005 }
+
 // partialPays says whether an answer from what is in is allowed, and pays more than a whole one after the target.
 func (b *Broker) partialPays(s *scan) bool {
 	typ := &b.types[s.typ]
-	return s.got > 0 && s.got >= b.least(s)-0.00005 && typ.partial*s.got/typ.need > typ.lateBenefit
+	return b.enough(s) && typ.partial*s.got/typ.need > typ.lateBenefit
 }
 
 // giveUp ends the scan with the best final answer that is still honest, and at once.
 func (b *Broker) giveUp(s *scan) {
 	harmless := s.step == 1 && len(s.parts) > 0
-	for _, p := range s.parts {
-		harmless = harmless && (b.types[s.typ].effect == "replayable" || p.firstRun() < 0)
+	mayHaveRun := func(p *part) bool { return p.firstRun() >= 0 }
+	if b.types[s.typ].effect != "replayable" && slices.ContainsFunc(s.parts, mayHaveRun) {
+		harmless = false
 	}
-	if s.got > 0 && s.got >= b.least(s)-0.00005 {
+	if b.enough(s) {
 		b.do(Action{Kind: Answer, ID: s.id})
 	} else if harmless {
 		b.do(Action{Kind: Throttle, ID: s.id, After: b.num("limit.maxRetryAfter")}) // unheard where not allowed
@@ -691,9 +666,6 @@
 }
 
 func (b *Broker) end(s *scan) {
-	if s == nil {
-		return
-	}
 	s.ended = true
 	delete(b.scans, s.id)
 	delete(b.byNum, s.num)
@@ -735,14 +707,17 @@
 	} else {
 		spent = max(0, typ.timeout-e.Budget)
 	}
-	s := &scan{id: e.ID, num: e.Scan, typ: e.TableType, step: 1, look: longAgo,
+	s := &scan{id: e.ID, num: e.Scan, typ: e.TableType, step: 1, look: longAgo, factor: 1,
 		endAt: b.now + e.Budget - 2*turn, targetAt: b.now + typ.target - spent - 2*turn}
+	if spent >= typ.target {
+		s.factor = typ.lateBenefit
+	}
 	if t := e.Tenant; t >= 0 && t < len(b.shareLeft) {
 		rate := b.num(fmt.Sprintf("tenant.%d.perSecond", t)) / 1000 / b.num("brokers")
 		b.shareLeft[t] = min(max(1, 2000*rate), b.shareLeft[t]+rate*(b.now-b.shareAt[t]))
 		b.shareAt[t] = b.now
-		if s.overShare = b.shareLeft[t] < 1; !s.overShare {
-			b.shareLeft[t]--
+		if b.shareLeft[t]--; b.shareLeft[t] < 0 {
+			b.shareLeft[t], s.factor = b.shareLeft[t]+1, b.num("overShareBenefit")
 		}
 	}
 	b.scans[s.id], b.byNum[s.num] = s, s
@@ -769,7 +744,7 @@
 // named stays known, and only nodes that are called ready get work.
 func (b *Broker) followList(e *Event) {
 	if e.List == ListFailed {
-		b.do(Action{Kind: SetTimer, Timer: askList, After: restFirst})
+		b.do(Action{Kind: SetTimer, Timer: askList, After: restTime})
 		return
 	}
 	for n := range b.state {
@@ -784,17 +759,16 @@
 			b.index[en.Node] = n
 			b.nodeID, b.state, b.history = append(b.nodeID, en.Node), append(b.state, Gone), append(b.history, 0xff)
 			b.cell, b.zone, b.outCalls = append(b.cell, 0), append(b.zone, 0), append(b.outCalls, 0)
-			b.coldSent = append(b.coldSent, nil)
-			for _, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.latency, &b.under, &b.rest} {
+			b.sent = append(b.sent, nil)
+			for _, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.latency, &b.under} {
 				*col = append(*col, 0)
 			}
 			for _, col := range []*[]float64{&b.latAt, &b.heard, &b.restEnd} {
 				*col = append(*col, longAgo)
 			}
-			b.rest[n] = restFirst
 		} else if en.Born > b.born[n] { // a new process: what the old one did says nothing
-			b.history[n], b.rest[n], b.restEnd[n] = 0xff, restFirst, longAgo
-			b.latAt[n], b.coldSent[n] = longAgo, nil
+			b.history[n], b.restEnd[n] = 0xff, longAgo
+			b.latAt[n], b.sent[n] = longAgo, nil
 		}
 		b.cell[n], b.zone[n], b.state[n] = en.Cell, en.Zone, en.Readiness
 		b.units[n], b.born[n] = max(en.Units, 0.01), max(b.born[n], en.Born)
@@ -817,15 +791,13 @@
 }
 
 func (b *Broker) start(e *Event) {
-	*b = Broker{now: b.now, terms: e.Terms, started: true, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
+	*b = Broker{now: b.now, terms: e.Terms, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
 		parts: map[int64]*part{}, index: map[int64]int{}, holders: make([][]int, 1), turn: map[int]*int{},
 		pcg: pcg{e.Seed}}
-	for _, name := range []string{"layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers",
-		"limit.dispatches", "tableType.count"} {
-		b.need(name, 1, &b.fault)
-	}
-	for _, name := range []string{"turn", "rules.cold", "rules.fall", "rules.fallMultiple", "rules.startCapacity"} {
-		b.need(name, 0, &b.fault)
+	for i, name := range []string{"turn", "rules.cold", "rules.fall", "rules.fallMultiple", "rules.startCapacity",
+		"layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers", "limit.dispatches",
+		"tableType.count"} {
+		b.need(name, float64(min(1, i/5)), &b.fault) // times may be 0, counts may not
 	}
 	for i := 0; i < int(b.num("tableType.count")) && b.fault == ""; i++ {
 		at := func(name string) string { return fmt.Sprintf("tableType.%d.%s", i, name) }
@@ -835,7 +807,7 @@
 			repeatWindow: b.num(at("repeatWindow")), need: b.need(in("need"), 0, &b.fault), floor: b.need(in("floor"), 0, &b.fault),
 			partial: b.num(in("partialBenefit")), fetch: int(b.num(in("fetch")))}
 		t.effect, _ = b.terms[at("effect")].(string)
-		t.mean, t.dev, t.work = t.target/5, t.target/10, t.target/20
+		t.mean, t.dev, t.work = t.target/5, t.target/20, t.target/20
 		b.types = append(b.types, t)
 		b.meanLat, b.meanUnder = t.mean/t.target, t.mean/t.target // until something is seen
 	}
