--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	recent      = 5000.0  // a latency older than this says nothing of its node any more
+	recent      = 5000.0  // a latency older than this says nothing any more; work completed fades over it
 	latShare    = 0.25    // share of the newest latency in a node's mean,
 	typShare    = 0.05    // and in a table type's
 	lateDevs    = 8.0     // a part is late when it is so many mean deviations over the mean
@@ -34,7 +34,6 @@
 	throttleAt  = 0.8     // predicted share of the target time at which throttling begins,
 	throttleAll = 1.5     // and at which a scan of mean value is turned away for sure
 	lookAgain   = 100.0   // wait before looking again at a part that has no holder to go to
-	rateWindow  = 5000.0  // over which a node's completed work is judged
 	coldSafety  = 0.8     // part of the cold allowance that is used
 	retrySign   = 0.02    // a client's budget so far from the usual one, by the timeout, tells of an earlier try
 	askList     = 1 << 62 // the timer to ask for the list again
@@ -63,25 +62,23 @@
 	parts                        []*part // of the present step
 	got                          float64 // their weight that has completed
 	placed, ended, dirty, spared bool
-	factor                       float64 // what its benefit is multiplied by: over its tenant's share, late from the start
+	factor                       float64 // on its benefit: over its tenant's share, late from the start
 	targetAt, endAt              float64 // the answer must leave by then: for the whole benefit, at all
 	look                         float64 // the timer set for it
 }
 
 type field struct { // what a cover is chosen from; sets of nodes and of parts are bit masks
 	ask                     []*part
-	all, order              []int // candidate nodes, the lightest first; parts, the fewest holders first
+	all, order, count       []int // candidate nodes, the lightest first; parts, the fewest holders first
 	mask, holds             []uint64
 	load, left, far, weight []float64
-	count                   []int
 	room                    int
 }
 
 type tableType struct {
 	target, timeout, benefit, lateBenefit, repeatWindow, need, floor, partial float64
-	fetch                                                                     int
 	effect                                                                    string
-	agreed                                                                    int     // how firmly budget stands as the usual one
+	fetch, agreed                                                             int     // agreed: on budget
 	mean, dev, work, budget                                                   float64 // as seen
 }
 
@@ -89,7 +86,6 @@
 type Broker struct {
 	terms        // what the site states at start
 	pcg          // chance
-	fault        string
 	now          float64
 	out          []Action
 	types        []tableType
@@ -99,22 +95,20 @@
 	turn         map[int]*int // this turn's call to each node: its parts
 
 	// Nodes: parallel arrays under a dense index.
-	index                  map[int64]int
-	nodeID                 []int64
-	cell, zone, outCalls   []int
-	state                  []Readiness
-	history                []uint8        // last eight outcomes, the newest lowest, 1 = success
-	units, born, outWork   []float64      // outWork: outstanding, calls counted
-	latency, latAt, heard  []float64      // latency: recent, as a share of the target time
-	under                  []float64      // the work that was outstanding then, as a share of the target time
-	restEnd                []float64      // until when it rests
-	sent                   [][][2]float64 // time and work of what went to it of late
-	holders                [][]int        // by shard
-	meanLat, meanUnder     float64
-	meanValue, valued      float64
-	done, doneAt, allUnits float64      // work completed, fading; units of all ready nodes
-	extras, taken          [][2]float64 // for a stated budget
-	shareLeft, shareAt     []float64    // by tenant
+	index                                 map[int64]int
+	nodeID                                []int64
+	cell, zone, outCalls                  []int
+	state                                 []Readiness
+	history                               []uint8        // last eight outcomes, the newest lowest, 1 = success
+	units, born, outWork                  []float64      // outWork: outstanding, calls counted
+	latency, under                        []float64      // recent; under how much work; both by target time
+	latAt, heard, restEnd                 []float64      // latency seen, answer heard, rest ends
+	sent                                  [][][2]float64 // time and work of what went to it of late
+	holders                               [][]int        // by shard
+	meanLat, meanUnder, meanValue, valued float64
+	done, doneAt, allUnits                float64      // work completed, fading; units of all ready nodes
+	extras, taken                         [][2]float64 // for a stated budget
+	shareLeft, shareAt                    []float64    // by tenant
 }
 
 // Step takes what happened to this broker at one moment and returns what is to be done.
@@ -127,9 +121,6 @@
 		} else if b.types == nil {
 			continue // not started yet
 		}
-		if b.fault != "" {
-			return []Action{{Kind: Fatal, Text: b.fault}}
-		}
 		switch e.Kind {
 		case ListArrived:
 			b.followList(e)
@@ -153,6 +144,9 @@
 		b.changed[i].dirty = false
 		b.review(b.changed[i])
 	}
+	if b.fault != "" {
+		b.out = []Action{{Kind: Fatal, Text: b.fault}}
+	}
 	return b.out
 }
 
@@ -173,8 +167,9 @@
 		b.dropParts(s)
 		s.step, s.got, s.parts, all = 2, 0, nil, false // the second step's parts are on their way
 	}
-	// Mechanism 5: answer from a part when the target time is here; answer or fail when time is up.
-	if b.due(s.endAt) || (b.due(s.targetAt) || all) && b.partialPays(s) {
+	// Mechanism 5: answer from a part at the target time if a whole one later pays less; end when time is up.
+	if b.due(s.endAt) || (b.due(s.targetAt) || all) && b.enough(s) &&
+		typ.partial*s.got/typ.need > typ.lateBenefit {
 		b.giveUp(s)
 		return
 	}
@@ -215,9 +210,8 @@
 }
 
 // missing returns the parts of s to be asked now with the holders each may go to, the weight that can no
-// longer come, and when to look again. A part that is late at a node gone silent gets a second copy; where the
-// site allows none, the late dispatch is recalled and its outcome brings the part back here. A part that is just
-// slow keeps its place: asking again would feed the jam that made it slow.
+// longer come, and when to look again. A part that is late at a node gone silent gets a second copy or, where
+// the site allows none, a recall; one that is just slow keeps its place: asking again would feed the jam.
 func (b *Broker) missing(s *scan) (ask []*part, hold [][]int, lost, next float64) {
 	next = s.endAt
 	for _, p := range s.parts {
@@ -260,22 +254,21 @@
 	return
 }
 
-// mayDispatch is the one gate for every dispatch of a part: it guards the rules on effects, on the number
-// of dispatches and on their budget, whatever the reason for asking again. Past its target time a scan asks
-// nothing again: the little benefit left is not worth feeding the jam that made it late.
+// mayDispatch is the one gate for every dispatch: it guards the rules on effects, dispatches for a part and
+// the budget. Past its target time a scan asks nothing again: the benefit left is not worth feeding a jam.
 func (b *Broker) mayDispatch(p *part) bool {
 	typ := &b.types[p.scan.typ]
 	first, keyed := p.firstRun(), typ.effect == "keyed" && b.now <= p.firstRun()+typ.repeatWindow-4*b.num("turn")
 	if len(p.tries) == 0 {
 		return true
 	}
-	if b.due(p.scan.targetAt) || len(p.tries) >= int(b.num("limit.dispatches")) || first >= 0 && typ.effect != "replayable" && !keyed {
+	if b.due(p.scan.targetAt) || first >= 0 && typ.effect != "replayable" && !keyed {
 		return false
 	}
-	window, stated := b.terms["rules.budgetWindow"].(float64)
+	window, stated := b.stated["rules.budgetWindow"].(float64)
 	b.extras, b.taken = within(b.extras, b.now-window), within(b.taken, b.now-window)
 	most := b.num("rules.spareDispatches") + b.num("rules.spareShare")*float64(len(b.taken))
-	return !stated || float64(len(b.extras))+1 <= most
+	return len(p.tries) < int(b.num("limit.dispatches")) && (!stated || float64(len(b.extras))+1 <= most)
 }
 
 // firstRun says when the first dispatch that may have run was sent; below 0: none may have.
@@ -315,8 +308,8 @@
 
 // cover chooses a node for each part: of the smallest sets that hold them all and those one larger, the one
 // with the least load. It returns each part's node, -1 for none, and the worst predicted latency among them.
-// Exceptions: past 64 parts or candidates a scan is covered in stretches; past searchSteps the best set so far
-// stands; where no set has room, each part goes to the least loaded of its holders, past the batch limit.
+// Exceptions: past 64 parts or candidates a scan is covered in stretches; past searchSteps the best set so
+// far stands; where no set has room, each part goes to the least loaded holder, past the cap on calls.
 func (b *Broker) cover(s *scan, ask []*part, hold [][]int) (best []int, worst float64) {
 	f, work := field{ask: ask, mask: make([]uint64, len(ask))}, 0.0
 	for i, nodes := range hold {
@@ -355,8 +348,7 @@
 		}
 	}
 	lowest, steps := math.Inf(1), 0
-	// Exact search: the first part that no chosen node holds goes to each of its holders in turn, as long as
-	// the nodes left could hold all that is missing.
+	// Exact search: the first part that no chosen node holds goes to each of its holders in turn.
 	var grow func(set, missing uint64, left int)
 	grow = func(set, missing uint64, left int) {
 		most := 0
@@ -395,14 +387,11 @@
 		f.room = math.MaxInt
 		best, _ = f.share(uint64(1)<<len(f.all) - 1)
 	}
-	if best == nil {
-		best = slices.Repeat([]int{-1}, len(ask))
-	}
 	return best, b.predict(s, ask, best)
 }
 
-// predict says at what share of its target time the least part of the scan that makes an answer will be in: each
-// node answers in its recent latency, stretched by what is outstanding there now against what was then.
+// predict says at what share of its target time enough of the scan for an answer will be in: each node
+// answers in its recent latency, stretched by what is outstanding there now against what was then.
 func (b *Broker) predict(s *scan, ask []*part, node []int) (worst float64) {
 	added, lats := map[int]float64{}, [][2]float64{}
 	for i, n := range node {
@@ -438,8 +427,10 @@
 				to, low = k, c
 			}
 		}
-		if to < 0 {
+		if node[i] = -1; to < 0 && f.room < math.MaxInt {
 			return nil, 0
+		} else if to < 0 {
+			continue
 		}
 		node[i] = f.all[to]
 		count[to]++
@@ -516,7 +507,7 @@
 		typ.dev += typShare * (math.Abs(e.Elapsed-typ.mean) - typ.dev)
 		typ.mean += typShare * (e.Elapsed - typ.mean)
 		typ.work = min(typ.work*1.01, max(1, e.Elapsed-b.num("layout.callWork")))
-		b.done, b.doneAt = b.done*math.Exp((b.doneAt-b.now)/rateWindow)+p.work, b.now
+		b.done, b.doneAt = b.done*math.Exp((b.doneAt-b.now)/recent)+p.work, b.now
 		b.judge(n, true)
 		if !p.done {
 			p.done = true
@@ -541,8 +532,7 @@
 	b.touch(s)
 }
 
-// sawLatency keeps the means of a node's latency and of the work it was under; atLeast tells that the true
-// latency is longer, so it never counts in a node's favour.
+// sawLatency keeps a node's recent latency; atLeast: the true one is longer and never counts in its favour.
 func (b *Broker) sawLatency(d *dispatch, s *scan, elapsed float64, atLeast bool) {
 	n, target := d.node, b.types[s.typ].target
 	lat, under := b.lat(n)
@@ -576,18 +566,15 @@
 	return b.poor(n) && (b.now < b.restEnd[n] || b.outCalls[n] > 0)
 }
 
-func (b *Broker) cold(n int) bool { return b.born[n] > 0 && b.now-b.born[n] < b.num("rules.cold") }
-
-// coldLeft is the work that this broker may still send to the node now. A node that has just started can bear
-// a multiple of its present capacity over a window; this broker takes its share among all, judged by what
-// nodes of like size complete for it, and by one core at least.
+// coldLeft is the work that this broker may still send to a node: to one just started its share of what that
+// can bear over a window, judged by what nodes of like size complete for it, and by one core at least.
 func (b *Broker) coldLeft(n int) float64 {
-	if !b.cold(n) {
+	if b.born[n] <= 0 || b.now-b.born[n] >= b.num("rules.cold") {
 		return math.Inf(1)
 	}
 	from := b.num("rules.startCapacity")
 	part := from + (1-from)*max(0, b.now-b.born[n])/b.num("rules.cold")
-	rate := b.done * math.Exp((b.doneAt-b.now)/rateWindow) / rateWindow * b.units[n] / b.allUnits
+	rate := b.done * math.Exp((b.doneAt-b.now)/recent) / recent * b.units[n] / b.allUnits
 	left := coldSafety * b.num("rules.fallMultiple") * part * b.num("rules.fall") * max(rate, 1/b.num("brokers"))
 	for _, sent := range within(b.sent[n], b.now-b.num("rules.fall")) {
 		left -= sent[1]
@@ -602,7 +589,7 @@
 	for _, p := range s.parts {
 		work += p.work
 	}
-	if b.terms["countedBy"] != "work" {
+	if b.stated["countedBy"] != "work" {
 		value /= max(1, work)
 	}
 	b.valued++
@@ -611,8 +598,7 @@
 	return ramp > 0 && b.float() < math.Pow(ramp, value/b.meanValue)
 }
 
-// trim spares the lightest parts of a scan that may be answered from the heaviest, before it is turned away:
-// what is left makes an answer with trimSlack to lose.
+// trim spares the lightest parts of a scan that may be answered from the heaviest, with trimSlack to lose.
 func (b *Broker) trim(s *scan) bool {
 	typ, got, all := &b.types[s.typ], 0.0, s.parts
 	if typ.floor >= typ.need || s.step > 1 {
@@ -642,19 +628,11 @@
 
 func (b *Broker) enough(s *scan) bool { return s.got > 0 && s.got >= b.least(s)-0.00005 }
 
-// partialPays says whether an answer from what is in is allowed, and pays more than a whole one after the target.
-func (b *Broker) partialPays(s *scan) bool {
-	typ := &b.types[s.typ]
-	return b.enough(s) && typ.partial*s.got/typ.need > typ.lateBenefit
-}
-
 // giveUp ends the scan with the best final answer that is still honest, and at once.
 func (b *Broker) giveUp(s *scan) {
-	harmless := s.step == 1 && len(s.parts) > 0
-	mayHaveRun := func(p *part) bool { return p.firstRun() >= 0 }
-	if b.types[s.typ].effect != "replayable" && slices.ContainsFunc(s.parts, mayHaveRun) {
-		harmless = false
-	}
+	ran := func(p *part) bool { return p.firstRun() >= 0 }
+	harmless := s.step == 1 && len(s.parts) > 0 &&
+		(b.types[s.typ].effect == "replayable" || !slices.ContainsFunc(s.parts, ran))
 	if b.enough(s) {
 		b.do(Action{Kind: Answer, ID: s.id})
 	} else if harmless {
@@ -730,10 +708,8 @@
 	if s == nil {
 		return // ended meanwhile
 	}
-	p := &part{id: e.ID, scan: s, shard: e.Shard, weight: e.Amount, work: e.Hint}
-	if p.work <= 0 {
-		p.work = b.types[s.typ].work
-	}
+	work := cmp.Or(max(0, e.Hint), b.types[s.typ].work)
+	p := &part{id: e.ID, scan: s, shard: e.Shard, weight: e.Amount, work: work}
 	s.parts = append(s.parts, p)
 	b.parts[p.id] = p
 	b.taken = append(b.taken, [2]float64{b.now})
@@ -760,11 +736,9 @@
 			b.nodeID, b.state, b.history = append(b.nodeID, en.Node), append(b.state, Gone), append(b.history, 0xff)
 			b.cell, b.zone, b.outCalls = append(b.cell, 0), append(b.zone, 0), append(b.outCalls, 0)
 			b.sent = append(b.sent, nil)
-			for _, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.latency, &b.under} {
-				*col = append(*col, 0)
-			}
-			for _, col := range []*[]float64{&b.latAt, &b.heard, &b.restEnd} {
-				*col = append(*col, longAgo)
+			for i, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.latency, &b.under, &b.latAt, &b.heard,
+				&b.restEnd} {
+				*col = append(*col, longAgo*float64(min(1, i/5)))
 			}
 		} else if en.Born > b.born[n] { // a new process: what the old one did says nothing
 			b.history[n], b.restEnd[n] = 0xff, longAgo
@@ -773,17 +747,16 @@
 		b.cell[n], b.zone[n], b.state[n] = en.Cell, en.Zone, en.Readiness
 		b.units[n], b.born[n] = max(en.Units, 0.01), max(b.born[n], en.Born)
 	}
-	b.allUnits = 0.01
-	for n, st := range b.state {
-		if st == Ready {
-			b.allUnits += b.units[n]
-		}
-	}
 	cells, reach := int(b.num("layout.cells")), int(b.num("layout.reach"))
 	b.holders = make([][]int, int(b.num("layout.shards"))+1) // the last, always empty: any unknown shard
-	for s := range b.holders[:len(b.holders)-1] {
-		for n, c := range b.cell {
-			if b.state[n] == Ready && ((c-s)%cells+cells)%cells < reach {
+	b.allUnits = 0.01
+	for n, c := range b.cell {
+		if b.state[n] != Ready {
+			continue
+		}
+		b.allUnits += b.units[n]
+		for s := range b.holders[:len(b.holders)-1] {
+			if ((c-s)%cells+cells)%cells < reach {
 				b.holders[s] = append(b.holders[s], n)
 			}
 		}
@@ -791,29 +764,29 @@
 }
 
 func (b *Broker) start(e *Event) {
-	*b = Broker{now: b.now, terms: e.Terms, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
+	*b = Broker{now: b.now, terms: terms{stated: e.Terms}, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
 		parts: map[int64]*part{}, index: map[int64]int{}, holders: make([][]int, 1), turn: map[int]*int{},
 		pcg: pcg{e.Seed}}
-	for i, name := range []string{"turn", "rules.cold", "rules.fall", "rules.fallMultiple", "rules.startCapacity",
-		"layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers", "limit.dispatches",
-		"tableType.count"} {
-		b.need(name, float64(min(1, i/5)), &b.fault) // times may be 0, counts may not
+	for i, name := range []string{"turn", "rules.cold", "rules.fall", "rules.fallMultiple",
+		"rules.startCapacity", "layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers",
+		"limit.dispatches", "tableType.count"} {
+		b.need(name, float64(min(1, i/5))) // times may be 0, counts may not
 	}
 	for i := 0; i < int(b.num("tableType.count")) && b.fault == ""; i++ {
 		at := func(name string) string { return fmt.Sprintf("tableType.%d.%s", i, name) }
 		in := func(name string) string { return fmt.Sprintf("layout.%s.%d", name, i) }
-		t := tableType{target: b.need(at("target"), 0.001, &b.fault), timeout: b.need(at("timeout"), 0.001, &b.fault),
-			benefit: b.need(at("benefit"), 0, &b.fault), lateBenefit: b.num(at("lateBenefit")),
-			repeatWindow: b.num(at("repeatWindow")), need: b.need(in("need"), 0, &b.fault), floor: b.need(in("floor"), 0, &b.fault),
+		t := tableType{target: b.need(at("target"), 0.001), timeout: b.need(at("timeout"), 0.001),
+			benefit: b.need(at("benefit"), 0), lateBenefit: b.num(at("lateBenefit")),
+			repeatWindow: b.num(at("repeatWindow")), need: b.need(in("need"), 0), floor: b.need(in("floor"), 0),
 			partial: b.num(in("partialBenefit")), fetch: int(b.num(in("fetch")))}
-		t.effect, _ = b.terms[at("effect")].(string)
+		t.effect, _ = b.stated[at("effect")].(string)
 		t.mean, t.dev, t.work = t.target/5, t.target/20, t.target/20
 		b.types = append(b.types, t)
 		b.meanLat, b.meanUnder = t.mean/t.target, t.mean/t.target // until something is seen
 	}
 	b.shareLeft = make([]float64, int(b.num("tenant.count")))
 	b.shareAt = make([]float64, len(b.shareLeft))
-	if b.terms["discovery"] == "subscribe" {
+	if b.stated["discovery"] == "subscribe" {
 		b.do(Action{Kind: Subscribe})
 	}
 }
--- a/logic/terms.go
+++ b/logic/terms.go
@@ -5,26 +5,29 @@
 	"math/bits"
 )
 
-// terms is what the site states at start: names to values.
-type terms map[string]any
+// terms is what the site states at start: names to values. fault notes the first one that is missing.
+type terms struct {
+	stated map[string]any
+	fault  string
+}
 
 // num reads a number; one that is not stated is 0.
-func (t terms) num(name string) float64 {
-	x, _ := t[name].(float64)
+func (t *terms) num(name string) float64 {
+	x, _ := t.stated[name].(float64)
 	return x
 }
 
 // flag reads a yes or no; one that is not stated is no.
-func (t terms) flag(name string) bool {
-	on, _ := t[name].(bool)
+func (t *terms) flag(name string) bool {
+	on, _ := t.stated[name].(bool)
 	return on
 }
 
-// need reads a number that cannot be done without and notes the first that is missing or under least.
-func (t terms) need(name string, least float64, fault *string) float64 {
-	x, ok := t[name].(float64)
-	if (!ok || !(x >= least && x <= 1e9)) && *fault == "" {
-		*fault = fmt.Sprintf("start setting %s is missing or impossible: %v", name, t[name])
+// need reads a number that cannot be done without or be under least.
+func (t *terms) need(name string, least float64) float64 {
+	x, ok := t.stated[name].(float64)
+	if (!ok || !(x >= least && x <= 1e9)) && t.fault == "" {
+		t.fault = fmt.Sprintf("start setting %s is missing or impossible: %v", name, t.stated[name])
 	}
 	return x
 }
