--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,7 +30,7 @@
 	restTime    = 1000.0  // how long a node rests that does poorly; then it is tried
 	callShare   = 0.15    // most work of a call, as a share of the target time
 	trimSlack   = 0.05    // weight kept beyond the least share when parts are spared
-	searchSteps = 800     // bound of the exact cover search, lightest nodes first
+	searchSteps = 2000    // bound of the exact cover search, lightest nodes first
 	throttleAt  = 0.8     // predicted share of the target time at which throttling begins,
 	throttleAll = 1.5     // and at which a scan of mean value is turned away for sure
 	lookAgain   = 100.0   // wait before looking again at a part that has no holder to go to
