--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,7 +30,8 @@
 	restTime    = 1000.0  // how long a node rests that does poorly; then it is tried
 	callShare   = 0.15    // most work of a call, as a share of the target time
 	trimSlack   = 0.05    // weight kept beyond the least share when parts are spared
-	searchSteps = 2000    // bound of the exact cover search, lightest nodes first
+	spareEvery  = 16      // a cover may be one call over the smallest, and one more for so many parts
+	ties        = 0.1     // chance among nodes whose load is about alike, or all brokers take the same
 	throttleAt  = 0.8     // predicted share of the target time at which throttling begins,
 	throttleAll = 1.5     // and at which a scan of mean value is turned away for sure
 	lookAgain   = 100.0   // wait before looking again at a part that has no holder to go to
@@ -67,12 +68,9 @@
 	look                         float64 // the timer set for it
 }
 
-type field struct { // what a cover is chosen from; sets of nodes and of parts are bit masks
-	ask                     []*part
-	all, order, count       []int // candidate nodes, the lightest first; parts, the fewest holders first
-	mask, holds             []uint64
-	load, left, far, weight []float64
-	room                    int
+type want struct { // a part to be asked now and the holders it may go to
+	p     *part
+	nodes []int
 }
 
 type tableType struct {
@@ -104,7 +102,7 @@
 	latency, under                        []float64      // recent; under how much work; both by target time
 	latAt, heard, restEnd                 []float64      // latency seen, answer heard, rest ends
 	sent                                  [][][2]float64 // time and work of what went to it of late
-	holders                               [][]int        // by shard
+	inCell                                [][]int        // the holder table: ready nodes by cell
 	meanLat, meanUnder, meanValue, valued float64
 	done, doneAt, allUnits                float64      // work completed, fading; units of all ready nodes
 	extras, taken                         [][2]float64 // for a stated budget
@@ -173,28 +171,28 @@
 		b.giveUp(s)
 		return
 	}
-	ask, hold, lost, next := b.missing(s)
+	asks, lost, next := b.missing(s)
 	if lost > 1-b.least(s)+0.00005 || len(s.parts) == 0 && s.step == 1 {
 		b.giveUp(s) // what is left cannot make an answer any more
 		return
 	}
-	if len(ask) > 0 {
-		node, worst := b.cover(s, ask, hold)
+	if len(asks) > 0 {
+		node := b.cover(s, asks)
 		// Mechanism 4: turn the scan away by chance before anything of it is sent, or a part of it first.
-		away := !s.placed && b.turnedAway(s, worst)
+		away := !s.placed && b.turnedAway(s, b.predict(s, asks, node))
 		if away && b.trim(s) {
-			ask, hold, lost, next = b.missing(s)
-			node, worst = b.cover(s, ask, hold)
-			away = b.turnedAway(s, worst)
+			asks, _, next = b.missing(s)
+			node = b.cover(s, asks)
+			away = b.turnedAway(s, b.predict(s, asks, node))
 		}
 		if away {
 			b.giveUp(s)
 			return
 		}
 		s.placed = true
-		for i, p := range ask { // one call a node: what goes to one node in one turn travels together
-			if node[i] >= 0 {
-				next = min(next, b.send(p, node[i]))
+		for i, a := range asks { // one call a node: what goes to one node in one turn travels together
+			if b.coldLeft(node[i]) >= a.p.work {
+				next = min(next, b.send(a.p, node[i]))
 			} else {
 				next = min(next, b.now+lookAgain)
 			}
@@ -212,7 +210,7 @@
 // missing returns the parts of s to be asked now with the holders each may go to, the weight that can no
 // longer come, and when to look again. A part that is late at a node gone silent gets a second copy or, where
 // the site allows none, a recall; one that is just slow keeps its place: asking again would feed the jam.
-func (b *Broker) missing(s *scan) (ask []*part, hold [][]int, lost, next float64) {
+func (b *Broker) missing(s *scan) (asks []want, lost, next float64) {
 	next = s.endAt
 	for _, p := range s.parts {
 		late, silent := p.open > 0, false
@@ -243,7 +241,7 @@
 		if p.open == 0 && len(nodes) == 0 {
 			next = min(next, b.now+lookAgain)
 		} else if p.open == 0 || again && b.flag("limit.secondCopies") {
-			ask, hold = append(ask, p), append(hold, nodes)
+			asks = append(asks, want{p, nodes})
 			if len(p.tries) > 0 { // counted here, so that one scan's parts cannot pass the budget together
 				b.extras = append(b.extras, [2]float64{b.now})
 			}
@@ -283,15 +281,17 @@
 // else any. A holder that drains, is gone, or is cold and has had its share is never among them.
 func (b *Broker) eligible(p *part) []int {
 	var fresh, sound, poor []int
-	for _, n := range b.holders[min(p.shard, len(b.holders)-1)] {
-		if b.coldLeft(n) < b.num("layout.callWork")+p.work {
-			continue
-		} else if b.sick(n) {
-			poor = append(poor, n)
-		} else if b.tried(p, n) {
-			sound = append(sound, n)
-		} else {
-			fresh = append(fresh, n)
+	for j := 0; p.shard < int(b.num("layout.shards")) && j < int(b.num("layout.reach")); j++ {
+		for _, n := range b.inCell[(p.shard+j)%len(b.inCell)] {
+			if b.coldLeft(n) < b.num("layout.callWork")+p.work {
+				continue
+			} else if b.sick(n) {
+				poor = append(poor, n)
+			} else if b.tried(p, n) {
+				sound = append(sound, n)
+			} else {
+				fresh = append(fresh, n)
+			}
 		}
 	}
 	if len(fresh)+len(sound) == 0 {
@@ -306,106 +306,89 @@
 	return slices.ContainsFunc(p.tries, func(d dispatch) bool { return d.node == n })
 }
 
-// cover chooses a node for each part: of the smallest sets that hold them all and those one larger, the one
-// with the least load. It returns each part's node, -1 for none, and the worst predicted latency among them.
-// Exceptions: past 64 parts or candidates a scan is covered in stretches; past searchSteps the best set so
-// far stands; where no set has room, each part goes to the least loaded holder, past the cap on calls.
-func (b *Broker) cover(s *scan, ask []*part, hold [][]int) (best []int, worst float64) {
-	f, work := field{ask: ask, mask: make([]uint64, len(ask))}, 0.0
-	for i, nodes := range hold {
-		work += ask[i].work / float64(len(ask))
-		f.order = append(f.order, i)
-		for _, n := range nodes {
-			if !slices.Contains(f.all, n) {
-				f.all = append(f.all, n)
+// cover chooses a node for each part: of the smallest sets that hold them all and those a few larger, the one
+// with the least load. Cells hold shards in a row, so the parts are swept in shard order, cut at the widest gap,
+// and each node takes a run of them: exact on a row, one call over the smallest at most round a full ring.
+func (b *Broker) cover(s *scan, asks []want) []int {
+	type run struct {
+		from, to, node int
+		cost           float64
+	}
+	runs, work, cut, gap, cells := []run{}, 0.0, 0, -1, int(b.num("layout.cells"))
+	slices.SortStableFunc(asks, func(x, y want) int { return cmp.Compare(x.p.shard%cells, y.p.shard%cells) })
+	for i, a := range asks {
+		work += a.p.work / float64(len(asks))
+		before := asks[(i+len(asks)-1)%len(asks)].p.shard
+		if g := ((a.p.shard-before)%cells + cells) % cells; g > gap {
+			cut, gap = i, g
+		}
+	}
+	copy(asks, slices.Concat(asks[cut:], asks[:cut]))
+	room := int(min(b.num("layout.batch"), max(1, callShare*b.types[s.typ].target/work)))
+	home, far := int(b.num("zone")), b.num("prices.crossZone")*b.types[s.typ].target
+	least, width := make([]int, len(asks)+1), 2+len(asks)/spareEvery // least: calls for the parts before
+	for j, a := range asks {
+		for _, n := range a.nodes {
+			load, left, away := b.num("layout.callWork"), b.coldLeft(n), 0.0
+			if b.turn[n] != nil { // scans of one turn share calls
+				load = 0
 			}
-		}
-		if i > 0 && (i == 64 || len(f.all) > 64) {
-			head, early := b.cover(s, ask[:i], hold[:i])
-			tail, late := b.cover(s, ask[i:], hold[i:])
-			return append(head, tail...), max(early, late)
-		}
-	}
-	light := func(m, n int) int { return cmp.Compare(b.outWork[m]*b.weigh(m), b.outWork[n]*b.weigh(n)) }
-	slices.SortStableFunc(f.all, light)
-	f.room = int(min(b.num("layout.batch"), max(1, callShare*b.types[s.typ].target/work)))
-	slices.SortStableFunc(f.order, func(i, j int) int { return len(hold[i]) - len(hold[j]) })
-	f.holds = make([]uint64, len(f.all))
-	for k, n := range f.all {
-		work, count, far := b.num("layout.callWork"), 0, 0.0
-		if c := b.turn[n]; c != nil { // scans of one turn share calls
-			work, count = 0, *c
-		}
-		if b.zone[n] != int(b.num("zone")) {
-			far = b.num("prices.crossZone") * b.types[s.typ].target
-		}
-		f.load, f.left = append(f.load, b.outWork[n]+work), append(f.left, b.coldLeft(n)-work)
-		f.count, f.far, f.weight = append(f.count, count), append(f.far, far), append(f.weight, b.weigh(n))
-		for i := range ask {
-			if slices.Contains(hold[i], n) {
-				f.mask[i], f.holds[k] = f.mask[i]|1<<k, f.holds[k]|1<<i
+			if b.zone[n] != home {
+				away = far
 			}
-		}
-	}
-	lowest, steps := math.Inf(1), 0
-	// Exact search: the first part that no chosen node holds goes to each of its holders in turn.
-	var grow func(set, missing uint64, left int)
-	grow = func(set, missing uint64, left int) {
-		most := 0
-		for _, h := range f.holds {
-			most = max(most, min(f.room, bits.OnesCount64(h&missing)))
-		}
-		if steps++; steps > searchSteps || bits.OnesCount64(missing) > left*most {
-			return
-		}
-		for _, i := range f.order {
-			if missing>>i&1 == 1 {
-				for m := f.mask[i]; m != 0; m &= m - 1 {
-					grow(set|m&-m, missing&^f.holds[bits.TrailingZeros64(m)], left-1)
+			weight := b.weigh(n) * (1 + ties*b.float())
+			for k := j; k < len(asks) && k < j+room && slices.Contains(asks[k].nodes, n); k++ {
+				if load += asks[k].p.work; load > left && k > j {
+					break
+				}
+				runs = append(runs, run{j, k + 1, n, (b.outWork[n]+load)*weight + away*float64(k+1-j)})
+				if least[k+1] == 0 || least[k+1] > least[j]+1 {
+					least[k+1] = least[j] + 1
 				}
-				return
 			}
 		}
-		for k := 0; k < len(f.all); k++ { // the set itself, or with one more
-			if left == 0 && set>>k&1 == 0 {
-				continue
-			}
-			if node, cost := f.share(set | 1<<k); node != nil && cost < lowest {
-				best, lowest = node, cost
-			}
-			if steps++; left == 0 {
-				return
+	}
+	// plan: by parts covered and calls beyond the least, the lowest cost and the last run of it
+	plan, last := make([]float64, len(least)*width), make([]int, len(least)*width)
+	for i := range plan[1:] {
+		plan[i+1] = math.Inf(1)
+	}
+	for i, r := range runs {
+		for over := 0; over < width; over++ {
+			to, cost := over+1+least[r.from]-least[r.to], plan[r.from*width+over]+r.cost
+			if to < width && cost < plan[r.to*width+to] {
+				plan[r.to*width+to], last[r.to*width+to] = cost, i
 			}
 		}
 	}
-	for size, more := 1, 2; size <= len(ask)+1 && more > 0; size++ {
-		if grow(0, uint64(1)<<len(ask)-1, size); best != nil {
-			more--
+	node, over, k := make([]int, len(asks)), 0, len(asks)
+	for i := range width {
+		if plan[k*width+i] < plan[k*width+over] {
+			over = i
 		}
 	}
-	if best == nil {
-		f.room = math.MaxInt
-		best, _ = f.share(uint64(1)<<len(f.all) - 1)
+	for k > 0 {
+		r := runs[last[k*width+over]]
+		over += least[k] - least[r.from] - 1
+		for k = r.from; k < r.to; k++ {
+			node[k] = r.node
+		}
+		k = r.from
 	}
-	return best, b.predict(s, ask, best)
+	return node
 }
 
 // predict says at what share of its target time enough of the scan for an answer will be in: each node
 // answers in its recent latency, stretched by what is outstanding there now against what was then.
-func (b *Broker) predict(s *scan, ask []*part, node []int) (worst float64) {
+func (b *Broker) predict(s *scan, asks []want, node []int) (worst float64) {
 	added, lats := map[int]float64{}, [][2]float64{}
 	for i, n := range node {
-		if n >= 0 {
-			added[n] += ask[i].work
-		}
+		added[n] += asks[i].p.work
 	}
 	for i, n := range node {
-		lat, under := math.Inf(1), 1.0
-		if n >= 0 {
-			lat, under = b.lat(n)
-			lat *= (b.outWork[n] + b.num("layout.callWork") + added[n]) / b.types[s.typ].target / under
-		}
-		lats = append(lats, [2]float64{lat, ask[i].weight})
+		lat, under := b.lat(n)
+		lat *= (b.outWork[n] + b.num("layout.callWork") + added[n]) / b.types[s.typ].target / under
+		lats = append(lats, [2]float64{lat, asks[i].p.weight})
 	}
 	slices.SortFunc(lats, func(x, y [2]float64) int { return cmp.Compare(x[0], y[0]) })
 	for i, got := 0, 0.0; i < len(lats) && got < b.least(s)-0.00005; i++ {
@@ -414,37 +397,6 @@
 	return worst
 }
 
-// share gives each part to the least loaded node of the set that holds it and has room, and returns what
-// the set would then bear: outstanding work, calls counted, each weighed by the node's recent latency.
-func (f *field) share(set uint64) (node []int, cost float64) {
-	node, count := make([]int, len(f.ask)), slices.Clone(f.count)
-	load, left := slices.Clone(f.load), slices.Clone(f.left)
-	for _, i := range f.order {
-		to, low := -1, math.Inf(1)
-		for m := f.mask[i] & set; m != 0; m &= m - 1 {
-			k := bits.TrailingZeros64(m)
-			if c := load[k]*f.weight[k] + f.far[k]; count[k] < f.room && f.ask[i].work <= left[k] && c < low {
-				to, low = k, c
-			}
-		}
-		if node[i] = -1; to < 0 && f.room < math.MaxInt {
-			return nil, 0
-		} else if to < 0 {
-			continue
-		}
-		node[i] = f.all[to]
-		count[to]++
-		load[to] += f.ask[i].work
-		left[to] -= f.ask[i].work
-		cost += f.far[to]
-	}
-	for m := set; m != 0; m &= m - 1 {
-		k := bits.TrailingZeros64(m)
-		cost += load[k] * f.weight[k]
-	}
-	return node, cost
-}
-
 // weigh is the node's recent latency over the mean one; a failing node's work counts as done again.
 func (b *Broker) weigh(n int) float64 {
 	lat, _ := b.lat(n)
@@ -747,25 +699,18 @@
 		b.cell[n], b.zone[n], b.state[n] = en.Cell, en.Zone, en.Readiness
 		b.units[n], b.born[n] = max(en.Units, 0.01), max(b.born[n], en.Born)
 	}
-	cells, reach := int(b.num("layout.cells")), int(b.num("layout.reach"))
-	b.holders = make([][]int, int(b.num("layout.shards"))+1) // the last, always empty: any unknown shard
-	b.allUnits = 0.01
+	b.inCell, b.allUnits = make([][]int, len(b.inCell)), 0.01
 	for n, c := range b.cell {
-		if b.state[n] != Ready {
-			continue
-		}
-		b.allUnits += b.units[n]
-		for s := range b.holders[:len(b.holders)-1] {
-			if ((c-s)%cells+cells)%cells < reach {
-				b.holders[s] = append(b.holders[s], n)
-			}
+		if b.state[n] == Ready && c >= 0 && c < len(b.inCell) {
+			b.allUnits += b.units[n]
+			b.inCell[c] = append(b.inCell[c], n)
 		}
 	}
 }
 
 func (b *Broker) start(e *Event) {
 	*b = Broker{now: b.now, terms: terms{stated: e.Terms}, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
-		parts: map[int64]*part{}, index: map[int64]int{}, holders: make([][]int, 1), turn: map[int]*int{},
+		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*int{},
 		pcg: pcg{e.Seed}}
 	for i, name := range []string{"turn", "rules.cold", "rules.fall", "rules.fallMultiple",
 		"rules.startCapacity", "layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers",
@@ -784,6 +729,9 @@
 		b.types = append(b.types, t)
 		b.meanLat, b.meanUnder = t.mean/t.target, t.mean/t.target // until something is seen
 	}
+	if b.fault == "" {
+		b.inCell = make([][]int, int(b.num("layout.cells")))
+	}
 	b.shareLeft = make([]float64, int(b.num("tenant.count")))
 	b.shareAt = make([]float64, len(b.shareLeft))
 	if b.stated["discovery"] == "subscribe" {
