--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,6 +31,7 @@
 	callShare   = 0.15    // most work of a call, as a share of the target time
 	trimSlack   = 0.05    // weight kept beyond the least share when parts are spared
 	spareEvery  = 16      // a cover may be one call over the smallest, and one more for so many parts
+	overCap     = 1e9     // cost of a call past its cap: only where nothing else can be
 	ties        = 0.1     // chance among nodes whose load is about alike, or all brokers take the same
 	throttleAt  = 0.8     // predicted share of the target time at which throttling begins,
 	throttleAll = 1.5     // and at which a scan of mean value is turned away for sure
@@ -325,23 +326,26 @@
 	}
 	copy(asks, slices.Concat(asks[cut:], asks[:cut]))
 	room := int(min(b.num("layout.batch"), max(1, callShare*b.types[s.typ].target/work)))
-	home, far := int(b.num("zone")), b.num("prices.crossZone")*b.types[s.typ].target
+	weight, load, away, count := map[int]float64{}, map[int]float64{}, map[int]float64{}, map[int]int{}
 	least, width := make([]int, len(asks)+1), 2+len(asks)/spareEvery // least: calls for the parts before
 	for j, a := range asks {
 		for _, n := range a.nodes {
-			load, left, away := b.num("layout.callWork"), b.coldLeft(n), 0.0
-			if b.turn[n] != nil { // scans of one turn share calls
-				load = 0
-			}
-			if b.zone[n] != home {
-				away = far
+			if weight[n] == 0 {
+				weight[n], load[n] = b.weigh(n)*(1+ties*b.float()), b.outWork[n]+b.num("layout.callWork")
+				if c := b.turn[n]; c != nil { // scans of one turn share calls
+					load[n], count[n] = b.outWork[n], *c
+				}
+				if b.zone[n] != int(b.num("zone")) {
+					away[n] = b.num("prices.crossZone") * b.types[s.typ].target
+				}
 			}
-			weight := b.weigh(n) * (1 + ties*b.float())
+			cost, left := load[n]*weight[n], b.coldLeft(n)
 			for k := j; k < len(asks) && k < j+room && slices.Contains(asks[k].nodes, n); k++ {
-				if load += asks[k].p.work; load > left && k > j {
+				if left -= asks[k].p.work; left < 0 && k > j {
 					break
 				}
-				runs = append(runs, run{j, k + 1, n, (b.outWork[n]+load)*weight + away*float64(k+1-j)})
+				cost += asks[k].p.work*weight[n] + away[n]
+				runs = append(runs, run{j, k + 1, n, cost})
 				if least[k+1] == 0 || least[k+1] > least[j]+1 {
 					least[k+1] = least[j] + 1
 				}
@@ -361,7 +365,7 @@
 			}
 		}
 	}
-	node, over, k := make([]int, len(asks)), 0, len(asks)
+	node, chosen, over, k := make([]int, len(asks)), map[int]bool{}, 0, len(asks)
 	for i := range width {
 		if plan[k*width+i] < plan[k*width+over] {
 			over = i
@@ -370,10 +374,25 @@
 	for k > 0 {
 		r := runs[last[k*width+over]]
 		over += least[k] - least[r.from] - 1
-		for k = r.from; k < r.to; k++ {
-			node[k] = r.node
+		chosen[r.node], k = true, r.from
+	}
+	// Each part goes to the chosen holder with the least load; past the cap of its call rather to another one.
+	for i, a := range asks {
+		lowest := math.Inf(1)
+		for _, n := range a.nodes {
+			cost := (load[n]+a.p.work)*weight[n] + away[n]
+			if !chosen[n] {
+				cost += overCap / 2
+			}
+			if count[n] >= room {
+				cost += overCap
+			}
+			if cost < lowest {
+				node[i], lowest = n, cost
+			}
 		}
-		k = r.from
+		n := node[i]
+		load[n], count[n], chosen[n] = load[n]+a.p.work, count[n]+1, true
 	}
 	return node
 }
