A node's silence feeds its health, not the latency that throttling goes by

A silence now counts as latency only where the node has answered since; where it was long unheard, one silence makes it poor. Should also hold against crashes and cuts; could harm where a jam shows as silence first.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -219,9 +219,12 @@
 			if d := &p.tries[i]; d.open && !p.done && !b.due(d.late) {
 				late, next = false, min(next, d.late)
 			} else if d.open && !p.done && !d.lateSeen {
-				d.lateSeen = true
-				if b.sawLatency(d, s, b.now-d.at, true); b.heard[d.node] < d.at {
-					b.judge(d.node, false) // crashed, cut off, or its answers are lost: the symptom is silence
+				// Crashed, cut off, or its answers are lost: the symptom is silence. It is no slowness: load would
+				// show in the answers of others. Where it is long since the node spoke, one silence is enough.
+				if d.lateSeen = true; b.heard[d.node] >= d.at {
+					b.sawLatency(d, s, b.now-d.at, true)
+				} else if b.judge(d.node, false); b.now-b.heard[d.node] > recent {
+					b.history[d.node] &= 0xf8
 				}
 			}
 			if d := &p.tries[i]; d.open { // it does poorly and has answered nothing since
@@ -493,8 +496,10 @@
 	case Saturated: // full, not ill: it counts as slow
 		b.heard[n] = b.now
 		b.sawLatency(d, s, typ.target, true)
-	case Overdue, Recalled: // it took this long at least
-		b.sawLatency(d, s, b.now-d.at, true)
+	case Overdue, Recalled: // it took this long at least, or the node is silent
+		if b.heard[n] >= d.at {
+			b.sawLatency(d, s, b.now-d.at, true)
+		}
 	}
 	d.ran = e.Outcome != Saturated && e.Outcome != ConnRefused && e.Outcome != Superseded // else it never ran
 	if s.ended && p.open == 0 {
