Second copies for late parts once their scan has gone quiet; silence at eight deviations

Cause: wide scans wait for the slowest of many calls, and some brokers lose answers; copies at eight deviations came after the target time. Guards against lost answers, crashes, stalled nodes; could harm where all nodes stall at once.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,7 +25,11 @@
 	recent      = 5000.0  // a latency older than this says nothing any more; work completed fades over it
 	latShare    = 0.25    // share of the newest latency in a node's mean,
 	typShare    = 0.05    // and in a table type's
-	lateDevs    = 8.0     // a part is late when it is so many mean deviations over the mean
+	lateDevs    = 3.0     // a dispatch is late when it is so many mean deviations over the mean,
+	silentDevs  = 8.0     // and so many if the node is held to be silent; either
+	quietMeans  = 2.0     // only when its scan heard nothing for a mean, and so many more by open parts
+	spareShare  = 0.1     // second dispatches of late parts for each first; one that comes first is free
+	spareMost   = 20.0    // and so many saved up at most
 	goodEnough  = 6       // successes among a node's last eight outcomes that let it work as usual
 	restTime    = 1000.0  // how long a node rests that does poorly; then it is tried
 	callShare   = 0.15    // most work of a call, as a share of the target time
@@ -45,7 +49,8 @@
 type dispatch struct {
 	node                int
 	call                *int    // parts of its call that are still out
-	at, late, load      float64 // load: work outstanding at the node with it
+	at, late, silent    float64 // when it is late, when silent
+	load                float64 // work outstanding at the node with it
 	open, ran, lateSeen bool    // ran: it may have run
 }
 
@@ -62,7 +67,7 @@
 	id, num                      int64
 	typ, step                    int
 	parts                        []*part // of the present step
-	got                          float64 // their weight that has completed
+	got, heard                   float64 // their weight that has completed; when the last of them did
 	placed, ended, dirty, spared bool
 	factor                       float64 // on its benefit: over its tenant's share, late from the start
 	targetAt, endAt              float64 // the answer must leave by then: for the whole benefit, at all
@@ -105,6 +110,8 @@
 	sent                                  [][][2]float64 // time and work of what went to it of late
 	inCell                                [][]int        // the holder table: ready nodes by cell
 	meanLat, meanUnder, meanValue, valued float64
+	spare                                 float64      // second dispatches that late parts may have now
+	silent                                float64      // share of late dispatches that proved silent
 	done, doneAt, allUnits                float64      // work completed, fading; units of all ready nodes
 	extras, taken                         [][2]float64 // for a stated budget
 	shareLeft, shareAt                    []float64    // by tenant
@@ -213,11 +220,20 @@
 // the site allows none, a recall; one that is just slow keeps its place: asking again would feed the jam.
 func (b *Broker) missing(s *scan) (asks []want, lost, next float64) {
 	next = s.endAt
+	open := 0.0
 	for _, p := range s.parts {
-		late, silent := p.open > 0, false
+		if p.open > 0 && !p.done {
+			open++
+		}
+	}
+	quiet := s.heard + b.types[s.typ].mean*(1+quietMeans/open)
+	for _, p := range s.parts {
+		late := p.open > 0
 		for i := range p.tries {
-			if d := &p.tries[i]; d.open && !p.done && !b.due(d.late) {
-				late, next = false, min(next, d.late)
+			if d := &p.tries[i]; d.open && !p.done && !b.due(max(d.late, quiet)) {
+				late, next = false, min(next, max(d.late, quiet))
+			} else if d.open && !p.done && !b.due(d.silent) {
+				next = min(next, d.silent)
 			} else if d.open && !p.done && !d.lateSeen {
 				// Crashed, cut off, or its answers are lost: the symptom is silence. It is no slowness: load would
 				// show in the answers of others. Where it is long since the node spoke, one silence is enough.
@@ -227,9 +243,6 @@
 					b.history[d.node] &= 0xf8
 				}
 			}
-			if d := &p.tries[i]; d.open { // it does poorly and has answered nothing since
-				silent = b.poor(d.node) && b.heard[d.node] < d.at
-			}
 		}
 		if p.done || p.open > 0 && !late {
 			continue
@@ -241,16 +254,20 @@
 			continue
 		}
 		nodes := b.eligible(p)
-		again := p.open == 1 && len(nodes) > 0 && !b.tried(p, nodes[0]) && !b.sick(nodes[0]) && silent
+		again := p.open == 1 && len(nodes) > 0 && !b.tried(p, nodes[0]) && !b.sick(nodes[0]) && b.spare >= 1
 		if p.open == 0 && len(nodes) == 0 {
 			next = min(next, b.now+lookAgain)
 		} else if p.open == 0 || again && b.flag("limit.secondCopies") {
 			asks = append(asks, want{p, nodes})
+			if p.open > 0 {
+				b.spare--
+			}
 			if len(p.tries) > 0 { // counted here, so that one scan's parts cannot pass the budget together
 				b.extras = append(b.extras, [2]float64{b.now})
 			}
-		} else if again && b.flag("limit.cancelling") {
+		} else if again && b.flag("limit.cancelling") && p.tries[len(p.tries)-1].lateSeen {
 			b.recall(p)
+			b.spare--
 		}
 	}
 	return
@@ -445,10 +462,15 @@
 	*c++
 	b.load(n, p.work)
 	limit, late := s.endAt, b.now+max(typ.mean+lateDevs*typ.dev, 4*b.num("turn"))
+	silent := late + (silentDevs-lateDevs)*typ.dev
 	if !b.flag("limit.secondCopies") && !b.flag("limit.cancelling") {
-		limit = min(limit, late) // nothing but the time-out can take the part back from a silent node
+		limit = min(limit, silent) // nothing but the time-out can take the part back from a silent node
+	}
+	if len(p.tries) == 0 {
+		b.spare = min(b.spare+spareShare, spareMost)
 	}
-	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, load: b.outWork[n],
+	s.heard = max(s.heard, b.now)
+	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, silent: silent, load: b.outWork[n],
 		open: true, ran: true})
 	p.open++
 	b.do(Action{Kind: Dispatch, ID: p.id, Node: b.nodeID[n], After: limit - b.now})
@@ -484,8 +506,11 @@
 		b.done, b.doneAt = b.done*math.Exp((b.doneAt-b.now)/recent)+p.work, b.now
 		b.judge(n, true)
 		if !p.done {
-			p.done = true
+			p.done, s.heard = true, b.now
 			s.got += p.weight
+			if e.Dispatch > 0 && p.open > 0 { // a second copy that came first was worth it
+				b.spare++
+			}
 			b.recall(p)
 		}
 	case Errored, Severed:
