--- a/logic/logic.go
+++ b/logic/logic.go
@@ -418,7 +418,7 @@
 }
 
 // predict says at what share of its target time enough of the scan for an answer will be in: each node
-// answers in its recent latency, stretched by what is outstanding there now against what was then.
+// answers in its recent latency, and what is outstanding there now beyond what was then.
 func (b *Broker) predict(s *scan, asks []want, node []int) (worst float64) {
 	added, lats := map[int]float64{}, [][2]float64{}
 	for i, n := range node {
@@ -426,7 +426,7 @@
 	}
 	for i, n := range node {
 		lat, under := b.lat(n)
-		lat *= (b.outWork[n] + b.num("layout.callWork") + added[n]) / b.types[s.typ].target / under
+		lat += (b.outWork[n]+b.num("layout.callWork")+added[n])/b.types[s.typ].target - under
 		lats = append(lats, [2]float64{lat, asks[i].p.weight})
 	}
 	slices.SortFunc(lats, func(x, y [2]float64) int { return cmp.Compare(x[0], y[0]) })
