The prediction for scans that need all their parts counts the slowest of their calls

Of k calls the slowest takes about log k deviations more. Should hold at any width; could throttle too soon where times vary little.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -433,6 +433,9 @@
 	for i, got := 0, 0.0; i < len(lats) && got < b.least(s)-0.00005; i++ {
 		got, worst = got+lats[i][1], lats[i][0]
 	}
+	if b.least(s) > 0.9999 { // the slowest of so many calls, as if their times were exponential
+		worst += b.types[s.typ].dev / b.types[s.typ].target * math.Log(float64(len(added)))
+	}
 	return worst
 }
 
