--- a/logic/logic.go
+++ b/logic/logic.go
@@ -255,8 +255,8 @@
 		}
 		nodes := b.eligible(p)
 		again := p.open == 1 && len(nodes) > 0 && !b.tried(p, nodes[0]) && !b.sick(nodes[0]) && b.spare >= 1
-		if p.open == 0 && len(nodes) == 0 {
-			next = min(next, b.now+lookAgain)
+		if p.open == 0 && (len(nodes) == 0 || b.tried(p, nodes[0]) && b.now < p.tries[len(p.tries)-1].at+lookAgain) {
+			next = min(next, b.now+lookAgain) // nobody, or only holders that have just failed it: give them time
 		} else if p.open == 0 || again && b.flag("limit.secondCopies") {
 			asks = append(asks, want{p, nodes})
 			if p.open > 0 {
