--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,7 +41,6 @@
 	throttleAll = 1.5     // and at which a scan of mean value is turned away for sure
 	lookAgain   = 100.0   // wait before looking again at a part that has no holder to go to
 	coldSafety  = 0.8     // part of the cold allowance that is used
-	retrySign   = 0.02    // a client's budget so far from the usual one, by the timeout, tells of an earlier try
 	askList     = 1 << 62 // the timer to ask for the list again
 	longAgo     = -1e15
 )
@@ -82,8 +81,8 @@
 type tableType struct {
 	target, timeout, benefit, lateBenefit, repeatWindow, need, floor, partial float64
 	effect                                                                    string
-	fetch, agreed                                                             int     // agreed: on budget
-	mean, dev, work, budget                                                   float64 // as seen
+	fetch                                                                     int
+	mean, dev, work                                                           float64 // as seen
 }
 
 // Broker is one instance of the module; it waits for its Started event.
@@ -103,16 +102,16 @@
 	nodeID                                []int64
 	cell, zone, outCalls                  []int
 	state                                 []Readiness
-	history                               []uint8        // last eight outcomes, the newest lowest, 1 = success
-	units, born, outWork                  []float64      // outWork: outstanding, calls counted
-	latency, under                        []float64      // recent; under how much work; both by target time
-	latAt, heard, restEnd                 []float64      // latency seen, answer heard, rest ends
-	sent                                  [][][2]float64 // time and work of what went to it of late
-	inCell                                [][]int        // the holder table: ready nodes by cell
+	history                               []uint8   // last eight outcomes, the newest lowest, 1 = success
+	units, born, outWork                  []float64 // outWork: outstanding, calls counted
+	latency, under                        []float64 // recent; under how much work; both by target time
+	latAt, heard, restEnd                 []float64 // latency seen, answer heard, rest ends
+	allowed, allowAt                      []float64 // work that may go to it while it is cold; as of
+	inCell                                [][]int   // the holder table: ready nodes by cell
 	meanLat, meanUnder, meanValue, valued float64
 	spare                                 float64      // second dispatches that late parts may have now
 	silent                                float64      // share of late dispatches that proved silent
-	done, doneAt, allUnits                float64      // work completed, fading; units of all ready nodes
+	meanCall, done, doneAt, allUnits      float64      // work completed, fading; units of all ready nodes
 	extras, taken                         [][2]float64 // for a stated budget
 	shareLeft, shareAt                    []float64    // by tenant
 }
@@ -199,7 +198,7 @@
 		}
 		s.placed = true
 		for i, a := range asks { // one call a node: what goes to one node in one turn travels together
-			if b.coldLeft(node[i]) >= a.p.work {
+			if b.mayWarm(node[i]) {
 				next = min(next, b.send(a.p, node[i]))
 			} else {
 				next = min(next, b.now+lookAgain)
@@ -304,7 +303,7 @@
 	var fresh, sound, poor []int
 	for j := 0; p.shard < int(b.num("layout.shards")) && j < int(b.num("layout.reach")); j++ {
 		for _, n := range b.inCell[(p.shard+j)%len(b.inCell)] {
-			if b.coldLeft(n) < b.num("layout.callWork")+p.work {
+			if !b.mayWarm(n) {
 				continue
 			} else if b.sick(n) {
 				poor = append(poor, n)
@@ -359,9 +358,9 @@
 					away[n] = b.num("prices.crossZone") * b.types[s.typ].target
 				}
 			}
-			cost, left := load[n]*weight[n], b.coldLeft(n)
+			cost := load[n] * weight[n]
 			for k := j; k < len(asks) && k < j+room && slices.Contains(asks[k].nodes, n); k++ {
-				if left -= asks[k].p.work; left < 0 && k > j {
+				if k > j && b.cold(n) < 1 { // one part at a time while it is cold
 					break
 				}
 				cost += asks[k].p.work*weight[n] + away[n]
@@ -404,7 +403,7 @@
 			if !chosen[n] {
 				cost += overCap / 2
 			}
-			if count[n] >= room {
+			if count[n] >= room || count[n] > 0 && b.cold(n) < 1 {
 				cost += overCap
 			}
 			if cost < lowest {
@@ -442,7 +441,7 @@
 // weigh is the node's recent latency over the mean one; a failing node's work counts as done again.
 func (b *Broker) weigh(n int) float64 {
 	lat, _ := b.lat(n)
-	return min(max(lat/b.meanLat, 0.2), 8) * 8 / max(1, float64(bits.OnesCount8(b.history[n])))
+	return min(max(lat/b.meanLat, 0.2), 8) / b.cold(n) * 8 / max(1, float64(bits.OnesCount8(b.history[n])))
 }
 
 // lat is the node's recent latency against its target, and the work it was under; without one it is average.
@@ -464,6 +463,7 @@
 	}
 	*c++
 	b.load(n, p.work)
+	b.meanCall += typShare * (b.num("layout.callWork") + p.work - b.meanCall)
 	limit, late := s.endAt, b.now+max(typ.mean+lateDevs*typ.dev, 4*b.num("turn"))
 	silent := late + (silentDevs-lateDevs)*typ.dev
 	if !b.flag("limit.secondCopies") && !b.flag("limit.cancelling") {
@@ -480,10 +480,10 @@
 	return late
 }
 
-// load adds work to what node n has outstanding and was sent of late.
+// load adds work to what node n has outstanding, and takes it from a cold one's allowance.
 func (b *Broker) load(n int, work float64) {
 	b.outWork[n] += work
-	b.sent[n] = append(within(b.sent[n], b.now-b.num("rules.fall")), [2]float64{b.now, work})
+	b.allowed[n] -= work
 }
 
 func (b *Broker) dispatchEnded(e *Event) {
@@ -570,20 +570,27 @@
 	return b.poor(n) && (b.now < b.restEnd[n] || b.outCalls[n] > 0)
 }
 
-// coldLeft is the work that this broker may still send to a node: to one just started its share of what that
-// can bear over a window, judged by what nodes of like size complete for it, and by one core at least.
-func (b *Broker) coldLeft(n int) float64 {
-	if b.born[n] <= 0 || b.now-b.born[n] >= b.num("rules.cold") {
-		return math.Inf(1)
+// cold is the share of its full capacity that node n can be relied on for; 1 when warm.
+func (b *Broker) cold(n int) float64 {
+	if age := b.now - b.born[n]; b.born[n] > 0 && age < b.num("rules.cold") {
+		from := b.num("rules.startCapacity")
+		return from + (1-from)*max(0, age)/b.num("rules.cold")
 	}
-	from := b.num("rules.startCapacity")
-	part := from + (1-from)*max(0, b.now-b.born[n])/b.num("rules.cold")
-	rate := b.done * math.Exp((b.doneAt-b.now)/recent) / recent * b.units[n] / b.allUnits
-	left := coldSafety * b.num("rules.fallMultiple") * part * b.num("rules.fall") * max(rate, 1/b.num("brokers"))
-	for _, sent := range within(b.sent[n], b.now-b.num("rules.fall")) {
-		left -= sent[1]
+	return 1
+}
+
+// mayWarm says whether node n may get work as far as the cold allowance goes. A broker's share of what a node that
+// has just started can bear may be less than a call, so it saves up for one, from a start drawn by chance: the
+// brokers' calls then come one after the other. It is judged by one core, or what nodes of like size complete.
+func (b *Broker) mayWarm(n int) bool {
+	if b.cold(n) == 1 {
+		return true
 	}
-	return left
+	rate := max(1/b.num("brokers"), b.done*math.Exp((b.doneAt-b.now)/recent)/recent*b.units[n]/b.allUnits)
+	rate *= coldSafety * b.num("rules.fallMultiple") * b.cold(n)
+	b.allowed[n] = min(b.allowed[n]+rate*(b.now-b.allowAt[n]), rate*b.num("rules.fall")/4)
+	b.allowAt[n] = b.now
+	return b.allowed[n] > 0
 }
 
 // turnedAway throttles by chance when the scan's nodes are predicted to miss its target time.
@@ -679,21 +686,9 @@
 		b.do(Action{Kind: Abandon, ID: e.ID})
 		return
 	}
-	typ, spent, turn := &b.types[e.TableType], 0.0, b.num("turn")
-	// Most first tries of a table type come with one budget, but for the way to us. Another one, shorter or
-	// longer, is what earlier tries have left of the query timeout: the target time runs from the first.
-	if math.Abs(e.Budget-typ.budget) < retrySign*typ.timeout {
-		typ.agreed++
-	} else if typ.agreed--; typ.agreed < 0 {
-		typ.budget, typ.agreed = e.Budget, 0
-	} else {
-		spent = max(0, typ.timeout-e.Budget)
-	}
+	typ, turn := &b.types[e.TableType], b.num("turn")
 	s := &scan{id: e.ID, num: e.Scan, typ: e.TableType, step: 1, look: longAgo, factor: 1,
-		endAt: b.now + e.Budget - 2*turn, targetAt: b.now + typ.target - spent - 2*turn}
-	if spent >= typ.target {
-		s.factor = typ.lateBenefit
-	}
+		endAt: b.now + e.Budget - 2*turn, targetAt: b.now + min(typ.target, e.Budget) - 2*turn}
 	if t := e.Tenant; t >= 0 && t < len(b.shareLeft) {
 		rate := b.num(fmt.Sprintf("tenant.%d.perSecond", t)) / 1000 / b.num("brokers")
 		b.shareLeft[t] = min(max(1, 2000*rate), b.shareLeft[t]+rate*(b.now-b.shareAt[t]))
@@ -739,16 +734,18 @@
 			b.index[en.Node] = n
 			b.nodeID, b.state, b.history = append(b.nodeID, en.Node), append(b.state, Gone), append(b.history, 0xff)
 			b.cell, b.zone, b.outCalls = append(b.cell, 0), append(b.zone, 0), append(b.outCalls, 0)
-			b.sent = append(b.sent, nil)
-			for i, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.latency, &b.under, &b.latAt, &b.heard,
+			for i, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.allowed, &b.allowAt, &b.latency, &b.under, &b.latAt, &b.heard,
 				&b.restEnd} {
-				*col = append(*col, longAgo*float64(min(1, i/5)))
+				*col = append(*col, longAgo*float64(min(1, i/7)))
 			}
 		} else if en.Born > b.born[n] { // a new process: what the old one did says nothing
 			b.history[n], b.restEnd[n] = 0xff, longAgo
-			b.latAt[n], b.sent[n] = longAgo, nil
+			b.latAt[n] = longAgo
 		}
 		b.cell[n], b.zone[n], b.state[n] = en.Cell, en.Zone, en.Readiness
+		if en.Born > b.born[n] {
+			b.allowed[n], b.allowAt[n] = -b.meanCall*b.float(), b.now
+		}
 		b.units[n], b.born[n] = max(en.Units, 0.01), max(b.born[n], en.Born)
 	}
 	b.inCell, b.allUnits = make([][]int, len(b.inCell)), 0.01
@@ -763,7 +760,7 @@
 func (b *Broker) start(e *Event) {
 	*b = Broker{now: b.now, terms: terms{stated: e.Terms}, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
 		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*int{},
-		pcg: pcg{e.Seed}}
+		pcg: pcg{e.Seed}, spare: spareMost}
 	for i, name := range []string{"turn", "rules.cold", "rules.fall", "rules.fallMultiple",
 		"rules.startCapacity", "layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers",
 		"limit.dispatches", "tableType.count"} {
@@ -777,6 +774,7 @@
 			repeatWindow: b.num(at("repeatWindow")), need: b.need(in("need"), 0), floor: b.need(in("floor"), 0),
 			partial: b.num(in("partialBenefit")), fetch: int(b.num(in("fetch")))}
 		t.effect, _ = b.stated[at("effect")].(string)
+		b.meanCall = b.num("layout.callWork") + t.target/20
 		t.mean, t.dev, t.work = t.target/5, t.target/20, t.target/20
 		b.types = append(b.types, t)
 		b.meanLat, b.meanUnder = t.mean/t.target, t.mean/t.target // until something is seen
