Parts of a scan that are silent together cost one spare dispatch in all

Cause: where 60 to 96 of 200 dispatches got no answer, the 20 saved copies were gone at once. Many parts out in a scan gone quiet are the surest sign.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -259,14 +259,14 @@
 		} else if p.open == 0 || again && b.flag("limit.secondCopies") {
 			asks = append(asks, want{p, nodes})
 			if p.open > 0 {
-				b.spare--
+				b.spare -= 1 / open // the more are silent together, the surer it is
 			}
 			if len(p.tries) > 0 { // counted here, so that one scan's parts cannot pass the budget together
 				b.extras = append(b.extras, [2]float64{b.now})
 			}
 		} else if again && b.flag("limit.cancelling") && p.tries[len(p.tries)-1].lateSeen {
 			b.recall(p)
-			b.spare--
+			b.spare -= 1 / open
 		}
 	}
 	return
@@ -512,7 +512,7 @@
 			p.done, s.heard = true, b.now
 			s.got += p.weight
 			if e.Dispatch > 0 && p.open > 0 { // a second copy that came first was worth it
-				b.spare++
+				b.spare = min(b.spare+1, spareMost)
 			}
 			b.recall(p)
 		}
