--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,7 +32,7 @@
 	spareMost   = 20.0    // and so many saved up at most
 	goodEnough  = 6       // successes among a node's last eight outcomes that let it work as usual
 	restTime    = 1000.0  // how long a node rests that does poorly; then it is tried
-	callShare   = 0.15    // most work of a call, as a share of the target time
+	callShare   = 0.13    // most work of a call, as a share of the target time
 	trimSlack   = 0.05    // weight kept beyond the least share when parts are spared
 	spareEvery  = 16      // a cover may be one call over the smallest, and one more for so many parts
 	overCap     = 1e9     // cost of a call past its cap: only where nothing else can be
