A latency holds for two gaps between a node's answers, as this broker sees them

Cause: at full size a broker hears a node every 10 to 30 s and had forgotten it after 5, so nearly all nodes counted as average. Could harm after a trouble that passes within a gap.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,6 +23,7 @@
 
 const (
 	recent      = 5000.0  // a latency older than this says nothing any more; work completed fades over it
+	latGaps     = 2.0     // but it holds for so many times what passes between two answers of a node
 	latShare    = 0.25    // share of the newest latency in a node's mean,
 	typShare    = 0.05    // and in a table type's
 	lateDevs    = 3.0     // a dispatch is late when it is so many mean deviations over the mean,
@@ -109,6 +110,7 @@
 	allowed, allowAt                      []float64 // work that may go to it while it is cold; as of
 	inCell                                [][]int   // the holder table: ready nodes by cell
 	meanLat, meanUnder, meanValue, valued float64
+	startAt, answers                      float64      // answers: how many since
 	spare                                 float64      // second dispatches that late parts may have now
 	silent                                float64      // share of late dispatches that proved silent
 	meanCall, done, doneAt, allUnits      float64      // work completed, fading; units of all ready nodes
@@ -446,12 +448,17 @@
 
 // lat is the node's recent latency against its target, and the work it was under; without one it is average.
 func (b *Broker) lat(n int) (lat, under float64) {
-	if b.now-b.latAt[n] < recent {
+	if b.now-b.latAt[n] < max(recent, latGaps*b.gap()) {
 		return b.latency[n], b.under[n]
 	}
 	return b.meanLat, b.meanUnder
 }
 
+// gap is the time between two answers of one node, as seen by this broker: what it knows ages by that.
+func (b *Broker) gap() float64 {
+	return (b.now - b.startAt) * float64(len(b.nodeID)) / max(1, b.answers)
+}
+
 // send dispatches p to node n in this turn's call and returns when the dispatch will be late.
 func (b *Broker) send(p *part, n int) float64 {
 	s, typ, c := p.scan, &b.types[p.scan.typ], b.turn[n]
@@ -502,6 +509,7 @@
 	switch e.Outcome {
 	case Completed:
 		b.heard[n] = b.now
+		b.answers++
 		b.sawLatency(d, s, e.Elapsed, false)
 		typ.dev += typShare * (math.Abs(e.Elapsed-typ.mean) - typ.dev)
 		typ.mean += typShare * (e.Elapsed - typ.mean)
@@ -524,10 +532,6 @@
 	case Saturated: // full, not ill: it counts as slow
 		b.heard[n] = b.now
 		b.sawLatency(d, s, typ.target, true)
-	case Overdue, Recalled: // it took this long at least, or the node is silent
-		if b.heard[n] >= d.at {
-			b.sawLatency(d, s, b.now-d.at, true)
-		}
 	}
 	d.ran = e.Outcome != Saturated && e.Outcome != ConnRefused && e.Outcome != Superseded // else it never ran
 	if s.ended && p.open == 0 {
@@ -760,7 +764,7 @@
 func (b *Broker) start(e *Event) {
 	*b = Broker{now: b.now, terms: terms{stated: e.Terms}, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
 		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*int{},
-		pcg: pcg{e.Seed}, spare: spareMost}
+		pcg: pcg{e.Seed}, spare: spareMost, startAt: b.now}
 	for i, name := range []string{"turn", "rules.cold", "rules.fall", "rules.fallMultiple",
 		"rules.startCapacity", "layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers",
 		"limit.dispatches", "tableType.count"} {
@@ -779,9 +783,7 @@
 		b.types = append(b.types, t)
 		b.meanLat, b.meanUnder = t.mean/t.target, t.mean/t.target // until something is seen
 	}
-	if b.fault == "" {
-		b.inCell = make([][]int, int(b.num("layout.cells")))
-	}
+	b.inCell = make([][]int, int(min(b.num("layout.cells"), 1e6)))
 	b.shareLeft = make([]float64, int(b.num("tenant.count")))
 	b.shareAt = make([]float64, len(b.shareLeft))
 	if b.stated["discovery"] == "subscribe" {
