--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,6 +40,7 @@
 	ties        = 0.1     // chance among nodes whose load is about alike, or all brokers take the same
 	throttleAt  = 0.8     // predicted share of the target time at which throttling begins,
 	throttleAll = 1.5     // and at which a scan of mean value is turned away for sure
+	fewBrokers  = 4.0     // among so many, what one sees of a node's load tells of the others' too
 	lookAgain   = 100.0   // wait before looking again at a part that has no holder to go to
 	coldSafety  = 0.8     // part of the cold allowance that is used
 	askList     = 1 << 62 // the timer to ask for the list again
@@ -419,15 +420,17 @@
 }
 
 // predict says at what share of its target time enough of the scan for an answer will be in: each node
-// answers in its recent latency, and what is outstanding there now beyond what was then.
+// answers in its recent latency, stretched by what is outstanding there now against what was then, or where brokers
+// are many and each sees little of it, with the difference added.
 func (b *Broker) predict(s *scan, asks []want, node []int) (worst float64) {
-	added, lats := map[int]float64{}, [][2]float64{}
+	added, lats, alike := map[int]float64{}, [][2]float64{}, min(1, fewBrokers/b.num("brokers"))
 	for i, n := range node {
 		added[n] += asks[i].p.work
 	}
 	for i, n := range node {
 		lat, under := b.lat(n)
-		lat += (b.outWork[n]+b.num("layout.callWork")+added[n])/b.types[s.typ].target - under
+		now := (b.outWork[n] + b.num("layout.callWork") + added[n]) / b.types[s.typ].target
+		lat += alike*lat*(now/under-1) + (1-alike)*(now-under)
 		lats = append(lats, [2]float64{lat, asks[i].p.weight})
 	}
 	slices.SortFunc(lats, func(x, y [2]float64) int { return cmp.Compare(x[0], y[0]) })
@@ -570,9 +573,7 @@
 
 func (b *Broker) poor(n int) bool { return bits.OnesCount8(b.history[n]) < goodEnough }
 
-func (b *Broker) sick(n int) bool {
-	return b.poor(n) && (b.now < b.restEnd[n] || b.outCalls[n] > 0)
-}
+func (b *Broker) sick(n int) bool { return b.poor(n) && (b.now < b.restEnd[n] || b.outCalls[n] > 0) }
 
 // cold is the share of its full capacity that node n can be relied on for; 1 when warm.
 func (b *Broker) cold(n int) float64 {
@@ -645,9 +646,8 @@
 
 // giveUp ends the scan with the best final answer that is still honest, and at once.
 func (b *Broker) giveUp(s *scan) {
-	ran := func(p *part) bool { return p.firstRun() >= 0 }
-	harmless := s.step == 1 && len(s.parts) > 0 &&
-		(b.types[s.typ].effect == "replayable" || !slices.ContainsFunc(s.parts, ran))
+	ran := slices.ContainsFunc(s.parts, func(p *part) bool { return p.firstRun() >= 0 })
+	harmless := s.step == 1 && len(s.parts) > 0 && (b.types[s.typ].effect == "replayable" || !ran)
 	if b.enough(s) {
 		b.do(Action{Kind: Answer, ID: s.id})
 	} else if harmless {
