--- a/logic/logic.go
+++ b/logic/logic.go
@@ -114,7 +114,7 @@
 	startAt, answers                      float64      // answers: how many since
 	spare                                 float64      // second dispatches that late parts may have now
 	silent                                float64      // share of late dispatches that proved silent
-	meanCall, done, doneAt, allUnits      float64      // work completed, fading; units of all ready nodes
+	meanWork, done, doneAt, allUnits      float64      // work completed, fading; units of all ready nodes
 	extras, taken                         [][2]float64 // for a stated budget
 	shareLeft, shareAt                    []float64    // by tenant
 }
@@ -257,8 +257,9 @@
 		}
 		nodes := b.eligible(p)
 		again := p.open == 1 && len(nodes) > 0 && !b.tried(p, nodes[0]) && !b.sick(nodes[0]) && b.spare >= 1
-		if p.open == 0 && (len(nodes) == 0 || b.tried(p, nodes[0]) && b.now < p.tries[len(p.tries)-1].at+lookAgain) {
-			next = min(next, b.now+lookAgain) // nobody, or only holders that have just failed it: give them time
+		failed := len(nodes) > 0 && b.tried(p, nodes[0]) && b.now < p.tries[len(p.tries)-1].at+lookAgain
+		if p.open == 0 && (len(nodes) == 0 || failed) { // nobody, or holders that have just failed it: give them time
+			next = min(next, b.now+lookAgain)
 		} else if p.open == 0 || again && b.flag("limit.secondCopies") {
 			asks = append(asks, want{p, nodes})
 			if p.open > 0 {
@@ -469,11 +470,12 @@
 		c = new(int)
 		b.turn[n] = c
 		b.outCalls[n]++
-		b.load(n, b.num("layout.callWork"))
+		b.outWork[n] += b.num("layout.callWork")
 	}
 	*c++
-	b.load(n, p.work)
-	b.meanCall += typShare * (b.num("layout.callWork") + p.work - b.meanCall)
+	b.outWork[n] += p.work
+	b.allowed[n] -= p.work // the rule counts parts, not calls
+	b.meanWork += typShare * (p.work - b.meanWork)
 	limit, late := s.endAt, b.now+max(typ.mean+lateDevs*typ.dev, 4*b.num("turn"))
 	silent := late + (silentDevs-lateDevs)*typ.dev
 	if !b.flag("limit.secondCopies") && !b.flag("limit.cancelling") {
@@ -490,12 +492,6 @@
 	return late
 }
 
-// load adds work to what node n has outstanding, and takes it from a cold one's allowance.
-func (b *Broker) load(n int, work float64) {
-	b.outWork[n] += work
-	b.allowed[n] -= work
-}
-
 func (b *Broker) dispatchEnded(e *Event) {
 	p := b.parts[e.ID]
 	if p == nil || e.Dispatch < 0 || e.Dispatch >= len(p.tries) || !p.tries[e.Dispatch].open {
@@ -748,7 +744,7 @@
 		}
 		b.cell[n], b.zone[n], b.state[n] = en.Cell, en.Zone, en.Readiness
 		if en.Born > b.born[n] {
-			b.allowed[n], b.allowAt[n] = -b.meanCall*b.float(), b.now
+			b.allowed[n], b.allowAt[n] = -b.meanWork*b.float(), b.now
 		}
 		b.units[n], b.born[n] = max(en.Units, 0.01), max(b.born[n], en.Born)
 	}
@@ -778,7 +774,7 @@
 			repeatWindow: b.num(at("repeatWindow")), need: b.need(in("need"), 0), floor: b.need(in("floor"), 0),
 			partial: b.num(in("partialBenefit")), fetch: int(b.num(in("fetch")))}
 		t.effect, _ = b.stated[at("effect")].(string)
-		b.meanCall = b.num("layout.callWork") + t.target/20
+		b.meanWork = t.target / 20
 		t.mean, t.dev, t.work = t.target/5, t.target/20, t.target/20
 		b.types = append(b.types, t)
 		b.meanLat, b.meanUnder = t.mean/t.target, t.mean/t.target // until something is seen
