--- a/logic/logic.go
+++ b/logic/logic.go
@@ -477,7 +477,8 @@
 	b.allowed[n] -= p.work // the rule counts parts, not calls
 	b.meanWork += typShare * (p.work - b.meanWork)
 	limit, late := s.endAt, b.now+max(typ.mean+lateDevs*typ.dev, 4*b.num("turn"))
-	silent := late + (silentDevs-lateDevs)*typ.dev
+	// At eight deviations, or at the last moment from which another dispatch is likely to make the target time.
+	silent := max(late, min(late+(silentDevs-lateDevs)*typ.dev, s.targetAt-typ.mean-typ.dev))
 	if !b.flag("limit.secondCopies") && !b.flag("limit.cancelling") {
 		limit = min(limit, silent) // nothing but the time-out can take the part back from a silent node
 	}
