Parts of scans that will be answered in part time out at the target time

Where a table type is answered in part at its target time, a node need not begin what comes later. Should help wherever nodes drop what is overdue; harms scans that miss even the least share by then.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -486,6 +486,9 @@
 		b.spare = min(b.spare+spareShare, spareMost)
 	}
 	s.heard = max(s.heard, b.now)
+	if typ.partial*b.least(s)/typ.need > typ.lateBenefit && b.least(s) < typ.need && !b.due(s.targetAt) {
+		limit = min(limit, s.targetAt) // it is answered then: a node need not begin what comes later
+	}
 	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, silent: silent, load: b.outWork[n],
 		open: true, ran: true})
 	p.open++
