--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,6 +29,7 @@
 	lateDevs    = 3.0     // a dispatch is late when it is so many mean deviations over the mean,
 	silentDevs  = 8.0     // and so many if the node is held to be silent; either
 	quietMeans  = 2.0     // only when its scan heard nothing for a mean, and so many more by open parts
+	lateTail    = 0.3     // past its target time a scan asks again for so much of its weight, times the benefit left
 	spareShare  = 0.1     // second dispatches of late parts for each first; one that comes first is free
 	spareMost   = 20.0    // and so many saved up at most
 	goodEnough  = 6       // successes among a node's last eight outcomes that let it work as usual
@@ -59,6 +60,7 @@
 	id           int64
 	scan         *scan
 	shard, open  int
+	nodes        []int // holders that it may go to now
 	weight, work float64
 	done         bool
 	tries        []dispatch
@@ -75,11 +77,6 @@
 	look                         float64 // the timer set for it
 }
 
-type want struct { // a part to be asked now and the holders it may go to
-	p     *part
-	nodes []int
-}
-
 type tableType struct {
 	target, timeout, benefit, lateBenefit, repeatWindow, need, floor, partial float64
 	effect                                                                    string
@@ -202,7 +199,7 @@
 		s.placed = true
 		for i, a := range asks { // one call a node: what goes to one node in one turn travels together
 			if b.mayWarm(node[i]) {
-				next = min(next, b.send(a.p, node[i]))
+				next = min(next, b.send(a, node[i]))
 			} else {
 				next = min(next, b.now+lookAgain)
 			}
@@ -220,7 +217,7 @@
 // missing returns the parts of s to be asked now with the holders each may go to, the weight that can no
 // longer come, and when to look again. A part that is late at a node gone silent gets a second copy or, where
 // the site allows none, a recall; one that is just slow keeps its place: asking again would feed the jam.
-func (b *Broker) missing(s *scan) (asks []want, lost, next float64) {
+func (b *Broker) missing(s *scan) (asks []*part, lost, next float64) {
 	next = s.endAt
 	open := 0.0
 	for _, p := range s.parts {
@@ -255,13 +252,13 @@
 			}
 			continue
 		}
-		nodes := b.eligible(p)
-		again := p.open == 1 && len(nodes) > 0 && !b.tried(p, nodes[0]) && !b.sick(nodes[0]) && b.spare >= 1
-		failed := len(nodes) > 0 && b.tried(p, nodes[0]) && b.now < p.tries[len(p.tries)-1].at+lookAgain
-		if p.open == 0 && (len(nodes) == 0 || failed) { // nobody, or holders that have just failed it: give them time
+		p.nodes = b.eligible(p)
+		again := p.open == 1 && len(p.nodes) > 0 && !b.tried(p, p.nodes[0]) && !b.sick(p.nodes[0]) && b.spare >= 1
+		failed := len(p.nodes) > 0 && b.tried(p, p.nodes[0]) && b.now < p.tries[len(p.tries)-1].at+lookAgain
+		if p.open == 0 && (len(p.nodes) == 0 || failed) { // nobody, or holders that have just failed it: give them time
 			next = min(next, b.now+lookAgain)
 		} else if p.open == 0 || again && b.flag("limit.secondCopies") {
-			asks = append(asks, want{p, nodes})
+			asks = append(asks, p)
 			if p.open > 0 {
 				b.spare -= 1 / open // the more are silent together, the surer it is
 			}
@@ -277,14 +274,15 @@
 }
 
 // mayDispatch is the one gate for every dispatch: it guards the rules on effects, dispatches for a part and
-// the budget. Past its target time a scan asks nothing again: the benefit left is not worth feeding a jam.
+// the budget. Past its target time a scan asks again for a little only: the benefit left is not worth feeding a jam.
 func (b *Broker) mayDispatch(p *part) bool {
 	typ := &b.types[p.scan.typ]
 	first, keyed := p.firstRun(), typ.effect == "keyed" && b.now <= p.firstRun()+typ.repeatWindow-4*b.num("turn")
 	if len(p.tries) == 0 {
 		return true
 	}
-	if b.due(p.scan.targetAt) || first >= 0 && typ.effect != "replayable" && !keyed {
+	if b.due(p.scan.targetAt) && 1-p.scan.got > lateTail*typ.lateBenefit ||
+		first >= 0 && typ.effect != "replayable" && !keyed {
 		return false
 	}
 	window, stated := b.stated["rules.budgetWindow"].(float64)
@@ -333,17 +331,17 @@
 // cover chooses a node for each part: of the smallest sets that hold them all and those a few larger, the one
 // with the least load. Cells hold shards in a row, so the parts are swept in shard order, cut at the widest gap,
 // and each node takes a run of them: exact on a row, one call over the smallest at most round a full ring.
-func (b *Broker) cover(s *scan, asks []want) []int {
+func (b *Broker) cover(s *scan, asks []*part) []int {
 	type run struct {
 		from, to, node int
 		cost           float64
 	}
 	runs, work, cut, gap, cells := []run{}, 0.0, 0, -1, int(b.num("layout.cells"))
-	slices.SortStableFunc(asks, func(x, y want) int { return cmp.Compare(x.p.shard%cells, y.p.shard%cells) })
+	slices.SortStableFunc(asks, func(x, y *part) int { return cmp.Compare(x.shard%cells, y.shard%cells) })
 	for i, a := range asks {
-		work += a.p.work / float64(len(asks))
-		before := asks[(i+len(asks)-1)%len(asks)].p.shard
-		if g := ((a.p.shard-before)%cells + cells) % cells; g > gap {
+		work += a.work / float64(len(asks))
+		before := asks[(i+len(asks)-1)%len(asks)].shard
+		if g := ((a.shard-before)%cells + cells) % cells; g > gap {
 			cut, gap = i, g
 		}
 	}
@@ -367,7 +365,7 @@
 				if k > j && b.cold(n) < 1 { // one part at a time while it is cold
 					break
 				}
-				cost += asks[k].p.work*weight[n] + away[n]
+				cost += asks[k].work*weight[n] + away[n]
 				runs = append(runs, run{j, k + 1, n, cost})
 				if least[k+1] == 0 || least[k+1] > least[j]+1 {
 					least[k+1] = least[j] + 1
@@ -403,7 +401,7 @@
 	for i, a := range asks {
 		lowest := math.Inf(1)
 		for _, n := range a.nodes {
-			cost := (load[n]+a.p.work)*weight[n] + away[n]
+			cost := (load[n]+a.work)*weight[n] + away[n]
 			if !chosen[n] {
 				cost += overCap / 2
 			}
@@ -415,7 +413,7 @@
 			}
 		}
 		n := node[i]
-		load[n], count[n], chosen[n] = load[n]+a.p.work, count[n]+1, true
+		load[n], count[n], chosen[n] = load[n]+a.work, count[n]+1, true
 	}
 	return node
 }
@@ -423,16 +421,16 @@
 // predict says at what share of its target time enough of the scan for an answer will be in: each node
 // answers in its recent latency, stretched by what is outstanding there now against what was then, or where brokers
 // are many and each sees little of it, with the difference added.
-func (b *Broker) predict(s *scan, asks []want, node []int) (worst float64) {
+func (b *Broker) predict(s *scan, asks []*part, node []int) (worst float64) {
 	added, lats, alike := map[int]float64{}, [][2]float64{}, min(1, fewBrokers/b.num("brokers"))
 	for i, n := range node {
-		added[n] += asks[i].p.work
+		added[n] += asks[i].work
 	}
 	for i, n := range node {
 		lat, under := b.lat(n)
 		now := (b.outWork[n] + b.num("layout.callWork") + added[n]) / b.types[s.typ].target
 		lat += alike*lat*(now/under-1) + (1-alike)*(now-under)
-		lats = append(lats, [2]float64{lat, asks[i].p.weight})
+		lats = append(lats, [2]float64{lat, asks[i].weight})
 	}
 	slices.SortFunc(lats, func(x, y [2]float64) int { return cmp.Compare(x[0], y[0]) })
 	for i, got := 0, 0.0; i < len(lats) && got < b.least(s)-0.00005; i++ {
