--- a/logic/logic.go
+++ b/logic/logic.go
@@ -445,7 +445,7 @@
 // weigh is the node's recent latency over the mean one; a failing node's work counts as done again.
 func (b *Broker) weigh(n int) float64 {
 	lat, _ := b.lat(n)
-	return min(max(lat/b.meanLat, 0.2), 8) / b.cold(n) * 8 / max(1, float64(bits.OnesCount8(b.history[n])))
+	return min(max(lat/b.meanLat, 0.2), 8) * 8 / max(1, float64(bits.OnesCount8(b.history[n])))
 }
 
 // lat is the node's recent latency against its target, and the work it was under; without one it is average.
