--- a/logic/logic.go
+++ b/logic/logic.go
@@ -362,9 +362,6 @@
 			}
 			cost := load[n] * weight[n]
 			for k := j; k < len(asks) && k < j+room && slices.Contains(asks[k].nodes, n); k++ {
-				if k > j && b.cold(n) < 1 { // one part at a time while it is cold
-					break
-				}
 				cost += asks[k].work*weight[n] + away[n]
 				runs = append(runs, run{j, k + 1, n, cost})
 				if least[k+1] == 0 || least[k+1] > least[j]+1 {
@@ -405,7 +402,7 @@
 			if !chosen[n] {
 				cost += overCap / 2
 			}
-			if count[n] >= room || count[n] > 0 && b.cold(n) < 1 {
+			if count[n] >= room {
 				cost += overCap
 			}
 			if cost < lowest {
