Turns at cold nodes by the broker's own number; tests for the failures at full size

The new test of 2 to 170 brokers at one cold node found that seeds lying close together drew alike, so all brokers took their turn at once: the generator now takes two steps first. Turns by the broker's number, spread evenly and differently at each node, keep the sum under the allowance without luck. Tests: covers against brute force, cold shares, silence, the late tail, full holders, a list in pieces.

--- a/logic/help_test.go
+++ b/logic/help_test.go
@@ -72,6 +72,14 @@
 	return Event{Kind: DispatchEnded, ID: part, Dispatch: n, Outcome: how, Elapsed: elapsed}
 }
 
+// answers are the first n parts of scan num coming in.
+func (r *rig) answers(num int64, n int) (events []Event) {
+	for i := int64(1); i <= int64(n); i++ {
+		events = append(events, r.ended(1000*num+i, 0, Completed, 300))
+	}
+	return events
+}
+
 // timer is the look that scan num asked for.
 func timer(num int64) Event { return Event{Kind: TimerDue, Timer: num} }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,29 +22,30 @@
 )
 
 const (
-	recent      = 5000.0  // a latency older than this says nothing any more; work completed fades over it
-	latGaps     = 2.0     // but it holds for so many times what passes between two answers of a node
-	latShare    = 0.25    // share of the newest latency in a node's mean,
-	typShare    = 0.05    // and in a table type's
-	lateDevs    = 3.0     // a dispatch is late when it is so many mean deviations over the mean,
-	silentDevs  = 8.0     // and so many if the node is held to be silent; either
-	quietMeans  = 2.0     // only when its scan heard nothing for a mean, and so many more by open parts
-	lateTail    = 0.3     // past its target time a scan asks again for so much of its weight, times the benefit left
-	spareShare  = 0.1     // second dispatches of late parts for each first; one that comes first is free
-	spareMost   = 20.0    // and so many saved up at most
-	goodEnough  = 6       // successes among a node's last eight outcomes that let it work as usual
-	restTime    = 1000.0  // how long a node rests that does poorly; then it is tried
-	callShare   = 0.13    // most work of a call, as a share of the target time
-	trimSlack   = 0.05    // weight kept beyond the least share when parts are spared
-	spareEvery  = 16      // a cover may be one call over the smallest, and one more for so many parts
-	overCap     = 1e9     // cost of a call past its cap: only where nothing else can be
-	ties        = 0.1     // chance among nodes whose load is about alike, or all brokers take the same
-	throttleAt  = 0.8     // predicted share of the target time at which throttling begins,
-	throttleAll = 1.5     // and at which a scan of mean value is turned away for sure
-	fewBrokers  = 4.0     // among so many, what one sees of a node's load tells of the others' too
-	lookAgain   = 100.0   // wait before looking again at a part that has no holder to go to
-	coldSafety  = 0.8     // part of the cold allowance that is used
-	askList     = 1 << 62 // the timer to ask for the list again
+	recent      = 5000.0   // a latency older than this says nothing any more; work completed fades over it
+	latGaps     = 2.0      // but it holds for so many times what passes between two answers of a node
+	latShare    = 0.25     // share of the newest latency in a node's mean,
+	typShare    = 0.05     // and in a table type's
+	lateDevs    = 3.0      // a dispatch is late when it is so many mean deviations over the mean,
+	silentDevs  = 8.0      // and so many if the node is held to be silent; either
+	quietMeans  = 2.0      // only when its scan heard nothing for a mean, and so many more by open parts
+	lateTail    = 0.3      // past its target time a scan asks again for so much of its weight, times the benefit left
+	spareShare  = 0.1      // second dispatches of late parts for each first; one that comes first is free
+	spareMost   = 20.0     // and so many saved up at most
+	goodEnough  = 6        // successes among a node's last eight outcomes that let it work as usual
+	restTime    = 1000.0   // how long a node rests that does poorly; then it is tried
+	callShare   = 0.13     // most work of a call, as a share of the target time
+	trimSlack   = 0.05     // weight kept beyond the least share when parts are spared
+	spareEvery  = 16       // a cover may be one call over the smallest, and one more for so many parts
+	overCap     = 1e9      // cost of a call past its cap: only where nothing else can be
+	ties        = 0.1      // chance among nodes whose load is about alike, or all brokers take the same
+	throttleAt  = 0.8      // predicted share of the target time at which throttling begins,
+	throttleAll = 1.5      // and at which a scan of mean value is turned away for sure
+	fewBrokers  = 4.0      // among so many, what one sees of a node's load tells of the others' too
+	lookAgain   = 100.0    // wait before looking again at a part that has no holder to go to
+	coldSafety  = 0.8      // part of the cold allowance that is used
+	golden      = 0.618034 // its multiples spread evenly
+	askList     = 1 << 62  // the timer to ask for the list again
 	longAgo     = -1e15
 )
 
@@ -580,8 +581,8 @@
 }
 
 // mayWarm says whether node n may get work as far as the cold allowance goes. A broker's share of what a node that
-// has just started can bear may be less than a call, so it saves up for one, from a start drawn by chance: the
-// brokers' calls then come one after the other. It is judged by one core, or what nodes of like size complete.
+// has just started can bear may be less than a call, so it saves up for one, from a start by its own number: the
+// brokers' calls then come one after the other, at each node in another order. It is judged by one core, or what nodes of like size complete.
 func (b *Broker) mayWarm(n int) bool {
 	if b.cold(n) == 1 {
 		return true
@@ -743,7 +744,8 @@
 		}
 		b.cell[n], b.zone[n], b.state[n] = en.Cell, en.Zone, en.Readiness
 		if en.Born > b.born[n] {
-			b.allowed[n], b.allowAt[n] = -b.meanWork*b.float(), b.now
+			turn := b.num("ordinal")/b.num("brokers") + golden*float64(en.Node%1000)
+			b.allowed[n], b.allowAt[n] = -b.meanWork*math.Mod(turn, 1), b.now
 		}
 		b.units[n], b.born[n] = max(en.Units, 0.01), max(b.born[n], en.Born)
 	}
@@ -759,7 +761,7 @@
 func (b *Broker) start(e *Event) {
 	*b = Broker{now: b.now, terms: terms{stated: e.Terms}, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
 		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*int{},
-		pcg: pcg{e.Seed}, spare: spareMost, startAt: b.now}
+		pcg: seeded(e.Seed), spare: spareMost, startAt: b.now}
 	for i, name := range []string{"turn", "rules.cold", "rules.fall", "rules.fallMultiple",
 		"rules.startCapacity", "layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers",
 		"limit.dispatches", "tableType.count"} {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -428,3 +429,96 @@
 	}
 	assert.Equal(t, run(), run())
 }
+
+func TestCoverNearSmallest(t *testing.T) { // against brute force, and at the largest size in sight
+	long := map[string]any{"tableType.0.target": 20000.0, "layout.cells": 9.0, "layout.shards": 18.0}
+	for mask := 1; mask < 1<<9; mask += 3 {
+		for _, gone := range []int{-1, 0, 4} {
+			var shards []int
+			for c := 0; c < 9; c++ {
+				if mask>>c&1 == 1 {
+					shards = append(shards, c, c+9)
+				}
+			}
+			list := ring(9)
+			if gone >= 0 {
+				list[gone].Readiness = Gone
+			}
+			smallest := 9
+			for set := 1; set < 1<<9; set++ {
+				holds := gone < 0 || set>>gone&1 == 0
+				for _, s := range shards {
+					holds = holds && (set>>(s%9)&1 == 1 || set>>((s+1)%9)&1 == 1)
+				}
+				if holds {
+					smallest = min(smallest, bits.OnesCount(uint(set)))
+				}
+			}
+			r := play(t, long, list)
+			got := nodes(r.step(1, scanOf(1, 0, 9000, shards...)...))
+			assert.LessOrEqual(t, len(got), smallest+1+len(shards)/spareEvery, "shards %v, %d gone", shards, gone)
+		}
+	}
+	r, wide := play(t, map[string]any{"layout.cells": 320.0, "layout.shards": 640.0, "brokers": 170.0}, nil), make([]int, 200)
+	for i := 0; i < 320; i += 40 { // the list comes in pieces
+		r.step(1, Event{Kind: ListArrived, List: ListChanges, Entries: ring(320)[i : i+40]})
+	}
+	for i := range wide {
+		wide[i] = (i + 250) % 640
+	}
+	assert.InDelta(t, 100, len(nodes(r.step(1, scanOf(1, 0, 6000, wide...)...))), 13, "two parts a call")
+}
+
+func TestColdSharesAddUp(t *testing.T) { // each broker's share is far less than a call
+	for _, brokers := range []int{2, 60, 170} {
+		list, sent := ring(1), 0.0
+		list[0].Born = 49990
+		var rigs []*rig
+		for i := 0; i < brokers; i++ {
+			rigs = append(rigs, &rig{now: 50000})
+			rigs[i].step(0, Event{Kind: Started, Seed: uint64(i), Terms: site(map[string]any{"brokers": float64(brokers),
+				"ordinal": float64(i), "layout.cells": 1.0, "layout.shards": 2.0, "layout.reach": 1.0})},
+				Event{Kind: ListArrived, List: ListCached, Entries: list})
+		}
+		for ms := 0; ms < 3000; ms += 100 {
+			for i, r := range rigs {
+				sent += 100 * float64(len(kinds(r.step(100, scanOf(int64(ms+i%100+1), 0, 6000, 0)...), Dispatch)))
+			}
+		}
+		assert.LessOrEqual(t, sent, 2*0.8*0.36*3000, "%d brokers: within multiple x capacity x window of one core", brokers)
+		assert.GreaterOrEqual(t, sent, 200.0, "%d brokers: it gets work all the same", brokers)
+	}
+}
+
+func TestSilence(t *testing.T) { // answers that never come are no overload, and one tells enough of a node long unheard
+	r := play(t, nil, ring(2))
+	silent := nodes(r.step(9000, scanOf(1, 0, 6000, 0)...))
+	r.step(1900, timer(1))
+	r.step(4090, timer(1))
+	for i := int64(10); i < 16; i++ {
+		acts := r.step(1, scanOf(i, 0, 6000, 0)...)
+		for n := range nodes(acts) {
+			assert.NotContains(t, silent, n, "the other holder gets the work")
+		}
+		assert.Empty(t, r.final(i), "no scan is turned away")
+		r.step(100, r.ended(1000*i+1, 0, Completed, 100))
+	}
+}
+
+func TestLateTail(t *testing.T) { // past the target time
+	for _, c := range []struct{ in, again int }{{11, 1}, {10, 0}} {
+		r := play(t, nil, ring(4))
+		r.step(1, scanOf(1, 0, 6000, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0)...)
+		r.step(1800, r.answers(1, c.in)...)
+		assert.Len(t, kinds(r.step(2200, timer(1)), Dispatch), c.again, "%d of 12 in", c.in)
+	}
+}
+
+func TestFullHolders(t *testing.T) { // two refuse at once: the third dispatch waits until they may have room
+	r := play(t, nil, ring(4))
+	r.step(1, scanOf(1, 0, 6000, 0)...)
+	assert.Len(t, kinds(r.step(5, r.ended(1001, 0, Saturated, 5)), Dispatch), 1)
+	assert.Empty(t, kinds(r.step(5, r.ended(1001, 1, Saturated, 5)), Dispatch))
+	assert.Empty(t, r.final(1))
+	assert.Len(t, kinds(r.step(100, timer(1)), Dispatch), 1)
+}
--- a/logic/terms.go
+++ b/logic/terms.go
@@ -35,6 +35,15 @@
 // pcg is a permuted congruential generator (PCG-XSH-RR).
 type pcg struct{ state uint64 }
 
+// seeded starts the generator; two steps spread seeds that lie close together.
+func seeded(seed uint64) pcg {
+	c := pcg{}
+	c.float()
+	c.state += seed
+	c.float()
+	return c
+}
+
 // float draws a number from 0 up to 1.
 func (c *pcg) float() float64 {
 	old := c.state
