A scan is not begun while it lacks holders that may take enough of it

Now they wait whole, up to the target time. Should help wherever holders are few; could harm where the last holder comes just in time.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -179,17 +179,17 @@
 		b.giveUp(s)
 		return
 	}
-	asks, lost, next := b.missing(s)
-	if lost > 1-b.least(s)+0.00005 || len(s.parts) == 0 && s.step == 1 {
+	asks, lost, held, next := b.missing(s)
+	if lost > 1-b.least(s)+0.00005 || len(s.parts) == 0 && s.step == 1 || !s.placed && b.due(s.targetAt) {
 		b.giveUp(s) // what is left cannot make an answer any more
 		return
 	}
-	if len(asks) > 0 {
+	if len(asks) > 0 && (s.placed || held <= 1-b.least(s)+0.00005) { // not begun while it lacks holders for an answer
 		node := b.cover(s, asks)
 		// Mechanism 4: turn the scan away by chance before anything of it is sent, or a part of it first.
 		away := !s.placed && b.turnedAway(s, b.predict(s, asks, node))
 		if away && b.trim(s) {
-			asks, _, next = b.missing(s)
+			asks, _, _, next = b.missing(s)
 			node = b.cover(s, asks)
 			away = b.turnedAway(s, b.predict(s, asks, node))
 		}
@@ -218,7 +218,7 @@
 // missing returns the parts of s to be asked now with the holders each may go to, the weight that can no
 // longer come, and when to look again. A part that is late at a node gone silent gets a second copy or, where
 // the site allows none, a recall; one that is just slow keeps its place: asking again would feed the jam.
-func (b *Broker) missing(s *scan) (asks []*part, lost, next float64) {
+func (b *Broker) missing(s *scan) (asks []*part, lost, held, next float64) {
 	next = s.endAt
 	open := 0.0
 	for _, p := range s.parts {
@@ -257,7 +257,7 @@
 		again := p.open == 1 && len(p.nodes) > 0 && !b.tried(p, p.nodes[0]) && !b.sick(p.nodes[0]) && b.spare >= 1
 		failed := len(p.nodes) > 0 && b.tried(p, p.nodes[0]) && b.now < p.tries[len(p.tries)-1].at+lookAgain
 		if p.open == 0 && (len(p.nodes) == 0 || failed) { // nobody, or holders that have just failed it: give them time
-			next = min(next, b.now+lookAgain)
+			held, next = held+p.weight, min(next, b.now+lookAgain)
 		} else if p.open == 0 || again && b.flag("limit.secondCopies") {
 			asks = append(asks, p)
 			if p.open > 0 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -196,12 +196,14 @@
 		assert.Equal(t, len(c.gets), len(nodes(r.acts)), c.name)
 	}
 	r := play(t, nil, nil) // known nothing, then told: the waiting part goes out
-	r.step(1, scanOf(1, 0, 6000, 0, 99)...)
+	r.step(1, append(scanOf(1, 3, 6000, 0, 99), scanOf(2, 0, 6000, 0, 99)...)...)
 	assert.Empty(t, kinds(r.acts, Dispatch))
 	r.step(50, Event{Kind: ListArrived, List: ListWhole, Entries: ring(4)})
 	assert.Len(t, kinds(r.step(100, timer(1)), Dispatch), 1, "the shard that nobody holds keeps waiting")
-	r.step(5850, timer(1))
+	assert.Empty(t, kinds(r.step(1, timer(2)), Dispatch), "a scan that lacks a holder for what it needs is not begun")
+	r.step(5850, timer(1), timer(2))
 	assert.Len(t, r.final(1), 1)
+	assert.Equal(t, Throttle, r.final(2)[0].Kind, "all the same it ends")
 }
 
 func TestSubscribe(t *testing.T) {
