--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,7 +28,7 @@
 	typShare    = 0.05     // and in a table type's
 	lateDevs    = 3.0      // a dispatch is late when it is so many mean deviations over the mean,
 	silentDevs  = 8.0      // and so many if the node is held to be silent; either
-	quietMeans  = 2.0      // only when its scan heard nothing for a mean, and so many more by open parts
+	quietMeans  = 4.0      // only when its scan heard nothing for a mean, and so many more by open parts
 	lateTail    = 0.3      // past its target time a scan asks again for so much of its weight, times the benefit left
 	spareShare  = 0.1      // second dispatches of late parts for each first; one that comes first is free
 	spareMost   = 20.0     // and so many saved up at most
