--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,7 +29,7 @@
 	lateDevs    = 3.0      // a dispatch is late when it is so many mean deviations over the mean,
 	silentDevs  = 8.0      // and so many if the node is held to be silent; either
 	quietMeans  = 4.0      // only when its scan heard nothing for a mean, and so many more by open parts
-	lateTail    = 0.3      // past its target time a scan asks again for so much of its weight, times the benefit left
+	lateTail    = 0.3      // past its target time this weight may be asked again, times the benefit left
 	spareShare  = 0.1      // second dispatches of late parts for each first; one that comes first is free
 	spareMost   = 20.0     // and so many saved up at most
 	goodEnough  = 6        // successes among a node's last eight outcomes that let it work as usual
@@ -38,7 +38,7 @@
 	trimSlack   = 0.05     // weight kept beyond the least share when parts are spared
 	spareEvery  = 16       // a cover may be one call over the smallest, and one more for so many parts
 	overCap     = 1e9      // cost of a call past its cap: only where nothing else can be
-	ties        = 0.1      // chance among nodes whose load is about alike, or all brokers take the same
+	ties        = 0.02     // chance among nodes whose load is about alike, or all brokers take the same
 	throttleAt  = 0.8      // predicted share of the target time at which throttling begins,
 	throttleAll = 1.5      // and at which a scan of mean value is turned away for sure
 	fewBrokers  = 4.0      // among so many, what one sees of a node's load tells of the others' too
@@ -184,7 +184,7 @@
 		b.giveUp(s) // what is left cannot make an answer any more
 		return
 	}
-	if len(asks) > 0 && (s.placed || held <= 1-b.least(s)+0.00005) { // not begun while it lacks holders for an answer
+	if len(asks) > 0 && (s.placed || held <= 1-b.least(s)+0.00005) { // else not begun: too few holders
 		node := b.cover(s, asks)
 		// Mechanism 4: turn the scan away by chance before anything of it is sent, or a part of it first.
 		away := !s.placed && b.turnedAway(s, b.predict(s, asks, node))
@@ -218,9 +218,8 @@
 // missing returns the parts of s to be asked now with the holders each may go to, the weight that can no
 // longer come, and when to look again. A part that is late at a node gone silent gets a second copy or, where
 // the site allows none, a recall; one that is just slow keeps its place: asking again would feed the jam.
-func (b *Broker) missing(s *scan) (asks []*part, lost, held, next float64) {
-	next = s.endAt
-	open := 0.0
+func (b *Broker) missing(s *scan) (asks []*part, lost, held, at float64) {
+	open, next := 0.0, s.endAt
 	for _, p := range s.parts {
 		if p.open > 0 && !p.done {
 			open++
@@ -228,9 +227,11 @@
 	}
 	quiet := s.heard + b.types[s.typ].mean*(1+quietMeans/open)
 	for _, p := range s.parts {
-		late := p.open > 0
+		late, silent := p.open > 0, false
 		for i := range p.tries {
-			if d := &p.tries[i]; d.open && !p.done && !b.due(max(d.late, quiet)) {
+			d := &p.tries[i]
+			silent = silent || b.heard[d.node] < d.at || b.poor(d.node) // else the node is merely slow
+			if d.open && !p.done && !b.due(max(d.late, quiet)) {
 				late, next = false, min(next, max(d.late, quiet))
 			} else if d.open && !p.done && !b.due(d.silent) {
 				next = min(next, d.silent)
@@ -254,9 +255,10 @@
 			continue
 		}
 		p.nodes = b.eligible(p)
-		again := p.open == 1 && len(p.nodes) > 0 && !b.tried(p, p.nodes[0]) && !b.sick(p.nodes[0]) && b.spare >= 1
+		again := p.open == 1 && silent && len(p.nodes) > 0 && !b.tried(p, p.nodes[0]) &&
+			!b.sick(p.nodes[0]) && b.spare >= 1
 		failed := len(p.nodes) > 0 && b.tried(p, p.nodes[0]) && b.now < p.tries[len(p.tries)-1].at+lookAgain
-		if p.open == 0 && (len(p.nodes) == 0 || failed) { // nobody, or holders that have just failed it: give them time
+		if p.open == 0 && (len(p.nodes) == 0 || failed) { // nobody, or it has just failed there
 			held, next = held+p.weight, min(next, b.now+lookAgain)
 		} else if p.open == 0 || again && b.flag("limit.secondCopies") {
 			asks = append(asks, p)
@@ -271,11 +273,11 @@
 			b.spare -= 1 / open
 		}
 	}
-	return
+	return asks, lost, held, next
 }
 
 // mayDispatch is the one gate for every dispatch: it guards the rules on effects, dispatches for a part and
-// the budget. Past its target time a scan asks again for a little only: the benefit left is not worth feeding a jam.
+// the budget. Past its target time a scan asks again for a little only: the rest would feed a jam.
 func (b *Broker) mayDispatch(p *part) bool {
 	typ := &b.types[p.scan.typ]
 	first, keyed := p.firstRun(), typ.effect == "keyed" && b.now <= p.firstRun()+typ.repeatWindow-4*b.num("turn")
@@ -329,8 +331,8 @@
 	return slices.ContainsFunc(p.tries, func(d dispatch) bool { return d.node == n })
 }
 
-// cover chooses a node for each part: of the smallest sets that hold them all and those a few larger, the one
-// with the least load. Cells hold shards in a row, so the parts are swept in shard order, cut at the widest gap,
+// cover chooses a node for each part: of the smallest sets that hold them all and those a few larger, the
+// one with the least load. Cells hold shards in a row: parts are swept in shard order, cut at the widest gap,
 // and each node takes a run of them: exact on a row, one call over the smallest at most round a full ring.
 func (b *Broker) cover(s *scan, asks []*part) []int {
 	type run struct {
@@ -417,8 +419,8 @@
 }
 
 // predict says at what share of its target time enough of the scan for an answer will be in: each node
-// answers in its recent latency, stretched by what is outstanding there now against what was then, or where brokers
-// are many and each sees little of it, with the difference added.
+// answers in its recent latency, stretched by what is outstanding there now against what was then, or
+// where brokers are many and each sees little of it, with the difference added.
 func (b *Broker) predict(s *scan, asks []*part, node []int) (worst float64) {
 	added, lats, alike := map[int]float64{}, [][2]float64{}, min(1, fewBrokers/b.num("brokers"))
 	for i, n := range node {
@@ -485,8 +487,8 @@
 	if typ.partial*b.least(s)/typ.need > typ.lateBenefit && b.least(s) < typ.need && !b.due(s.targetAt) {
 		limit = min(limit, s.targetAt) // it is answered then: a node need not begin what comes later
 	}
-	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, silent: silent, load: b.outWork[n],
-		open: true, ran: true})
+	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, silent: silent,
+		load: b.outWork[n], open: true, ran: true})
 	p.open++
 	b.do(Action{Kind: Dispatch, ID: p.id, Node: b.nodeID[n], After: limit - b.now})
 	return late
@@ -580,9 +582,9 @@
 	return 1
 }
 
-// mayWarm says whether node n may get work as far as the cold allowance goes. A broker's share of what a node that
-// has just started can bear may be less than a call, so it saves up for one, from a start by its own number: the
-// brokers' calls then come one after the other, at each node in another order. It is judged by one core, or what nodes of like size complete.
+// mayWarm says whether node n may get work as far as the cold allowance goes. A broker's share of what a node
+// that has just started can bear may be less than a call, so it saves up for one, from a start by its own
+// number: the calls of all brokers come in turn. One core is assumed, or what nodes of like size complete.
 func (b *Broker) mayWarm(n int) bool {
 	if b.cold(n) == 1 {
 		return true
@@ -734,8 +736,8 @@
 			b.index[en.Node] = n
 			b.nodeID, b.state, b.history = append(b.nodeID, en.Node), append(b.state, Gone), append(b.history, 0xff)
 			b.cell, b.zone, b.outCalls = append(b.cell, 0), append(b.zone, 0), append(b.outCalls, 0)
-			for i, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.allowed, &b.allowAt, &b.latency, &b.under, &b.latAt, &b.heard,
-				&b.restEnd} {
+			for i, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.allowed, &b.allowAt, &b.latency,
+				&b.under, &b.latAt, &b.heard, &b.restEnd} {
 				*col = append(*col, longAgo*float64(min(1, i/7)))
 			}
 		} else if en.Born > b.born[n] { // a new process: what the old one did says nothing
