--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 
+	"gullstair/internal/terms"
 	"gullstair/logic"
 )
 
@@ -247,7 +248,7 @@
 			f.fail(fmt.Sprintf("load report %q is no name:value", pair))
 			return nil
 		}
-		if column, known := columns[key]; known {
+		if column, known := terms.Column(key); known {
 			load[column] = x
 		}
 	}
