--- /dev/null
+++ b/cmd/gullstair/main.go
@@ -0,0 +1,99 @@
+// Command gullstair is the broker. Run it with -h for its sub-commands.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gullstair/internal/broker"
+	"gullstair/internal/config"
+)
+
+const usage = `usage: gullstair [command]
+
+  serve          run one broker (the default); it is told by GW_CONFIG, GW_NAME, GW_LISTEN, GW_DISCOVERY
+  check-config   read and check what serve would be told, say what was found, and exit
+  version        print the version
+`
+
+func main() {
+	if err := run(os.Args[1:], os.Stdout); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			os.Exit(2)
+		}
+		fmt.Fprintln(os.Stderr, "gullstair:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string, out io.Writer) error {
+	name := "serve"
+	if len(args) > 0 {
+		name, args = args[0], args[1:]
+	}
+	switch name {
+	case "serve":
+		return serve(args)
+	case "check-config":
+		told, err := config.Read(os.Getenv)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s: listens on %s, discovery at %s, %d nodes known, %d table types, %d MB, %d sockets\n",
+			told.Name, told.Listen, told.Discovery, len(told.Known.Hosts), len(told.Site.Types), told.MemoryMB, told.Sockets)
+		return nil
+	case "version":
+		version := "unknown"
+		if info, ok := debug.ReadBuildInfo(); ok {
+			version = info.Main.Version + " " + info.GoVersion
+		}
+		fmt.Fprintln(out, "gullstair", version)
+		return nil
+	case "-h", "-help", "--help", "help":
+		fmt.Fprint(out, usage)
+		return nil
+	}
+	fmt.Fprint(os.Stderr, usage)
+	return fmt.Errorf("unknown command %q", name)
+}
+
+func serve(args []string) error {
+	fs := flag.NewFlagSet("serve", flag.ContinueOnError)
+	level := fs.String("log", "info", "least level of the log: debug, info, warn or error")
+	patience := fs.Duration("patience", 30*time.Second, "after SIGTERM, how long open scans may take")
+	if err := fs.Parse(args); err != nil {
+		return err
+	}
+	lv, err := zerolog.ParseLevel(*level)
+	if err != nil {
+		return fmt.Errorf("-log: %w", err)
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(os.Stderr).Level(lv).With().Timestamp().Logger()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	told, err := config.Read(os.Getenv)
+	if err != nil {
+		return err
+	}
+	b, err := broker.Start(told, log)
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-b.Fatal():
+		return err
+	case <-signals:
+		b.Stop(*patience) // further signals change nothing
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/broker/broker.go
@@ -0,0 +1,221 @@
+// Package broker puts one broker together: the core's actor with its mailbox and clock, the front, the peers
+// of the nodes and the watch of the list.
+package broker
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gullstair/internal/config"
+	"gullstair/internal/core"
+	"gullstair/internal/discovery"
+	"gullstair/internal/front"
+	"gullstair/internal/node"
+)
+
+const (
+	mailboxSize = 1024
+	batchMost   = 4096
+	tallyEvery  = 10 * time.Second
+	spareFiles  = 24 // descriptors for the listener, discovery, standard streams and the runtime
+)
+
+// Clock is one clock for all of a broker: Unix milliseconds at its start and monotonic time since.
+type Clock struct {
+	base  float64
+	begun time.Time
+}
+
+// NewClock starts a clock.
+func NewClock() Clock {
+	t := time.Now()
+	return Clock{float64(t.UnixNano()) / 1e6, t}
+}
+
+// Now never steps back.
+func (c Clock) Now() float64 { return c.base + float64(time.Since(c.begun))/1e6 }
+
+// Broker is one running broker.
+type Broker struct {
+	clock Clock
+	core  *core.Core
+	turn  float64
+	mail  chan core.Input
+	stop  chan struct{} // closed: the actor ends
+	ended sync.WaitGroup
+	watch chan struct{} // the module asks for the list
+	front *front.Front
+	fleet *node.Fleet
+	ln    net.Listener
+	log   zerolog.Logger
+	fatal chan error
+	known int // nodes in the cached list
+}
+
+// Start brings a broker up: it listens, has told the module its start and its cached list, and follows
+// the list.
+func Start(t *config.Told, log zerolog.Logger) (*Broker, error) {
+	runtime.GOMAXPROCS(max(1, int(t.Cores)))
+	debug.SetMemoryLimit(int64(t.MemoryMB) << 20 * 3 / 4)
+	ln, err := net.Listen("tcp", t.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	b := &Broker{clock: NewClock(), turn: t.Site.Turn, mail: make(chan core.Input, mailboxSize),
+		stop: make(chan struct{}), watch: make(chan struct{}, 1), ln: ln, log: log, fatal: make(chan error, 1)}
+	nodeConns := t.Sockets / 4
+	b.fleet = node.NewFleet(node.Reach{PerConn: t.Site.PerConn, MaxConns: nodeConns,
+		ConnectTimeout: ms(t.Site.ConnectTimeout), Idle: ms(t.Site.ConnIdle)}, b.clock.Now,
+		func(e core.Ended) { b.put(e) }, log)
+	b.front = &front.Front{Site: t.Site, Now: b.clock.Now, Take: func(s *core.Scan) { b.put(s) },
+		Left: func(s *core.Scan) { b.put(core.Left{Scan: s}) }, Most: t.Sockets - nodeConns - spareFiles, Log: log}
+	odd := func(host, why string) { log.Warn().Str("node", host).Msg(why) }
+	known := t.Known.Nodes(odd)
+	b.core = core.New(t.Site, t.Flat, t.Seed, known)
+	w := &discovery.Watch{Addr: t.Discovery, Seq: t.Known.Seq, Tell: func(l core.List) { b.put(l) }, Log: log}
+	b.ended.Go(b.run)
+	go w.Run(b.stop)
+	go func() {
+		if err := b.front.Serve(ln); err != nil {
+			select {
+			case b.fatal <- fmt.Errorf("accepting: %w", err):
+			default:
+			}
+		}
+	}()
+	log.Info().Str("name", t.Name).Str("listen", ln.Addr().String()).Str("discovery", t.Discovery).
+		Int("known", len(known)).Int64("seq", t.Known.Seq).Int("memory_mb", t.MemoryMB).Int("sockets", t.Sockets).
+		Msg("started")
+	return b, nil
+}
+
+func ms(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
+
+// put waits for room in the mailbox.
+func (b *Broker) put(in core.Input) {
+	select {
+	case b.mail <- in:
+	case <-b.stop:
+	}
+}
+
+// run is the actor of the module and the core: it alone calls Step, at most once a turn of the settings.
+func (b *Broker) run() {
+	var batch []core.Input
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	tally := time.NewTicker(tallyEvery)
+	defer tally.Stop()
+	last := math.Inf(-1)
+	first := true
+	for {
+		at := b.core.Due()
+		if len(batch) > 0 {
+			at = last
+		}
+		at = max(at, last+b.turn)
+		if now := b.clock.Now(); at > now || len(batch) == 0 && math.IsInf(at, 1) {
+			timer.Reset(ms(min(at-now, 1e6)))
+			select {
+			case in := <-b.mail:
+				batch = append(batch, in)
+			case <-timer.C:
+			case <-tally.C:
+				b.tally()
+			case <-b.stop:
+				return
+			}
+			if len(batch) < batchMost {
+				continue
+			}
+		}
+		for more := true; more && len(batch) < batchMost; {
+			select {
+			case in := <-b.mail:
+				batch = append(batch, in)
+			default:
+				more = false
+			}
+		}
+		last = b.clock.Now()
+		b.carryOut(b.core.Step(last, batch))
+		clear(batch)
+		batch = batch[:0]
+		if first {
+			first = false
+			b.front.Ready()
+		}
+	}
+}
+
+func (b *Broker) carryOut(out []core.Output) {
+	for _, o := range out {
+		switch v := o.(type) {
+		case core.Call:
+			if !b.fleet.Call(v) {
+				now := b.clock.Now()
+				for _, p := range v.Parts {
+					b.core.Refused(core.Ended{Ref: p.Ref, How: core.NoRoom, At: now})
+				}
+			}
+		case core.GiveUp:
+			b.fleet.GiveUp(v)
+		case core.Reply:
+			front.Reply(v)
+		case core.Move:
+			b.fleet.Move(v)
+		case core.Watch:
+		case core.Log:
+			if v.Fatal {
+				select {
+				case b.fatal <- fmt.Errorf("the module cannot go on: %s", v.Text):
+				default:
+				}
+			}
+			b.log.Info().Msg(v.Text)
+		}
+	}
+}
+
+// Fatal brings the error that ends the broker.
+func (b *Broker) Fatal() <-chan error { return b.fatal }
+
+// Addr is where clients connect.
+func (b *Broker) Addr() string { return b.ln.Addr().String() }
+
+// Stop answers what was taken and ends; patience bounds it.
+func (b *Broker) Stop(patience time.Duration) {
+	b.log.Info().Msg("stopping")
+	b.front.Stop(patience)
+	close(b.stop)
+	b.ended.Wait()
+	b.ln.Close()
+	b.tally()
+	b.log.Info().Msg("stopped")
+}
+
+func (b *Broker) tally() {
+	c, fr, fl := &b.core.Counts, &b.front.Stats, &b.fleet.Stats
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	ends := zerolog.Dict()
+	for e, n := range c.Ends {
+		if n > 0 {
+			ends.Int(core.End(e).String(), n)
+		}
+	}
+	b.log.Info().Int("scans", c.Scans).Int("answered", c.Answered).Int("whole", c.Whole).Int("throttled", c.Throttled).
+		Int("full", c.Full).Int("abandoned", c.Abandoned).Int("left", c.Left).Int("open", b.core.Open()).
+		Int("dispatches", c.Dispatches).Int("late", c.Late).Dict("ends", ends).
+		Int("clients", b.front.Conns()).Int64("requests", fr.Requests.Load()).Int64("malformed", fr.Malformed.Load()).
+		Int("node_conns", b.fleet.Conns()).Int64("dials", fl.Dials.Load()).Int64("dials_failed", fl.DialsFailed.Load()).
+		Int64("unasked", fl.Unknown.Load()).Int64("bad_frames", fl.Malformed.Load()).
+		Uint64("heap_kb", mem.HeapAlloc>>10).Uint64("sys_kb", mem.Sys>>10).Msg("tally")
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,515 @@
+// Package core stands between the sockets and the decision module. It has no I/O and no clock: requests,
+// ended calls, list changes and due times go in, calls, answers and timers come out. It owns the numbers of
+// scans, parts and nodes, the open scans, the dispatches' time-outs and the parts of second steps, and sees to
+// it that each dispatch ends once and each scan is answered once. What to do is the module's to say.
+package core
+
+import (
+	"container/heap"
+	"hash/fnv"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"gullstair/internal/terms"
+	"gullstair/logic"
+)
+
+// Counts are kept for the log.
+type Counts struct {
+	Scans, Answered, Whole, Throttled, Abandoned, Left, Full int
+	Dispatches, Late                                         int // Late: ends of dispatches that had ended
+	Ends                                                     [NeverSent + 1]int
+}
+
+type scan struct {
+	*Scan
+	num       int64
+	step      int
+	parts     []*part // of the present step
+	endAt     float64
+	from      string // shards that were in when the first step ended
+	firstFull bool
+	second    []*part // to be told to the module in the next Step
+}
+
+type part struct {
+	id          int64
+	scan        *scan
+	shard       int
+	weight      float64
+	work        float64
+	in          bool
+	value       string
+	score       float64
+	tries       int
+	outstanding []*dispatch
+}
+
+type dispatch struct {
+	ref      int64
+	part     *part
+	n        int
+	node     int64
+	host     string
+	at       float64
+	overAt   float64
+	finished bool
+}
+
+// due is a moment at which something is to happen: a timer of the module, a dispatch's time-out, or the end
+// of a client's time.
+type due struct {
+	at    float64
+	seq   int64
+	timer int64
+	d     *dispatch
+	s     *scan
+}
+
+type dueHeap []due
+
+func (h dueHeap) Len() int { return len(h) }
+func (h dueHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h dueHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *dueHeap) Push(x any)   { *h = append(*h, x.(due)) }
+func (h *dueHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	old[len(old)-1] = due{}
+	*h = old[:len(old)-1]
+	return x
+}
+
+// Core is one broker's; only one goroutine may call it.
+type Core struct {
+	Counts Counts
+
+	site    terms.Site
+	brk     logic.Broker
+	now     float64
+	out     []Output
+	events  []logic.Event // for the next Step of the module
+	dues    dueHeap
+	last    int64 // the number given last: scans, parts, dispatches and dues share them
+	scans   map[int64]*scan
+	parts   map[int64]*part
+	open    int // scans and parts
+	flights map[int64]*dispatch
+	second  []*scan // with a second step to begin
+
+	nodes map[string]int64 // numbers, by name
+	hosts map[int64]*place
+}
+
+type place struct {
+	host, dial string
+	gone       bool
+}
+
+// New makes a core that has its start event and its cached list to tell.
+func New(site terms.Site, flat map[string]any, seed uint64, known []Node) *Core {
+	c := &Core{site: site, scans: map[int64]*scan{}, parts: map[int64]*part{}, flights: map[int64]*dispatch{},
+		nodes: map[string]int64{}, hosts: map[int64]*place{}}
+	c.events = append(c.events, logic.Event{Kind: logic.Started, Seed: seed, Terms: flat})
+	c.list(List{Kind: logic.ListCached, Nodes: known})
+	return c
+}
+
+// Due is the moment at which Step is wanted next though nothing comes in; +Inf when there is none.
+func (c *Core) Due() float64 {
+	if len(c.events) > 0 || len(c.second) > 0 {
+		return math.Inf(-1)
+	}
+	if len(c.dues) == 0 {
+		return math.Inf(1)
+	}
+	return c.dues[0].at
+}
+
+// Open says how many scans wait for their answer.
+func (c *Core) Open() int { return len(c.scans) }
+
+// Step takes what came in by now, together with what is due, through the module once.
+func (c *Core) Step(now float64, in []Input) []Output {
+	c.now = max(now, c.now)
+	for _, s := range c.second {
+		c.tellSecond(s)
+	}
+	c.second = c.second[:0]
+	for _, x := range in {
+		switch v := x.(type) {
+		case *Scan:
+			c.take(v)
+		case Left:
+			if s := c.scans[v.Scan.num]; s != nil && s.Scan == v.Scan {
+				c.Counts.Left++
+				c.events = append(c.events, logic.Event{Kind: logic.ClientLeft, ID: s.num})
+				c.close(s)
+			}
+		case Ended:
+			c.ended(v)
+		case List:
+			c.list(v)
+		}
+	}
+	for len(c.dues) > 0 && c.dues[0].at <= c.now {
+		c.fire(heap.Pop(&c.dues).(due))
+	}
+	events := c.events
+	c.events = nil
+	c.act(c.brk.Step(c.now, events))
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Core) number() int64 {
+	c.last++
+	return c.last
+}
+
+func (c *Core) plan(d due) {
+	d.seq = c.number()
+	heap.Push(&c.dues, d)
+}
+
+func (c *Core) fire(d due) {
+	switch {
+	case d.d != nil:
+		if !d.d.finished {
+			c.finish(d.d, Ended{How: OutOfTime, At: c.now})
+			c.do(GiveUp{Host: d.d.host, Ref: d.d.ref})
+		}
+	case d.s != nil:
+		// The client's time is up and the module has not ended the scan: no scan may stay without an answer.
+		// It guards against a fault in the module or a stalled process; it can harm nothing that could be saved.
+		if c.scans[d.s.num] == d.s {
+			c.events = append(c.events, logic.Event{Kind: logic.ClientLeft, ID: d.s.num})
+			c.reply(d.s, Reply{Kind: logic.Abandon, Why: "out of time"})
+		}
+	default:
+		c.events = append(c.events, logic.Event{Kind: logic.TimerDue, Timer: d.timer})
+	}
+}
+
+// take gives a scan and its parts their numbers and tells the module, unless it would be too many at once.
+func (c *Core) take(r *Scan) {
+	c.Counts.Scans++
+	size := 1 + len(r.Parts)
+	left := r.TimeLeft - max(0, c.now-r.At)
+	if c.site.OpenCap > 0 && c.open+size > c.site.OpenCap {
+		c.Counts.Full++
+		c.Counts.Throttled++
+		c.do(Reply{Scan: r, Kind: logic.Throttle, Why: "too many scans open"})
+		return
+	}
+	if left <= 0 {
+		c.Counts.Abandoned++
+		c.do(Reply{Scan: r, Kind: logic.Abandon, Why: "out of time"})
+		return
+	}
+	s := &scan{Scan: r, num: c.number(), step: 1, endAt: c.now + left}
+	r.num = s.num
+	c.scans[s.num] = s
+	work, flags := 0.0, int64(0)
+	if r.Repeat {
+		flags |= 2
+	}
+	for _, p := range r.Parts {
+		s.parts = append(s.parts, c.part(s, p.Shard, p.Weight, p.Work))
+		work += p.Work
+	}
+	c.open++
+	whole := logic.Event{Kind: logic.ScanArrived, ID: s.num, Scan: s.num, Shard: -1, Amount: float64(len(s.parts)),
+		Budget: left, TableType: r.TableType, Tenant: r.Tenant, Hint: work, Flags: flags}
+	if work > 0 {
+		whole.Flags |= 1
+	}
+	c.events = append(c.events, whole)
+	for _, p := range s.parts {
+		c.tellPart(p, flags)
+	}
+	c.plan(due{at: s.endAt, s: s})
+}
+
+func (c *Core) part(s *scan, shard int, weight, work float64) *part {
+	p := &part{id: c.number(), scan: s, shard: shard, weight: weight, work: work}
+	c.parts[p.id] = p
+	c.open++
+	return p
+}
+
+func (c *Core) tellPart(p *part, flags int64) {
+	if p.work > 0 {
+		flags |= 1
+	}
+	s := p.scan
+	c.events = append(c.events, logic.Event{Kind: logic.PartArrived, ID: p.id, Scan: s.num, Shard: p.shard,
+		Amount: p.weight, Budget: s.endAt - c.now, TableType: s.TableType, Tenant: s.Tenant, Hint: p.work, Flags: flags})
+}
+
+// tellSecond tells the parts of a second step, one turn after the answer that began it.
+func (c *Core) tellSecond(s *scan) {
+	if c.scans[s.num] != s {
+		return // ended meanwhile
+	}
+	for _, p := range s.parts {
+		c.tellPart(p, 0)
+	}
+}
+
+// ended takes a dispatch's end from the sockets. One that had ended before is counted and dropped.
+func (c *Core) ended(e Ended) {
+	d := c.flights[e.Ref]
+	if d == nil || d.finished {
+		c.Counts.Late++
+		return
+	}
+	c.finish(d, e)
+}
+
+// finish is the one place where a dispatch ends.
+func (c *Core) finish(d *dispatch, e Ended) {
+	p := d.part
+	d.finished = true
+	delete(c.flights, d.ref)
+	p.outstanding = slices.DeleteFunc(p.outstanding, func(o *dispatch) bool { return o == d })
+	c.Counts.Ends[e.How]++
+	if e.How == Answered && !p.in {
+		p.in, p.value, p.score = true, e.Value, e.Score
+	}
+	open := c.parts[p.id] == p
+	c.events = append(c.events, logic.Event{Kind: logic.DispatchEnded, ID: p.id, Dispatch: d.n, Node: d.node,
+		Outcome: e.How.Outcome(), Elapsed: max(0, e.At-d.at), Closed: p.in || !open, Load: e.Load})
+}
+
+// act carries out the module's actions in their order. What goes to one node is gathered in frames.
+func (c *Core) act(acts []logic.Action) {
+	calls := map[int64]int{} // by node: where its frame stands in out
+	for _, a := range acts {
+		switch a.Kind {
+		case logic.Dispatch:
+			c.dispatch(a, calls)
+		case logic.Recall:
+			if p := c.parts[a.ID]; p != nil {
+				for _, d := range p.outstanding {
+					if d.n == a.Dispatch {
+						c.takeBack(d)
+						break
+					}
+				}
+			}
+		case logic.Answer, logic.Throttle, logic.Abandon:
+			if s := c.scans[a.ID]; s != nil {
+				c.final(s, a)
+			}
+		case logic.SetTimer:
+			c.plan(due{at: c.now + a.After, timer: a.Timer})
+		case logic.Subscribe:
+			c.do(Watch{})
+		case logic.Probe:
+			// No deployment's module asks for probes today; what cannot be done is said, not dropped.
+			c.do(Log{Text: "probes are not carried out"})
+		case logic.Note:
+			c.do(Log{Text: a.Text})
+		case logic.Fatal:
+			c.do(Log{Text: a.Text, Fatal: true})
+		}
+	}
+}
+
+func (c *Core) dispatch(a logic.Action, calls map[int64]int) {
+	p := c.parts[a.ID]
+	if p == nil {
+		return // its scan has ended: there is nobody to tell either
+	}
+	s, at := p.scan, c.hosts[a.Node]
+	d := &dispatch{ref: c.number(), part: p, n: p.tries, node: a.Node, at: c.now, overAt: s.endAt}
+	p.tries++
+	p.outstanding = append(p.outstanding, d)
+	c.flights[d.ref] = d
+	switch {
+	case p.tries > c.site.Dispatches || s.endAt <= c.now:
+		c.finish(d, Ended{How: NeverSent, At: c.now})
+		return
+	case at == nil || at.dial == "":
+		c.finish(d, Ended{How: NoAddress, At: c.now})
+		return
+	case a.After < 0:
+		c.finish(d, Ended{How: OutOfTime, At: c.now})
+		return
+	case a.After > 0:
+		d.overAt = min(d.overAt, c.now+a.After)
+	}
+	d.host = at.host
+	c.Counts.Dispatches++
+	c.plan(due{at: d.overAt, d: d})
+	cp := CallPart{Ref: d.ref, ID: s.ID + "." + strconv.Itoa(p.shard), Shard: p.shard,
+		WaitMs: int(math.Ceil(d.overAt - c.now)), Text: s.Text}
+	if c.site.Types[s.TableType].Keyed {
+		cp.Key = s.Key
+	}
+	if s.step == 2 {
+		cp.ID, cp.From, cp.Whole = cp.ID+".get", s.from, s.firstFull
+	}
+	if i, begun := calls[a.Node]; begun {
+		if call := c.out[i].(Call); len(call.Parts) < max(1, c.site.Batch) {
+			call.Parts = append(call.Parts, cp)
+			c.out[i] = call
+			return
+		}
+	}
+	calls[a.Node] = len(c.out)
+	c.do(Call{Host: at.host, Dial: at.dial, Parts: []CallPart{cp}})
+}
+
+// takeBack ends an open dispatch that nobody waits for any more and tells the node.
+func (c *Core) takeBack(d *dispatch) {
+	c.do(GiveUp{Host: d.host, Ref: d.ref})
+	c.finish(d, Ended{How: TakenBack, At: c.now})
+}
+
+// final carries out the module's word on a scan: the first answer of two begins the second step, any other
+// is what the client gets.
+func (c *Core) final(s *scan, a logic.Action) {
+	if a.Kind == logic.Answer && s.step == 1 && c.site.Types[s.TableType].Fetch > 0 {
+		c.beginSecond(s, a.Whole)
+		return
+	}
+	r := Reply{Kind: a.Kind}
+	switch a.Kind {
+	case logic.Answer:
+		r.Whole = a.Whole
+		for _, p := range s.parts {
+			if p.in {
+				r.Hits = append(r.Hits, Hit{p.shard, p.value})
+			}
+		}
+	case logic.Throttle:
+		if c.site.RetryAfterAllowed {
+			r.RetryAfter = max(0, a.After)
+		}
+	}
+	c.reply(s, r)
+}
+
+// beginSecond ends the first step: the shards that scored highest among those in are asked next, the lower
+// shard first where scores are alike.
+func (c *Core) beginSecond(s *scan, whole bool) {
+	var in []*part
+	for _, p := range s.parts {
+		if p.in {
+			in = append(in, p)
+		}
+	}
+	slices.SortFunc(in, func(p, q *part) int { return p.shard - q.shard })
+	from := make([]string, len(in))
+	for i, p := range in {
+		from[i] = strconv.Itoa(p.shard)
+	}
+	slices.SortStableFunc(in, func(p, q *part) int {
+		if p.score != q.score && (p.score > q.score) {
+			return -1
+		} else if p.score != q.score {
+			return 1
+		}
+		return 0
+	})
+	c.dropParts(s)
+	s.step, s.from, s.firstFull = 2, strings.Join(from, "+"), whole
+	chosen := in[:min(len(in), c.site.Types[s.TableType].Fetch)]
+	for _, p := range chosen {
+		s.parts = append(s.parts, c.part(s, p.shard, 1/float64(len(chosen)), 0))
+	}
+	c.second = append(c.second, s)
+}
+
+// reply gives a scan its one answer.
+func (c *Core) reply(s *scan, r Reply) {
+	switch r.Kind {
+	case logic.Answer:
+		c.Counts.Answered++
+		if r.Whole {
+			c.Counts.Whole++
+		}
+	case logic.Throttle:
+		c.Counts.Throttled++
+	default:
+		c.Counts.Abandoned++
+	}
+	r.Scan = s.Scan
+	c.do(r)
+	c.close(s)
+}
+
+// close forgets a scan; what is still out for it is taken back.
+func (c *Core) close(s *scan) {
+	c.dropParts(s)
+	delete(c.scans, s.num)
+	c.open--
+}
+
+func (c *Core) dropParts(s *scan) {
+	for _, p := range s.parts {
+		for len(p.outstanding) > 0 {
+			c.takeBack(p.outstanding[0])
+		}
+		delete(c.parts, p.id)
+		c.open--
+	}
+	s.parts = nil
+}
+
+// list gives the nodes of a list their numbers and tells the module. A node's number is made of its name, so
+// that all brokers, which share nothing, mean the same node by it; where two names meet, the next free number
+// is taken. A name keeps its number for good.
+func (c *Core) list(l List) {
+	e := logic.Event{Kind: logic.ListArrived, List: l.Kind}
+	named := map[int64]bool{}
+	for _, n := range l.Nodes {
+		num, known := c.nodes[n.Host]
+		if !known {
+			h := fnv.New32a()
+			h.Write([]byte(n.Host))
+			for num = int64(h.Sum32()); num == 0 || c.hosts[num] != nil; num++ {
+			}
+			c.nodes[n.Host], c.hosts[num] = num, &place{host: n.Host}
+		}
+		named[num] = true
+		at, gone := c.hosts[num], n.Readiness == logic.Gone
+		if at.dial != n.Dial && n.Dial != "" || at.gone != gone {
+			at.dial, at.gone = n.Dial, gone
+			c.do(Move{Host: at.host, Dial: at.dial, Gone: gone})
+		}
+		e.Entries = append(e.Entries, logic.Entry{Node: num, Zone: c.index(c.site.Zones, n.Zone),
+			Kind: c.index(c.site.Kinds, n.Kind), Cell: n.Cell, Readiness: n.Readiness, Units: n.Units, Born: n.Born})
+	}
+	if l.Kind == logic.ListWhole || l.Kind == logic.ListCached {
+		for num, at := range c.hosts {
+			if !named[num] && !at.gone {
+				at.gone = true
+				c.do(Move{Host: at.host, Dial: at.dial, Gone: true})
+			}
+		}
+	}
+	c.events = append(c.events, e)
+}
+
+// index is a name's place in a list of the settings; one that is not there gets -1, which is nobody's.
+func (c *Core) index(list map[string]int, name string) int {
+	if i, known := list[name]; known {
+		return i
+	}
+	c.do(Log{Text: "a node's zone or kind is not in the settings: " + strconv.Quote(name)})
+	return -1
+}
+
+func (c *Core) do(o Output) { c.out = append(c.out, o) }
+
+// Refused takes the end of a dispatch that the sockets had no room for while they carried out a Step; the
+// module hears of it in the next.
+func (c *Core) Refused(e Ended) { c.ended(e) }
--- /dev/null
+++ b/internal/core/types.go
@@ -0,0 +1,109 @@
+package core
+
+import "gullstair/logic"
+
+// Input is what the sockets tell the core: a *Scan, Left, Ended or List.
+type Input any
+
+// Scan is what a client asked for. The front fills it and finds it again in Reply.
+type Scan struct {
+	ID, Key, Text string
+	TableType     int
+	Tenant        int
+	Repeat        bool
+	TimeLeft      float64 // for how long the client waits, counted from At
+	At            float64 // clock time at which its first byte was read
+	Parts         []ScanPart
+	Client        any // the front's own
+
+	num int64 // the core's number; 0 before it has one
+}
+
+// ScanPart is one part of a scan as its client asked for it.
+type ScanPart struct {
+	Shard        int
+	Weight, Work float64
+}
+
+// Left says that the client of a scan has gone.
+type Left struct{ Scan *Scan }
+
+// Ended says how a dispatch ended, and when.
+type Ended struct {
+	Ref   int64
+	How   End
+	At    float64
+	Score float64
+	Value string
+	Load  map[string]float64
+}
+
+// List is what discovery says.
+type List struct {
+	Kind  logic.ListKind
+	Nodes []Node
+}
+
+// Node is one line of a list, in the words of the sockets.
+type Node struct {
+	Host, Dial, Zone, Kind string
+	Cell                   int
+	Readiness              logic.Readiness
+	Units, Born            float64
+}
+
+// Output is what the core wants done: a Call, GiveUp, Reply, Move, Watch or Log.
+type Output any
+
+// Call is one frame to a node.
+type Call struct {
+	Host, Dial string
+	Parts      []CallPart
+}
+
+// CallPart is one part in a Call.
+type CallPart struct {
+	Ref           int64 // of the dispatch; never used again
+	ID            string
+	Shard, WaitMs int
+	Key, From     string // From: the shards that were in, for a second step
+	Whole         bool
+	Text          string
+}
+
+// GiveUp says that nobody waits for a dispatch any more.
+type GiveUp struct {
+	Host string
+	Ref  int64
+}
+
+// Reply is the one answer to a scan.
+type Reply struct {
+	Scan       *Scan
+	Kind       logic.ActionKind // Answer, Throttle or Abandon
+	Whole      bool
+	Hits       []Hit
+	RetryAfter float64 // 0: says nothing
+	Why        string
+}
+
+// Hit is the value of one part that is in.
+type Hit struct {
+	Shard int
+	Value string
+}
+
+// Move says where a node is to be reached from now on, or that it is gone.
+type Move struct {
+	Host, Dial string
+	Gone       bool
+}
+
+// Watch asks for the list again.
+type Watch struct{}
+
+// Log is a line of the module's; Fatal: it cannot go on.
+type Log struct {
+	Text  string
+	Fatal bool
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,250 @@
+// Package front is the clients' side: HTTP/1.1 on connections that stay alive, one goroutine for each. It reads
+// and checks requests, hands scans on, watches for clients that leave, and writes answers. It decides nothing.
+package front
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gullstair/internal/core"
+	"gullstair/internal/terms"
+)
+
+const (
+	headMost   = 16 << 10        // bytes of a request's head
+	readWithin = 5 * time.Second // from its first byte a request has so long to come in
+	sendWithin = 2 * time.Second // an answer has so long to go out
+	arrivals   = 700 * time.Millisecond
+	quiesce    = 500 * time.Millisecond
+	settle     = 100 * time.Millisecond // a connection that came a moment ago has its request on the way
+)
+
+// Front serves clients. Take gets each scan, Left each scan whose client went; both may wait.
+type Front struct {
+	Site  terms.Site
+	Now   func() float64
+	Take  func(*core.Scan)
+	Left  func(*core.Scan)
+	Most  int // client connections at once
+	Log   zerolog.Logger
+	Stats Stats
+
+	ready    atomic.Bool
+	stopping atomic.Bool
+	tooLate  atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*client]struct{}
+	room  *sync.Cond
+}
+
+// Stats count what the front saw.
+type Stats struct{ Accepted, Requests, Malformed, Crowded atomic.Int64 }
+
+// client is one connection. idle, under the front's mutex: nothing of a request has come in.
+type client struct {
+	f     *Front
+	conn  net.Conn
+	in    *bufio.Reader
+	quota quota
+	idle  bool
+	since time.Time
+	reply chan core.Reply
+}
+
+// quota stops a connection from being read without end: left bytes may still come.
+type quota struct {
+	conn net.Conn
+	left int
+}
+
+var errQuota = errors.New("request too long")
+
+func (q *quota) Read(p []byte) (int, error) {
+	if q.left <= 0 {
+		return 0, errQuota
+	}
+	n, err := q.conn.Read(p[:min(len(p), q.left)])
+	q.left -= n
+	return n, err
+}
+
+// Ready lets /healthz say so.
+func (f *Front) Ready() { f.ready.Store(true) }
+
+// Conns is how many client connections are open.
+func (f *Front) Conns() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
+// Serve accepts until the listener closes. At the limit the connection that has been idle longest goes first;
+// while none is idle, new ones wait in the machine's queue.
+func (f *Front) Serve(ln net.Listener) error {
+	f.mu.Lock()
+	f.conns, f.room = map[*client]struct{}{}, sync.NewCond(&f.mu)
+	f.mu.Unlock()
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if ne, ok := errors.AsType[net.Error](err); ok && ne.Timeout() {
+				continue
+			}
+			return err
+		}
+		f.Stats.Accepted.Add(1)
+		c := &client{f: f, conn: conn, reply: make(chan core.Reply, 1), idle: true, since: time.Now()}
+		c.quota.conn = conn
+		c.in = bufio.NewReaderSize(&c.quota, 4<<10)
+		f.mu.Lock()
+		for len(f.conns) >= f.Most {
+			if !f.closeOldestIdle(0) {
+				f.Stats.Crowded.Add(1)
+				f.room.Wait()
+			}
+		}
+		f.conns[c] = struct{}{}
+		f.mu.Unlock()
+		go c.serve()
+	}
+}
+
+// closeOldestIdle closes the connection that has been idle longest, and at least for so long. It needs the mutex.
+func (f *Front) closeOldestIdle(atLeast time.Duration) bool {
+	var oldest *client
+	for c := range f.conns {
+		if c.idle && (oldest == nil || c.since.Before(oldest.since)) {
+			oldest = c
+		}
+	}
+	if oldest == nil || time.Since(oldest.since) < atLeast {
+		return false
+	}
+	f.forget(oldest)
+	oldest.conn.Close()
+	return true
+}
+
+func (f *Front) forget(c *client) {
+	if _, here := f.conns[c]; here {
+		delete(f.conns, c)
+		f.room.Signal()
+	}
+}
+
+// Stop begins the end: from now on answers say Connection: close. It returns when connections that still
+// arrive have had their time, the idle ones are closed and nothing is open, or when patience is over.
+func (f *Front) Stop(patience time.Duration) {
+	begun := time.Now()
+	f.stopping.Store(true)
+	time.Sleep(quiesce)
+	for {
+		f.mu.Lock()
+		for f.closeOldestIdle(settle) {
+		}
+		left := len(f.conns)
+		f.mu.Unlock()
+		if passed := time.Since(begun); passed >= arrivals {
+			f.tooLate.Store(true)
+			if left == 0 || passed >= patience {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (c *client) serve() {
+	defer func() {
+		c.conn.Close()
+		c.f.mu.Lock()
+		c.f.forget(c)
+		c.f.mu.Unlock()
+	}()
+	for c.one() {
+	}
+}
+
+// setIdle says whether the connection is between two requests; false: it has been closed meanwhile.
+func (c *client) setIdle(idle bool) bool {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	_, here := c.f.conns[c]
+	c.idle, c.since = idle, time.Now()
+	return here
+}
+
+// one serves one request; false: the connection is to be closed.
+func (c *client) one() bool {
+	c.quota.left = headMost
+	if c.in.Buffered() == 0 {
+		c.conn.SetReadDeadline(time.Time{})
+		if _, err := c.in.Peek(1); err != nil {
+			return false
+		}
+	}
+	at := c.f.Now()
+	if !c.setIdle(false) {
+		return false
+	}
+	c.conn.SetReadDeadline(time.Now().Add(readWithin))
+	req, err := http.ReadRequest(c.in)
+	if err != nil {
+		c.f.Stats.Malformed.Add(1)
+		if !errors.Is(err, io.EOF) {
+			c.write(plain(http.StatusBadRequest, "the request could not be read"), true)
+		}
+		return false
+	}
+	c.f.Stats.Requests.Add(1)
+	last := req.Close || c.f.stopping.Load()
+	scan, r := c.f.read(c, req, at)
+	if scan == nil {
+		last = last || r.fatal || c.f.stopping.Load()
+		return c.write(r, last) && !last && c.setIdle(true)
+	}
+	if c.f.tooLate.Load() {
+		return c.write(answer{status: http.StatusServiceUnavailable, text: "stopping"}, true) && false
+	}
+	scan.Client = c
+	c.conn.SetReadDeadline(time.Time{})
+	c.f.Take(scan)
+	// While the scan is out the connection is watched: a client that closes it has left. Reply breaks the wait.
+	if _, err := c.in.Peek(1); err != nil && !isTimeout(err) && !errors.Is(err, errQuota) {
+		c.f.Left(scan)
+		return false
+	}
+	reply := <-c.reply
+	last = last || c.f.stopping.Load()
+	return c.write(render(reply), last) && !last && c.setIdle(true)
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+// Reply hands a scan's answer to its connection. It never waits.
+func Reply(r core.Reply) {
+	c := r.Scan.Client.(*client)
+	c.conn.SetReadDeadline(time.Unix(1, 0)) // first: who takes the reply sets the next one
+	select {
+	case c.reply <- r:
+	default: // a second answer to one scan: there is none
+	}
+}
+
+func (c *client) write(a answer, last bool) bool {
+	c.conn.SetWriteDeadline(time.Now().Add(sendWithin))
+	_, err := c.conn.Write(a.bytes(last))
+	return err == nil
+}
--- /dev/null
+++ b/internal/front/http.go
@@ -0,0 +1,202 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"gullstair/internal/buffers"
+	"gullstair/internal/core"
+	"gullstair/logic"
+)
+
+const (
+	bodyMost = 64 << 10
+	textMost = 32 << 10 // so that a call of some parts fits a frame
+	idMost   = 200
+)
+
+// answer is what goes to a client.
+type answer struct {
+	status     int
+	kind, text string
+	retryAfter float64 // ms
+	fatal      bool    // where the next request begins is not known: close
+}
+
+func plain(status int, text string) answer {
+	return answer{status: status, kind: "text/plain; charset=utf-8", text: text + "\n"}
+}
+
+func (a answer) bytes(last bool) []byte {
+	b := make([]byte, 0, 256+len(a.text))
+	b = fmt.Appendf(b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", a.status, http.StatusText(a.status), len(a.text))
+	if a.kind != "" {
+		b = fmt.Appendf(b, "Content-Type: %s\r\n", a.kind)
+	}
+	if a.retryAfter > 0 {
+		b = fmt.Appendf(b, "Retry-After: %s\r\n", strconv.FormatFloat(a.retryAfter/1000, 'f', 3, 64))
+	}
+	if last {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	return append(b, a.text...)
+}
+
+// render puts the core's reply into the words of the protocol.
+func render(r core.Reply) answer {
+	switch r.Kind {
+	case logic.Answer:
+		type match struct {
+			Segment int    `json:"segment"`
+			Payload string `json:"payload"`
+		}
+		body := struct {
+			AllIn   bool    `json:"all_in"`
+			Matches []match `json:"matches"`
+		}{r.Whole, make([]match, len(r.Hits))}
+		for i, h := range r.Hits {
+			body.Matches[i] = match{h.Shard, h.Value}
+		}
+		text, err := json.Marshal(body)
+		if err != nil {
+			return plain(http.StatusInternalServerError, "the answer could not be written")
+		}
+		return answer{status: http.StatusOK, kind: "application/json", text: string(text)}
+	case logic.Throttle:
+		a := plain(http.StatusTooManyRequests, "throttled")
+		a.retryAfter = r.RetryAfter
+		return a
+	}
+	return plain(http.StatusGatewayTimeout, "abandoned")
+}
+
+// read takes a request apart. A scan comes back if it is one, else what to answer.
+func (f *Front) read(c *client, req *http.Request, at float64) (*core.Scan, answer) {
+	if req.Header.Get("Expect") == "100-continue" {
+		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, answer{status: http.StatusBadRequest, fatal: true}
+		}
+	}
+	c.quota.left = 2*bodyMost + headMost // chunks bring framing of their own
+	buf := buffers.Get()
+	defer buffers.Put(buf)
+	n, err := fill(req.Body, buf[:])
+	switch {
+	case n > bodyMost:
+		a := plain(http.StatusRequestEntityTooLarge, "the body is over 64 KiB")
+		a.fatal = true
+		return nil, a
+	case err != nil:
+		a := plain(http.StatusBadRequest, "the body could not be read")
+		a.fatal = true
+		return nil, a
+	}
+	if req.URL.Path == "/healthz" {
+		if req.Method != http.MethodGet && req.Method != http.MethodHead {
+			return nil, plain(http.StatusMethodNotAllowed, "health is asked for with GET")
+		}
+		if !f.ready.Load() || f.stopping.Load() {
+			return nil, plain(http.StatusServiceUnavailable, "not ready")
+		}
+		return nil, plain(http.StatusOK, "ready")
+	}
+	s, status, why := f.scan(req, buf[:n], at)
+	if s == nil {
+		f.Stats.Malformed.Add(1)
+		return nil, plain(status, why)
+	}
+	return s, answer{}
+}
+
+// fill reads a body to its end, or until buf is full.
+func fill(r io.Reader, buf []byte) (n int, err error) {
+	for n < len(buf) {
+		m, err := r.Read(buf[n:])
+		n += m
+		if errors.Is(err, io.EOF) {
+			return n, nil
+		} else if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+type wireScan struct {
+	Segments []struct {
+		Segment *int     `json:"segment"`
+		Boost   *float64 `json:"boost"`
+		Work    *float64 `json:"work"`
+	} `json:"segments"`
+	Text string `json:"text"`
+}
+
+// scan checks a request for a scan: what goes on from here is well formed, whatever a client sent.
+func (f *Front) scan(req *http.Request, body []byte, at float64) (*core.Scan, int, string) {
+	bad := func(why string) (*core.Scan, int, string) { return nil, http.StatusBadRequest, why }
+	name, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
+	typ, known := f.Site.TypeIndex[name]
+	if !known {
+		return nil, http.StatusNotFound, "there is no such table type"
+	}
+	if req.Method != http.MethodPost {
+		return nil, http.StatusMethodNotAllowed, "a scan is asked for with POST"
+	}
+	s := &core.Scan{ID: req.Header.Get("X-Correlation-Id"), Key: req.Header.Get("Idempotency-Key"), TableType: typ,
+		Repeat: req.Header.Get("X-Repeat") == "1", At: at, Tenant: f.Site.Tenants[req.Header.Get("X-Account")]}
+	left, err := strconv.ParseFloat(req.Header.Get("X-Time-Left-Ms"), 64)
+	switch {
+	case err != nil || !(left > 0 && left < 1e9):
+		return bad("X-Time-Left-Ms must be a number of milliseconds above 0")
+	case !word(s.ID):
+		return bad("X-Correlation-Id must be 1 to 200 printable characters without space or comma")
+	case f.Site.Types[typ].Keyed && !word(s.Key):
+		return bad("this table type needs an Idempotency-Key without space or comma")
+	}
+	s.TimeLeft = left
+	var w wireScan
+	if err := json.Unmarshal(body, &w); err != nil {
+		return bad("the body is not a scan in JSON")
+	}
+	s.Text = w.Text
+	if len(s.Text) > textMost {
+		return bad("the text is over 32 KiB")
+	}
+	if len(w.Segments) == 0 || len(w.Segments) > f.Site.Shards {
+		return bad("a scan has a part for 1 shard at least, and none twice")
+	}
+	seen, sum := make(map[int]bool, len(w.Segments)), 0.0
+	for _, seg := range w.Segments {
+		p := core.ScanPart{}
+		if seg.Segment == nil || *seg.Segment < 0 || *seg.Segment >= f.Site.Shards || seen[*seg.Segment] {
+			return bad("a segment is missing, out of range or there twice")
+		}
+		if seg.Boost == nil || *seg.Boost < 0 || *seg.Boost > 1e9 {
+			return bad("a boost is missing or impossible")
+		}
+		if seg.Work != nil {
+			if p.Work = *seg.Work / 1000; p.Work < 0 || p.Work > 1e9 {
+				return bad("a work is impossible")
+			}
+		}
+		p.Shard, p.Weight = *seg.Segment, *seg.Boost
+		seen[p.Shard], sum = true, sum+p.Weight
+		s.Parts = append(s.Parts, p)
+	}
+	if math.Abs(sum-1) > 0.01 {
+		return bad("the boosts must sum to 1")
+	}
+	return s, 0, ""
+}
+
+// word says whether s can stand in a frame's line.
+func word(s string) bool {
+	return s != "" && len(s) <= idMost && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r > '~' || r == ',' })
+}
--- /dev/null
+++ b/internal/node/peer.go
@@ -0,0 +1,476 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gullstair/internal/buffers"
+	"gullstair/internal/core"
+)
+
+// Reach is what binds the connections to nodes.
+type Reach struct {
+	PerConn        int // parts at the same time on one connection
+	MaxConns       int // connections to all nodes together
+	ConnectTimeout time.Duration
+	Idle           time.Duration // after which a node closes a connection
+}
+
+const (
+	mailboxSize = 512
+	sweepEvery  = time.Second
+)
+
+// Fleet holds the peers. Only the goroutine that carries out the core's outputs may call it.
+type Fleet struct {
+	reach Reach
+	tell  func(core.Ended)
+	now   func() float64
+	log   zerolog.Logger
+	conns atomic.Int64
+	peers map[string]*peer
+	Stats Stats
+}
+
+// Stats count what the peers saw.
+type Stats struct{ Dials, DialsFailed, Broken, Unknown, Malformed atomic.Int64 }
+
+// NewFleet makes an empty fleet; tell gets each end of a dispatch and may block.
+func NewFleet(reach Reach, now func() float64, tell func(core.Ended), log zerolog.Logger) *Fleet {
+	return &Fleet{reach: reach, tell: tell, now: now, log: log, peers: map[string]*peer{}}
+}
+
+// Conns is how many connections to nodes are open or being opened.
+func (f *Fleet) Conns() int { return int(f.conns.Load()) }
+
+// Move tells the peer of a node where it is to be reached, or that it is gone. It never waits: each call names
+// its address too, so that a full mailbox loses nothing but haste.
+func (f *Fleet) Move(m core.Move) {
+	p := f.peers[m.Host]
+	if m.Gone && (p == nil || p.closed()) {
+		delete(f.peers, m.Host)
+		return
+	}
+	if p == nil || p.closed() {
+		p = f.start(m.Host, m.Dial)
+	}
+	p.offer(m)
+}
+
+func (f *Fleet) start(host, dial string) *peer {
+	p := &peer{f: f, host: host, dial: dial, mail: make(chan any, mailboxSize), ended: make(chan struct{}),
+		out: map[int64]*link{}, log: f.log.With().Str("node", host).Logger()}
+	f.peers[host] = p
+	go p.run()
+	return p
+}
+
+// Call hands a frame to its node's peer. It never waits: where the mailbox is full, false comes back and the
+// parts count as not sent.
+func (f *Fleet) Call(c core.Call) bool {
+	p := f.peers[c.Host]
+	if p == nil || p.closed() {
+		p = f.start(c.Host, c.Dial)
+	}
+	return p.offer(c)
+}
+
+// GiveUp tells the peer that nobody waits for a dispatch any more. It never waits; what a full mailbox drops
+// the node finds out from the dispatch's own wait.
+func (f *Fleet) GiveUp(g core.GiveUp) {
+	if p := f.peers[g.Host]; p != nil {
+		p.offer(g)
+	}
+}
+
+// offer puts a message in the mailbox unless that is full or the peer has ended.
+func (p *peer) offer(m any) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.over {
+		return false
+	}
+	select {
+	case p.mail <- m:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *peer) closed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.over
+}
+
+// post is for the peer's own readers and dialers: it waits for room.
+func (p *peer) post(m any) {
+	select {
+	case p.mail <- m:
+	case <-p.ended:
+	}
+}
+
+// leave ends the peer unless something has come in meanwhile.
+func (p *peer) leave() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.over = len(p.mail) == 0
+	return p.over
+}
+
+// peer is the actor of one node.
+type peer struct {
+	mu    sync.Mutex
+	over  bool // under mu: no message is taken any more
+	f     *Fleet
+	host  string
+	dial  string
+	gone  bool
+	mail  chan any
+	ended chan struct{}
+	links []*link
+	out   map[int64]*link // by dispatch: the connection it is on or waits for
+	log   zerolog.Logger
+}
+
+// link is one connection. Until it is up, its frames wait in queue.
+type link struct {
+	conn    net.Conn
+	dial    string
+	up      bool
+	ids     map[string]int64 // parts that are out, by id
+	refs    map[int64]string
+	queue   []core.Call
+	wbuf    []byte
+	frames  []written // what stands in wbuf
+	lastUse time.Time
+}
+
+// written is one frame in a link's buffer: where it ends, and the dispatches in it.
+type written struct {
+	end  int
+	refs []int64
+}
+
+type dialed struct {
+	l    *link
+	conn net.Conn
+	err  error
+}
+
+type arrived struct {
+	l *link
+	a answer
+}
+
+type broke struct {
+	l   *link
+	how core.End
+	err error
+}
+
+func (p *peer) run() {
+	defer close(p.ended)
+	sweep := time.NewTicker(sweepEvery)
+	defer sweep.Stop()
+	for {
+		select {
+		case m := <-p.mail:
+			p.handle(m)
+			for more := true; more; { // what has gathered is written together
+				select {
+				case m := <-p.mail:
+					p.handle(m)
+				default:
+					more = false
+				}
+			}
+			p.flush()
+		case <-sweep.C:
+			p.sweep()
+		}
+		if p.gone && len(p.links) == 0 && p.leave() {
+			return
+		}
+	}
+}
+
+func (p *peer) handle(m any) {
+	switch v := m.(type) {
+	case core.Call:
+		p.call(v)
+	case core.GiveUp:
+		p.giveUp(v.Ref)
+	case core.Move:
+		p.gone = v.Gone
+		if v.Dial != "" {
+			p.dial = v.Dial
+		}
+		p.sweep()
+	case dialed:
+		p.dialed(v)
+	case arrived:
+		p.arrived(v)
+	case broke:
+		p.drop(v.l, v.how, v.err)
+	}
+}
+
+func (p *peer) end(ref int64, how core.End, a answer) {
+	p.f.tell(core.Ended{Ref: ref, How: how, At: p.f.now(), Score: a.score, Value: a.value, Load: a.load})
+}
+
+// call puts a frame on a connection that has room for its parts, or on a new one.
+func (p *peer) call(c core.Call) {
+	if c.Dial != "" {
+		p.dial = c.Dial
+	}
+	var best *link
+	for _, l := range p.links {
+		if l.dial == p.dial && len(l.refs)+len(c.Parts) <= max(p.f.reach.PerConn, len(c.Parts)) &&
+			(best == nil || l.up && !best.up) && !p.clash(l, c) {
+			best = l
+		}
+	}
+	if best == nil {
+		if best = p.open(); best == nil {
+			for i := range c.Parts {
+				p.end(c.Parts[i].Ref, core.NoRoom, answer{})
+			}
+			return
+		}
+	}
+	for i := range c.Parts {
+		best.ids[c.Parts[i].ID], best.refs[c.Parts[i].Ref] = c.Parts[i].Ref, c.Parts[i].ID
+		p.out[c.Parts[i].Ref] = best
+	}
+	if best.up {
+		p.write(best, c)
+	} else {
+		best.queue = append(best.queue, c)
+	}
+}
+
+// clash says whether a part of c is out on l already: answers go by its id.
+func (p *peer) clash(l *link, c core.Call) bool {
+	for i := range c.Parts {
+		if _, out := l.ids[c.Parts[i].ID]; out {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *peer) open() *link {
+	if p.f.conns.Add(1) > int64(p.f.reach.MaxConns) {
+		p.f.conns.Add(-1)
+		return nil
+	}
+	l := &link{dial: p.dial, ids: map[string]int64{}, refs: map[int64]string{}, lastUse: time.Now()}
+	p.links = append(p.links, l)
+	p.f.Stats.Dials.Add(1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), p.f.reach.ConnectTimeout)
+		defer cancel()
+		conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", l.dial)
+		p.post(dialed{l, conn, err})
+	}()
+	return l
+}
+
+func (p *peer) dialed(d dialed) {
+	if d.err != nil {
+		p.f.Stats.DialsFailed.Add(1)
+		how := core.DialRefused
+		if errors.Is(d.err, context.DeadlineExceeded) || errors.Is(d.err, os.ErrDeadlineExceeded) ||
+			isTimeout(d.err) {
+			how = core.DialTimedOut
+		}
+		p.drop(d.l, how, d.err)
+		return
+	}
+	d.l.conn, d.l.up, d.l.lastUse = d.conn, true, time.Now()
+	go p.read(d.l)
+	queue := d.l.queue
+	d.l.queue = nil
+	for _, c := range queue {
+		p.write(d.l, c)
+	}
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+// write adds a frame with those parts of c that are still wanted.
+func (p *peer) write(l *link, c core.Call) {
+	at := len(l.wbuf)
+	b := begin(l.wbuf, callLetter)
+	var refs []int64
+	for i := range c.Parts {
+		if _, wanted := l.refs[c.Parts[i].Ref]; wanted {
+			b = addCall(b, &c.Parts[i])
+			refs = append(refs, c.Parts[i].Ref)
+		}
+	}
+	if len(refs) == 0 {
+		return
+	}
+	l.wbuf = finish(b, at)
+	l.frames = append(l.frames, written{len(l.wbuf), refs})
+}
+
+// giveUp forgets a dispatch and, if its frame was written, tells the node.
+func (p *peer) giveUp(ref int64) {
+	l := p.out[ref]
+	if l == nil {
+		return
+	}
+	id := l.refs[ref]
+	delete(p.out, ref)
+	delete(l.refs, ref)
+	delete(l.ids, id)
+	if l.up {
+		l.wbuf = addGiveUp(l.wbuf, id)
+	}
+}
+
+func (p *peer) arrived(v arrived) {
+	ref, out := v.l.ids[v.a.id]
+	if !out { // given up meanwhile, answered before, or never asked: nobody waits for it
+		p.f.Stats.Unknown.Add(1)
+		return
+	}
+	delete(v.l.ids, v.a.id)
+	delete(v.l.refs, ref)
+	delete(p.out, ref)
+	v.l.lastUse = time.Now()
+	p.end(ref, v.a.how, v.a)
+}
+
+// flush writes what has gathered. A frame that did not get out whole has not been sent.
+func (p *peer) flush() {
+	for i := len(p.links) - 1; i >= 0; i-- {
+		l := p.links[i]
+		if !l.up || len(l.wbuf) == 0 {
+			continue
+		}
+		l.conn.SetWriteDeadline(time.Now().Add(p.f.reach.ConnectTimeout))
+		n, err := l.conn.Write(l.wbuf)
+		l.lastUse = time.Now()
+		if err != nil {
+			for _, w := range l.frames {
+				if w.end <= n {
+					continue
+				}
+				for _, ref := range w.refs {
+					if id, out := l.refs[ref]; out {
+						delete(l.refs, ref)
+						delete(l.ids, id)
+						delete(p.out, ref)
+						p.end(ref, core.WriteBroke, answer{})
+					}
+				}
+			}
+			p.drop(l, core.ReadBroke, err)
+			continue
+		}
+		l.frames = l.frames[:0]
+		if l.wbuf = l.wbuf[:0]; cap(l.wbuf) > buffers.Size {
+			l.wbuf = nil
+		}
+	}
+}
+
+// drop ends a connection and all that is out on it.
+func (p *peer) drop(l *link, how core.End, err error) {
+	for i, x := range p.links {
+		if x != l {
+			continue
+		}
+		p.links = append(p.links[:i], p.links[i+1:]...)
+		p.f.conns.Add(-1)
+		if l.conn != nil {
+			l.conn.Close()
+		}
+		if len(l.refs) > 0 {
+			p.f.Stats.Broken.Add(1)
+			p.log.Debug().Str("end", how.String()).Int("out", len(l.refs)).AnErr("cause", err).Msg("connection ended")
+		}
+		for ref := range l.refs {
+			delete(p.out, ref)
+			p.end(ref, how, answer{})
+		}
+		l.refs, l.ids, l.up = nil, nil, false
+		return
+	}
+}
+
+// sweep closes connections that nothing is out on: before the node's idle time is up, with a margin so that
+// no frame crosses its close, and at once where the node has moved or is gone.
+func (p *peer) sweep() {
+	idle := p.f.reach.Idle - max(p.f.reach.Idle/10, 2*sweepEvery)
+	for i := len(p.links) - 1; i >= 0; i-- {
+		l := p.links[i]
+		if l.up && len(l.refs) == 0 && len(l.wbuf) == 0 &&
+			(p.gone || l.dial != p.dial || time.Since(l.lastUse) >= idle) {
+			p.drop(l, core.TakenBack, nil)
+		}
+	}
+}
+
+// read passes on what comes from the node until the connection ends. It alone reads; it owns nothing else.
+func (p *peer) read(l *link) {
+	r := bufio.NewReaderSize(l.conn, 4<<10)
+	for {
+		buf := buffers.Get()
+		letter, rest, err := readFrame(r, buf)
+		var a answer
+		if err == nil && letter == answerLetter {
+			a, err = readAnswer(rest)
+		}
+		words := ""
+		if err == nil && letter == refuseLetter {
+			words = string(rest[:min(len(rest), 200)])
+		}
+		buffers.Put(buf)
+		switch {
+		case errors.Is(err, errFrame):
+			p.f.Stats.Malformed.Add(1)
+			p.log.Warn().Err(err).Msg("closing a connection")
+			p.post(broke{l, core.BadFrame, err})
+			return
+		case errors.Is(err, io.EOF):
+			p.post(broke{l, core.PeerClosed, err})
+			return
+		case err != nil:
+			p.post(broke{l, core.ReadBroke, err})
+			return
+		case letter == answerLetter:
+			p.post(arrived{l, a})
+		case letter == refuseLetter:
+			p.f.Stats.Malformed.Add(1)
+			p.log.Warn().Str("words", words).Msg("the node could not use a frame")
+			p.post(broke{l, core.NotUsable, syscall.EPROTO})
+			return
+		default: // nothing else was asked for
+			p.f.Stats.Malformed.Add(1)
+			p.log.Warn().Str("letter", string(rune(letter))).Msg("closing a connection: unknown frame")
+			p.post(broke{l, core.BadFrame, errFrame})
+			return
+		}
+	}
+}
