--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -50,7 +50,7 @@
 	mail  chan core.Input
 	stop  chan struct{} // closed: the actor ends
 	ended sync.WaitGroup
-	watch chan struct{} // the module asks for the list
+	again chan struct{} // the module asks for the list
 	front *front.Front
 	fleet *node.Fleet
 	ln    net.Listener
@@ -62,14 +62,14 @@
 // Start brings a broker up: it listens, has told the module its start and its cached list, and follows
 // the list.
 func Start(t *config.Told, log zerolog.Logger) (*Broker, error) {
-	runtime.GOMAXPROCS(max(1, int(t.Cores)))
+	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(t.MemoryMB) << 20 * 3 / 4)
 	ln, err := net.Listen("tcp", t.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	b := &Broker{clock: NewClock(), turn: t.Site.Turn, mail: make(chan core.Input, mailboxSize),
-		stop: make(chan struct{}), watch: make(chan struct{}, 1), ln: ln, log: log, fatal: make(chan error, 1)}
+		stop: make(chan struct{}), again: make(chan struct{}, 1), ln: ln, log: log, fatal: make(chan error, 1)}
 	nodeConns := t.Sockets / 4
 	b.fleet = node.NewFleet(node.Reach{PerConn: t.Site.PerConn, MaxConns: nodeConns,
 		ConnectTimeout: ms(t.Site.ConnectTimeout), Idle: ms(t.Site.ConnIdle)}, b.clock.Now,
@@ -79,7 +79,7 @@
 	odd := func(host, why string) { log.Warn().Str("node", host).Msg(why) }
 	known := t.Known.Nodes(odd)
 	b.core = core.New(t.Site, t.Flat, t.Seed, known)
-	w := &discovery.Watch{Addr: t.Discovery, Seq: t.Known.Seq, Tell: func(l core.List) { b.put(l) }, Log: log}
+	w := &discovery.Watch{Addr: t.Discovery, Seq: t.Known.Seq, Tell: func(l core.List) { b.put(l) }, Log: log, Again: b.again}
 	b.ended.Go(b.run)
 	go w.Run(b.stop)
 	go func() {
@@ -145,9 +145,9 @@
 			}
 		}
 		last = b.clock.Now()
-		b.carryOut(b.core.Step(last, batch))
+		out := b.core.Step(last, batch)
 		clear(batch)
-		batch = batch[:0]
+		batch = b.carryOut(out, batch[:0])
 		if first {
 			first = false
 			b.front.Ready()
@@ -155,14 +155,15 @@
 	}
 }
 
-func (b *Broker) carryOut(out []core.Output) {
+// carryOut does what the core wants done. What could not be done at all goes into the next batch.
+func (b *Broker) carryOut(out []core.Output, batch []core.Input) []core.Input {
 	for _, o := range out {
 		switch v := o.(type) {
 		case core.Call:
 			if !b.fleet.Call(v) {
 				now := b.clock.Now()
 				for _, p := range v.Parts {
-					b.core.Refused(core.Ended{Ref: p.Ref, How: core.NoRoom, At: now})
+					batch = append(batch, core.Ended{Ref: p.Ref, How: core.NoRoom, At: now})
 				}
 			}
 		case core.GiveUp:
@@ -172,6 +173,10 @@
 		case core.Move:
 			b.fleet.Move(v)
 		case core.Watch:
+			select {
+			case b.again <- struct{}{}:
+			default:
+			}
 		case core.Log:
 			if v.Fatal {
 				select {
@@ -182,6 +187,7 @@
 			b.log.Info().Msg(v.Text)
 		}
 	}
+	return batch
 }
 
 // Fatal brings the error that ends the broker.
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,93 @@
+package config
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func startFile(t *testing.T) []byte {
+	text, err := os.ReadFile("testdata/start.json")
+	require.NoError(t, err)
+	return text
+}
+
+func TestParse(t *testing.T) {
+	env := map[string]string{"GW_NAME": "b9", "GW_LISTEN": "127.0.0.1:77"}
+	told, err := Parse(startFile(t), func(k string) string { return env[k] })
+	require.NoError(t, err)
+	assert.Equal(t, "b9", told.Name, "a variable holds over the file")
+	assert.Equal(t, "127.0.0.1:77", told.Listen)
+	assert.Equal(t, "127.0.0.1:1", told.Discovery)
+	assert.Equal(t, uint64(0x8c1f30d27a5be964), told.Seed)
+	assert.Equal(t, [2]int{192, 1024}, [2]int{told.MemoryMB, told.Sockets})
+	assert.EqualValues(t, 41, told.Known.Seq)
+	assert.Len(t, told.Known.Hosts, 2)
+	s := told.Site
+	assert.Equal(t, [5]int{6, 4, 32, 3, 20}, [5]int{s.Shards, s.Batch, s.PerConn, s.Dispatches, s.OpenCap})
+	assert.Equal(t, [3]float64{5, 30000, 250}, [3]float64{s.Turn, s.ConnIdle, s.ConnectTimeout})
+	assert.Equal(t, map[string]int{"west": 0, "east": 1}, s.Zones)
+	assert.Equal(t, map[string]int{"report": 0, "board": 1, "fix": 2}, s.TypeIndex)
+	assert.Equal(t, [3]any{2, true, 2500.0}, [3]any{s.Types[0].Fetch, s.Types[2].Keyed, s.Types[2].RepeatWindow})
+	assert.Equal(t, 1500.0, told.Flat["tableType.1.target"])
+}
+
+// Each fault is told with the key at fault, before anything is opened.
+func TestFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		path  []string // of the key to change
+		value any      // nil: taken out
+		want  string   // "": no fault
+	}{
+		"no name":              {[]string{"name"}, nil, "name"},
+		"a name of wrong type": {[]string{"name"}, 7, "name"},
+		"no listen":            {[]string{"listen"}, nil, "listen"},
+		"listen without port":  {[]string{"listen"}, "127.0.0.1", "listen"},
+		"no discovery":         {[]string{"discovery"}, "", "discovery"},
+		"no seed":              {[]string{"seed"}, nil, "seed"},
+		"seed no hex":          {[]string{"seed"}, "xyz", "seed"},
+		"seed too long":        {[]string{"seed"}, "8c1f30d27a5be9641", "seed"},
+		"memory no number":     {[]string{"limits", "memory_mb"}, "much", "limits.memory_mb"},
+		"memory too little":    {[]string{"limits", "memory_mb"}, 1, "limits.memory_mb"},
+		"sockets below zero":   {[]string{"limits", "sockets"}, -1, "limits.sockets"},
+		"no cores":             {[]string{"limits", "cores"}, 0, "limits.cores"},
+		"limits of wrong type": {[]string{"limits"}, []int{1}, "limits"},
+		"no limits":            {[]string{"limits"}, nil, ""},
+		"no known list":        {[]string{"known"}, nil, ""},
+		"known of wrong type":  {[]string{"known", "hosts"}, 4, "known"},
+		"no settings":          {[]string{"settings"}, nil, "settings"},
+		"settings no object":   {[]string{"settings"}, "x", "settings"},
+		"no table types":       {[]string{"settings", "classes"}, nil, "tableType.count"},
+		"no shards":            {[]string{"settings", "familyInfo", "slices"}, 0, "layout.shards"},
+		"turn of wrong type":   {[]string{"settings", "granularity"}, "5", "turn"},
+		"unknown keys":         {[]string{"settings", "unheardOf"}, map[string]any{"a": []any{nil}}, ""},
+	} {
+		var tree map[string]any
+		require.NoError(t, json.Unmarshal(startFile(t), &tree))
+		at := tree
+		for _, key := range c.path[:len(c.path)-1] {
+			at = at[key].(map[string]any)
+		}
+		last := c.path[len(c.path)-1]
+		if at[last] = c.value; c.value == nil {
+			delete(at, last)
+		}
+		text, err := json.Marshal(tree)
+		require.NoError(t, err)
+		_, err = Parse(text, func(string) string { return "" })
+		if c.want == "" {
+			assert.NoError(t, err, name)
+		} else {
+			assert.ErrorContains(t, err, c.want, name)
+		}
+	}
+	_, err := Parse([]byte("[1"), func(string) string { return "" })
+	assert.ErrorContains(t, err, "no JSON object")
+	_, err = Read(func(string) string { return "" })
+	assert.ErrorContains(t, err, "GW_CONFIG")
+	_, err = Read(func(string) string { return "testdata/none.json" })
+	assert.ErrorContains(t, err, "GW_CONFIG")
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,6 +5,7 @@
 package core
 
 import (
+	"cmp"
 	"container/heap"
 	"hash/fnv"
 	"math"
@@ -44,6 +45,7 @@
 	value       string
 	score       float64
 	tries       int
+	ranAt       float64 // when the first dispatch that may have run was sent; 0: none
 	outstanding []*dispatch
 }
 
@@ -133,6 +135,9 @@
 // Open says how many scans wait for their answer.
 func (c *Core) Open() int { return len(c.scans) }
 
+// Number is the number of a node, by its name; 0 for one that no list has named.
+func (c *Core) Number(host string) int64 { return c.nodes[host] }
+
 // Step takes what came in by now, together with what is due, through the module once.
 func (c *Core) Step(now float64, in []Input) []Output {
 	c.now = max(now, c.now)
@@ -282,6 +287,9 @@
 	if e.How == Answered && !p.in {
 		p.in, p.value, p.score = true, e.Value, e.Score
 	}
+	if o := e.How.Outcome(); p.ranAt == 0 && o != logic.Saturated && o != logic.ConnRefused && o != logic.Superseded {
+		p.ranAt = d.at
+	}
 	open := c.parts[p.id] == p
 	c.events = append(c.events, logic.Event{Kind: logic.DispatchEnded, ID: p.id, Dispatch: d.n, Node: d.node,
 		Outcome: e.How.Outcome(), Elapsed: max(0, e.At-d.at), Closed: p.in || !open, Load: e.Load})
@@ -351,7 +359,7 @@
 	cp := CallPart{Ref: d.ref, ID: s.ID + "." + strconv.Itoa(p.shard), Shard: p.shard,
 		WaitMs: int(math.Ceil(d.overAt - c.now)), Text: s.Text}
 	if c.site.Types[s.TableType].Keyed {
-		cp.Key = s.Key
+		cp.Key, cp.NotAfter = s.Key, c.notAfter(p)
 	}
 	if s.step == 2 {
 		cp.ID, cp.From, cp.Whole = cp.ID+".get", s.from, s.firstFull
@@ -367,6 +375,16 @@
 	c.do(Call{Host: at.host, Dial: at.dial, Parts: []CallPart{cp}})
 }
 
+// notAfter is the latest moment at which a further dispatch of a keyed part may be written: while repeats are
+// dropped, counted from the first dispatch that may have run. The module keeps to it when it decides; a
+// connection that has to come up first would carry the frame past it. 0: there is no such moment.
+func (c *Core) notAfter(p *part) float64 {
+	if p.ranAt == 0 {
+		return 0
+	}
+	return p.ranAt + c.site.Types[p.scan.TableType].RepeatWindow
+}
+
 // takeBack ends an open dispatch that nobody waits for any more and tells the node.
 func (c *Core) takeBack(d *dispatch) {
 	c.do(GiveUp{Host: d.host, Ref: d.ref})
@@ -482,7 +500,7 @@
 		named[num] = true
 		at, gone := c.hosts[num], n.Readiness == logic.Gone
 		if at.dial != n.Dial && n.Dial != "" || at.gone != gone {
-			at.dial, at.gone = n.Dial, gone
+			at.dial, at.gone = cmp.Or(n.Dial, at.dial), gone
 			c.do(Move{Host: at.host, Dial: at.dial, Gone: gone})
 		}
 		e.Entries = append(e.Entries, logic.Entry{Node: num, Zone: c.index(c.site.Zones, n.Zone),
@@ -509,7 +527,3 @@
 }
 
 func (c *Core) do(o Output) { c.out = append(c.out, o) }
-
-// Refused takes the end of a dispatch that the sockets had no room for while they carried out a Step; the
-// module hears of it in the next.
-func (c *Core) Refused(e Ended) { c.ended(e) }
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,288 @@
+package core_test
+
+import (
+	"math"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gullstair/internal/config"
+	"gullstair/internal/core"
+	"gullstair/logic"
+)
+
+// Table types of the start file: 0 has a second step of two parts, 1 one step, 2 is keyed.
+
+// rig drives a core at a clock of its own.
+type rig struct {
+	t   *testing.T
+	c   *core.Core
+	now float64
+	all []core.Output
+}
+
+func play(t *testing.T) *rig {
+	text, err := os.ReadFile("../config/testdata/start.json")
+	require.NoError(t, err)
+	told, err := config.Parse(text, func(string) string { return "" })
+	require.NoError(t, err)
+	known := told.Known.Nodes(func(host, why string) { t.Errorf("%s: %s", host, why) })
+	r := &rig{t: t, c: core.New(told.Site, told.Flat, told.Seed, known), now: 1e12}
+	r.step(0)
+	return r
+}
+
+// step lets wait pass and goes on as long as the core wants to, as its actor would.
+func (r *rig) step(wait float64, in ...core.Input) (out []core.Output) {
+	r.now += wait
+	out = r.c.Step(r.now, in)
+	for r.c.Due() <= r.now {
+		r.now += 5
+		out = append(out, r.c.Step(r.now, nil)...)
+	}
+	r.all = append(r.all, out...)
+	return out
+}
+
+// until goes from one due moment to the next, up to an end.
+func (r *rig) until(end float64) (out []core.Output) {
+	for at := r.c.Due(); at <= end; at = r.c.Due() {
+		out = append(out, r.step(max(0, at-r.now))...)
+	}
+	r.now = end
+	return out
+}
+
+func (r *rig) scan(typ int, left float64, shards ...int) *core.Scan {
+	s := &core.Scan{ID: "q1", Key: "k1", Text: "text", TableType: typ, TimeLeft: left, At: r.now}
+	for _, shard := range shards {
+		s.Parts = append(s.Parts, core.ScanPart{Shard: shard, Weight: 1 / float64(len(shards)), Work: 50})
+	}
+	return s
+}
+
+func pick[T any](out []core.Output) (some []T) {
+	for _, o := range out {
+		if v, ok := o.(T); ok {
+			some = append(some, v)
+		}
+	}
+	return some
+}
+
+func parts(out []core.Output) (all []core.CallPart) {
+	for _, c := range pick[core.Call](out) {
+		all = append(all, c.Parts...)
+	}
+	return all
+}
+
+func (r *rig) ok(p core.CallPart, score float64) core.Ended {
+	return core.Ended{Ref: p.Ref, How: core.Answered, At: r.now, Score: score, Value: "v" + p.ID}
+}
+
+func TestOneStep(t *testing.T) {
+	r := play(t)
+	out := r.step(10, r.scan(1, 3000, 0, 2, 1))
+	calls := pick[core.Call](out)
+	require.Len(t, calls, 2, "shards 0 and 2 stand on one node: one call, one frame")
+	sent := parts(out)
+	require.Len(t, sent, 3)
+	assert.Equal(t, "q1.0", sent[0].ID)
+	assert.Empty(t, sent[0].Key, "a key goes with keyed table types alone")
+	assert.InDelta(t, 2980, sent[0].WaitMs, 1, "ten of its milliseconds passed in the front, ten the module keeps")
+	assert.Empty(t, pick[core.Reply](r.step(50, r.ok(sent[0], 0), r.ok(sent[1], 0))))
+	replies := pick[core.Reply](r.step(50, r.ok(sent[2], 0), r.ok(sent[2], 0)))
+	require.Len(t, replies, 1)
+	assert.True(t, replies[0].Whole)
+	assert.ElementsMatch(t, []core.Hit{{Shard: 0, Value: "vq1.0"}, {Shard: 1, Value: "vq1.1"}, {Shard: 2, Value: "vq1.2"}},
+		replies[0].Hits)
+	assert.Equal(t, 1, r.c.Counts.Late, "a second answer to one dispatch is dropped")
+	assert.Zero(t, r.c.Open())
+	assert.Empty(t, r.until(r.now+10000), "nothing is left to do for it")
+}
+
+func TestSecondStep(t *testing.T) {
+	r := play(t)
+	sent := parts(r.step(10, r.scan(0, 5000, 3, 4, 0, 1)))
+	require.Len(t, sent, 4)
+	score := map[int]float64{0: 7, 1: 9, 3: 7, 4: 2}
+	var in []core.Input
+	for _, p := range sent {
+		in = append(in, r.ok(p, score[p.Shard]))
+	}
+	out := r.step(50, in...)
+	assert.Empty(t, pick[core.Reply](out), "the first answer of two goes to nobody")
+	second := parts(out)
+	require.Len(t, second, 2)
+	got := map[string]string{}
+	for _, p := range second {
+		got[p.ID] = p.From
+		assert.True(t, p.Whole)
+	}
+	assert.Equal(t, map[string]string{"q1.1.get": "0+1+3+4", "q1.0.get": "0+1+3+4"}, got,
+		"the best scores, the lower shard where they are alike")
+	replies := pick[core.Reply](r.step(50, r.ok(second[0], 0), r.ok(second[1], 0)))
+	require.Len(t, replies, 1)
+	assert.Len(t, replies[0].Hits, 2)
+	assert.True(t, replies[0].Whole)
+}
+
+// Each way in which a dispatch can end goes to the module as its outcome: what never ran or may run again is
+// asked again, and whatever comes afterwards for it is dropped.
+func TestEnds(t *testing.T) {
+	for how := core.AnsweredError; how <= core.NeverSent; how++ {
+		r := play(t)
+		sent := parts(r.step(10, r.scan(1, 3000, 0)))
+		require.Len(t, sent, 1, how)
+		r.step(20, core.Ended{Ref: sent[0].Ref, How: how, At: r.now})
+		r.step(0, r.ok(sent[0], 0), core.Ended{Ref: 1 << 40, How: core.Answered})
+		assert.Equal(t, 2, r.c.Counts.Late, how)
+		assert.Equal(t, 1, r.c.Counts.Ends[how], how)
+		again := parts(r.until(r.now + 1000))
+		require.NotEmpty(t, again, how)
+		assert.NotEqual(t, sent[0].Ref, again[0].Ref, "no number is used twice")
+		assert.NotContains(t, how.String(), "unknown")
+	}
+}
+
+func TestOneAnswer(t *testing.T) {
+	type step func(r *rig, s *core.Scan, sent []core.CallPart) []core.Output
+	left := func(r *rig, s *core.Scan, _ []core.CallPart) []core.Output { return r.step(0, core.Left{Scan: s}) }
+	answers := func(r *rig, _ *core.Scan, sent []core.CallPart) []core.Output {
+		return r.step(0, r.ok(sent[0], 0), r.ok(sent[1], 0))
+	}
+	timeUp := func(r *rig, _ *core.Scan, _ []core.CallPart) []core.Output { return r.until(r.now + 20000) }
+	for name, c := range map[string]struct {
+		steps   []step
+		replies int
+	}{
+		"answered, then the client leaves":     {[]step{answers, left, timeUp}, 1},
+		"the client leaves, then answers come": {[]step{left, answers, timeUp}, 0},
+		"time is up, then answers come":        {[]step{timeUp, answers, left}, 1},
+		"the client leaves twice":              {[]step{left, left, timeUp}, 0},
+		"answers and a leaving client in one go": {[]step{func(r *rig, s *core.Scan, sent []core.CallPart) []core.Output {
+			return r.step(0, r.ok(sent[0], 0), core.Left{Scan: s}, r.ok(sent[1], 0))
+		}, timeUp}, 0},
+	} {
+		r := play(t)
+		s := r.scan(1, 3000, 0, 1)
+		sent := parts(r.step(10, s))
+		require.Len(t, sent, 2, name)
+		for _, do := range c.steps {
+			do(r, s, sent)
+		}
+		assert.Len(t, pick[core.Reply](r.all), c.replies, name)
+		assert.Zero(t, r.c.Open(), name)
+		gone := map[int64]bool{}
+		for _, g := range pick[core.GiveUp](r.all) {
+			assert.False(t, gone[g.Ref], "%s: given up once", name)
+			gone[g.Ref] = true
+		}
+		ends := 0
+		for _, n := range r.c.Counts.Ends {
+			ends += n
+		}
+		assert.Equal(t, len(parts(r.all)), ends, "%s: each dispatch ends once", name)
+	}
+}
+
+// A scan ends within its client's time however silent its nodes are, and the nodes are told.
+func TestClientsTime(t *testing.T) {
+	r := play(t)
+	s := r.scan(1, 800, 0)
+	s.At = r.now - 300 // it has waited in the front
+	begun := r.now
+	sent := parts(r.step(0, s))
+	require.Len(t, sent, 1)
+	assert.LessOrEqual(t, sent[0].WaitMs, 500)
+	for at := r.c.Due(); !math.IsInf(at, 1) && len(pick[core.Reply](r.all)) == 0; at = r.c.Due() {
+		r.step(max(0, at-r.now))
+	}
+	replies := pick[core.Reply](r.all)
+	require.Len(t, replies, 1)
+	assert.NotEqual(t, logic.Answer, replies[0].Kind)
+	assert.LessOrEqual(t, r.now, begun+500)
+	assert.Len(t, pick[core.GiveUp](r.all), len(parts(r.all)))
+	assert.Equal(t, logic.Abandon, pick[core.Reply](r.step(0, &core.Scan{ID: "q2", TableType: 1, TimeLeft: 10, At: r.now - 20,
+		Parts: []core.ScanPart{{Shard: 0, Weight: 1}}}))[0].Kind, "a scan that comes out of time")
+}
+
+func TestOpenCap(t *testing.T) {
+	r := play(t) // 20 scans and parts
+	for i := range 7 {
+		out := r.step(0, r.scan(1, 3000, 0, 1))
+		assert.Len(t, pick[core.Reply](out), i/6, "scan %d", i)
+	}
+	full := pick[core.Reply](r.all)[0]
+	assert.Equal(t, logic.Throttle, full.Kind)
+	assert.Equal(t, 1, r.c.Counts.Full)
+	r.until(r.now + 20000)
+	assert.Len(t, pick[core.Reply](r.all), 7)
+	assert.Empty(t, pick[core.Reply](r.step(0, r.scan(1, 3000, 0, 1))), "room again")
+}
+
+// A keyed part goes out with its key, and a further dispatch of it must be written while repeats are dropped:
+// connecting takes time that the module, which decides at the start of it, does not see.
+func TestKeyed(t *testing.T) {
+	r := play(t)
+	begun := r.now
+	sent := parts(r.step(0, r.scan(2, 4000, 0)))
+	require.Len(t, sent, 1)
+	assert.Equal(t, "k1", sent[0].Key)
+	assert.Zero(t, sent[0].NotAfter, "the first may go whenever a connection is up")
+	r.step(30, core.Ended{Ref: sent[0].Ref, How: core.ReadBroke, At: r.now})
+	again := parts(r.until(r.now + 500))
+	require.NotEmpty(t, again)
+	assert.InDelta(t, begun+2500, again[0].NotAfter, 1)
+	for _, p := range parts(r.until(begun + 2600)) {
+		assert.InDelta(t, begun+2500, p.NotAfter, 1)
+	}
+	for _, p := range parts(r.all) {
+		r.step(0, core.Ended{Ref: p.Ref, How: core.DialRefused, At: r.now})
+	}
+	assert.Empty(t, parts(r.until(begun+5000)), "and not again after that time")
+}
+
+func TestLists(t *testing.T) {
+	node := func(host, dial string, ready logic.Readiness) core.Node {
+		return core.Node{Host: host, Dial: dial, Zone: "west", Kind: "std", Readiness: ready, Units: 1}
+	}
+	for name, c := range map[string]struct {
+		list core.List
+		want []core.Move
+	}{
+		"nothing new": {core.List{Kind: logic.ListChanges, Nodes: []core.Node{node("s-a", "127.0.0.1:2", logic.Ready)}}, nil},
+		"moved": {core.List{Kind: logic.ListChanges, Nodes: []core.Node{node("s-a", "127.0.0.1:9", logic.Ready)}},
+			[]core.Move{{Host: "s-a", Dial: "127.0.0.1:9"}}},
+		"gone": {core.List{Kind: logic.ListChanges, Nodes: []core.Node{node("s-a", "", logic.Gone)}},
+			[]core.Move{{Host: "s-a", Dial: "127.0.0.1:2", Gone: true}}},
+		"left out of a whole list": {core.List{Kind: logic.ListWhole, Nodes: []core.Node{node("s-a", "127.0.0.1:2", logic.Ready)}},
+			[]core.Move{{Host: "s-b", Dial: "127.0.0.1:3", Gone: true}}},
+		"failed":       {core.List{Kind: logic.ListFailed}, nil},
+		"empty, whole": {core.List{Kind: logic.ListWhole}, []core.Move{{Host: "s-a", Dial: "127.0.0.1:2", Gone: true}, {Host: "s-b", Dial: "127.0.0.1:3", Gone: true}}},
+	} {
+		r := play(t)
+		assert.ElementsMatch(t, c.want, pick[core.Move](r.step(0, c.list)), name)
+	}
+	r := play(t)
+	odd := core.Node{Host: "s-c", Dial: "127.0.0.1:4", Zone: "moon", Kind: "odd", Cell: 99, Readiness: logic.Ready}
+	assert.Len(t, pick[core.Log](r.step(0, core.List{Kind: logic.ListChanges, Nodes: []core.Node{odd}})), 2, "odd zones are told")
+	assert.Empty(t, pick[core.Call](r.step(0, core.List{Kind: logic.ListChanges, Nodes: []core.Node{
+		node("s-a", "127.0.0.1:2", logic.Draining), node("s-a", "127.0.0.1:2", logic.Draining)}}, r.scan(1, 3000, 0))),
+		"nothing new to a node that drains")
+}
+
+// Nodes have the same number at every broker, or their turns at cold nodes would fall together.
+func TestSameNumbers(t *testing.T) {
+	a, b := play(t), play(t)
+	list := core.List{Kind: logic.ListChanges, Nodes: []core.Node{{Host: "s-x", Dial: "127.0.0.1:7", Zone: "west",
+		Kind: "std", Readiness: logic.Ready, Units: 1, Born: 1e12 - 1}}}
+	a.step(0, list)
+	b.step(0, core.List{Kind: logic.ListWhole, Nodes: []core.Node{{Host: "s-y", Dial: "127.0.0.1:8", Zone: "west",
+		Kind: "std", Readiness: logic.Ready, Units: 1}}}, list)
+	assert.Equal(t, a.c.Number("s-x"), b.c.Number("s-x"))
+	assert.NotZero(t, a.c.Number("s-x"))
+}
--- a/internal/core/ends.go
+++ b/internal/core/ends.go
@@ -14,6 +14,7 @@
 	DialRefused                  // connecting was refused or reset
 	DialTimedOut                 // the connection did not come up in time
 	NoRoom                       // the peer's mailbox or its connections are full
+	TooLate                      // it waited so long for a connection that it may not be written any more
 	WriteBroke                   // the connection broke before the frame's last byte was written
 	PeerClosed                   // the node closed the connection while the dispatch was out
 	ReadBroke                    // the connection broke while it was out
@@ -35,6 +36,7 @@
 	DialRefused:   {"connection refused", logic.ConnRefused},
 	DialTimedOut:  {"connection timed out", logic.ConnRefused},
 	NoRoom:        {"no room", logic.ConnRefused},
+	TooLate:       {"too late to be written", logic.Superseded},
 	WriteBroke:    {"broke before it was written", logic.ConnRefused},
 	PeerClosed:    {"connection closed", logic.Severed},
 	ReadBroke:     {"connection broke", logic.Severed},
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -66,7 +66,8 @@
 	Ref           int64 // of the dispatch; never used again
 	ID            string
 	Shard, WaitMs int
-	Key, From     string // From: the shards that were in, for a second step
+	Key, From     string  // From: the shards that were in, for a second step
+	NotAfter      float64 // clock time past which it must not be written; 0: there is none
 	Whole         bool
 	Text          string
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -27,6 +28,8 @@
 	answerMost = 4 << 20
 )
 
+var errNothing = errors.New("discovery closed the connection")
+
 // Listing is a list as discovery words it.
 type Listing struct {
 	Seq   int64       `json:"seq"`
@@ -74,14 +77,17 @@
 
 // Watch is the actor. It starts from Seq; Tell gets what the agent says, in its order, and may wait.
 type Watch struct {
-	Addr string
-	Seq  int64
-	Tell func(core.List)
-	Log  zerolog.Logger
-
-	conn net.Conn
-	in   *bufio.Reader
-	stop chan struct{}
+	Addr  string
+	Seq   int64
+	Tell  func(core.List)
+	Log   zerolog.Logger
+	Again chan struct{} // the module asks for the list: a wait after a failure ends
+
+	conn  net.Conn
+	in    *bufio.Reader
+	used  bool // the connection has brought an answer before
+	whole bool // the next call asks for the whole list
+	stop  chan struct{}
 }
 
 // Run follows the list until stop closes.
@@ -103,22 +109,31 @@
 			}
 		}
 		asked = false
+		reused := w.used
 		l, err := w.answer()
+		if err != nil && reused && errors.Is(err, errNothing) {
+			w.hangUp() // the agent closed it between two calls: the call goes out again at once
+			continue
+		}
 		if err != nil {
 			wait = w.failed(err, wait)
 			continue
 		}
 		wait = retryFirst
 		// The next call leaves first: a watch goes on only if it comes at once.
-		if l.Whole || l.Seq > w.Seq {
+		back := !l.Whole && l.Seq < w.Seq
+		if !back {
 			w.Seq = l.Seq
 		}
+		w.whole = back
 		if err := w.ask(); err == nil {
 			asked = true
 		} else {
 			w.hangUp()
 		}
-		if l.Whole || len(l.Hosts) > 0 {
+		if back { // changes to a list that this is not: they say nothing
+			w.Log.Warn().Int64("seq", l.Seq).Int64("had", w.Seq).Msg("the list's version went backwards")
+		} else if l.Whole || len(l.Hosts) > 0 {
 			kind := logic.ListChanges
 			if l.Whole {
 				kind = logic.ListWhole
@@ -136,6 +151,7 @@
 	w.Tell(core.List{Kind: logic.ListFailed})
 	select {
 	case <-w.stop:
+	case <-w.Again:
 	case <-time.After(wait):
 	}
 	return min(2*wait, retryMost)
@@ -144,7 +160,7 @@
 func (w *Watch) hangUp() {
 	if w.conn != nil {
 		w.conn.Close()
-		w.conn, w.in = nil, nil
+		w.conn, w.in, w.used = nil, nil, false
 	}
 }
 
@@ -158,8 +174,11 @@
 		w.conn, w.in = conn, bufio.NewReaderSize(conn, 4<<10)
 	}
 	w.conn.SetDeadline(time.Now().Add(watchFor + grace))
-	_, err := fmt.Fprintf(w.conn, "GET /v1/servers?since=%d&timeout_ms=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
-		w.Seq, watchFor.Milliseconds(), w.Addr)
+	query := fmt.Sprintf("?since=%d&timeout_ms=%d", w.Seq, watchFor.Milliseconds())
+	if w.whole {
+		query = ""
+	}
+	_, err := fmt.Fprintf(w.conn, "GET /v1/servers%s HTTP/1.1\r\nHost: %s\r\n\r\n", query, w.Addr)
 	if err != nil {
 		return fmt.Errorf("asking discovery: %w", err)
 	}
@@ -167,6 +186,9 @@
 }
 
 func (w *Watch) answer() (l Listing, err error) {
+	if _, err := w.in.Peek(1); errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		return l, errNothing
+	}
 	res, err := http.ReadResponse(w.in, nil)
 	if err != nil {
 		return l, fmt.Errorf("reading discovery's answer: %w", err)
@@ -193,7 +215,7 @@
 	if err := json.Unmarshal(text, &l); err != nil {
 		return l, fmt.Errorf("discovery's answer is no list: %w", err)
 	}
-	if res.Close {
+	if w.used = true; res.Close {
 		w.hangUp()
 	}
 	return l, nil
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,144 @@
+package discovery
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gullstair/internal/core"
+	"gullstair/logic"
+)
+
+const patience = 5 * time.Second
+
+// agent is discovery as a test plays it: each reply goes out for one call.
+type agent struct {
+	t     *testing.T
+	ln    net.Listener
+	asked chan string
+	reply chan string // "" closes the connection
+	told  chan core.List
+}
+
+func watch(t *testing.T, seq int64) *agent {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	a := &agent{t, ln, make(chan string, 100), make(chan string, 100), make(chan core.List, 100)}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			a.serve(conn)
+		}
+	}()
+	w := &Watch{Addr: ln.Addr().String(), Seq: seq, Tell: func(l core.List) { a.told <- l }, Log: zerolog.Nop(),
+		Again: make(chan struct{}, 1)}
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		w.Run(stop)
+		close(ended)
+	}()
+	t.Cleanup(func() {
+		close(stop)
+		close(a.reply)
+		ln.Close()
+		select {
+		case <-ended:
+		case <-time.After(patience):
+			t.Error("the watch does not end")
+		}
+	})
+	return a
+}
+
+func (a *agent) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		a.asked <- req.URL.String()
+		text, more := <-a.reply
+		if !more || text == "" {
+			return
+		}
+		fmt.Fprint(conn, strings.TrimPrefix(text, "!"))
+		if text[0] == '!' { // and no more
+			return
+		}
+	}
+}
+
+func body(text string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+}
+
+func next[T any](t *testing.T, ch chan T) (x T) {
+	select {
+	case x = <-ch:
+	case <-time.After(patience):
+		require.Fail(t, "nothing came")
+	}
+	return x
+}
+
+const line = `{"host":"s-1","dial":"127.0.0.1:8000","site":"a","class":"m2","block":3,"health":"%s","share":1.5,"born_ms":7}`
+
+func TestWatch(t *testing.T) {
+	since := func(seq int) string { return fmt.Sprintf("/v1/servers?since=%d&timeout_ms=20000", seq) }
+	a := watch(t, 41)
+	assert.Equal(t, since(41), next(t, a.asked))
+	a.reply <- body(`{"seq":43,"whole":false,"hosts":[` + fmt.Sprintf(line, "DRAINING") + `]}`)
+	assert.Equal(t, core.List{Kind: logic.ListChanges, Nodes: []core.Node{{Host: "s-1", Dial: "127.0.0.1:8000", Zone: "a",
+		Kind: "m2", Cell: 3, Readiness: logic.Draining, Units: 1.5, Born: 7}}}, next(t, a.told))
+	assert.Equal(t, since(43), next(t, a.asked))
+	a.reply <- "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{\"s\r\n" + "1f\r\neq\":44,\"whole\":true,\"hosts\":[]}\r\n0\r\n\r\n"
+	assert.Equal(t, core.List{Kind: logic.ListWhole}, next(t, a.told), "an empty whole list is a list")
+	assert.Equal(t, since(44), next(t, a.asked))
+	a.reply <- body(`{"seq":44,"whole":false,"hosts":[]}`)
+	assert.Equal(t, since(44), next(t, a.asked), "nothing new, nothing told")
+	a.reply <- "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 34\r\n\r\n" + `{"seq":45,"whole":false,"hosts":[]}`[:34]
+	assert.Equal(t, logic.ListFailed, next(t, a.told).Kind, "a body that is no JSON")
+	assert.Equal(t, since(44), next(t, a.asked))
+	a.reply <- body(`{"seq":40,"whole":false,"hosts":[` + fmt.Sprintf(line, "SERVING") + `]}`)
+	assert.Equal(t, "/v1/servers", next(t, a.asked), "a version that goes backwards: the whole list is asked for")
+	a.reply <- body(`{"seq":40,"whole":true,"hosts":[` + fmt.Sprintf(line, "SERVING") + `]}`)
+	assert.Equal(t, logic.ListWhole, next(t, a.told).Kind, "what went backwards was not told")
+	assert.Equal(t, since(40), next(t, a.asked))
+	a.reply <- "" // closed while it waits: asked again at once, nothing has failed yet
+	assert.Equal(t, since(40), next(t, a.asked))
+	a.reply <- ""
+	assert.Equal(t, logic.ListFailed, next(t, a.told).Kind)
+	for name, reply := range map[string]string{
+		"an error":             "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+		"a body cut short":     "!HTTP/1.1 200 OK\r\nContent-Length: 900\r\nConnection: close\r\n\r\n{",
+		"no HTTP":              "hello\r\n\r\n",
+		"a list of wrong type": body(`{"seq":"x"}`),
+	} {
+		assert.Equal(t, since(40), next(t, a.asked), name)
+		a.reply <- reply
+		assert.Equal(t, logic.ListFailed, next(t, a.told).Kind, name)
+	}
+}
+
+func TestOddLines(t *testing.T) {
+	odd := 0
+	l := Listing{Hosts: []wireEntry{{Host: "a", Dial: "127.0.0.1:1", Health: "ILL"}, {Dial: "127.0.0.1:1", Health: "SERVING"},
+		{Host: "b", Dial: "nowhere", Health: "SERVING"}, {Host: "c", Health: "DELETED"}, {Host: "d", Dial: "127.0.0.1:1", Health: "SERVING", Share: -1}}}
+	nodes := l.Nodes(func(_, _ string) { odd++ })
+	assert.Equal(t, []core.Node{{Host: "a", Dial: "127.0.0.1:1", Readiness: logic.Draining}, {Host: "b", Readiness: logic.Ready},
+		{Host: "c", Readiness: logic.Gone}, {Host: "d", Dial: "127.0.0.1:1", Readiness: logic.Ready}}, nodes)
+	assert.Equal(t, 3, odd)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -179,7 +179,9 @@
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
 	_, here := c.f.conns[c]
-	c.idle, c.since = idle, time.Now()
+	if c.idle, c.since = idle, time.Now(); idle {
+		c.f.room.Signal() // one that waits at the limit may have this one's place now
+	}
 	return here
 }
 
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,279 @@
+package front
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gullstair/internal/core"
+	"gullstair/internal/terms"
+	"gullstair/logic"
+)
+
+const patience = 5 * time.Second
+
+// door is a front with a test behind it instead of a core.
+type door struct {
+	t    *testing.T
+	f    *Front
+	addr string
+	took chan *core.Scan
+	left chan *core.Scan
+}
+
+func open(t *testing.T, most int) *door {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := &door{t: t, addr: ln.Addr().String(), took: make(chan *core.Scan, 100), left: make(chan *core.Scan, 100)}
+	d.f = &Front{Most: most, Now: func() float64 { return 1000 }, Log: zerolog.Nop(),
+		Take: func(s *core.Scan) { d.took <- s }, Left: func(s *core.Scan) { d.left <- s },
+		Site: terms.Site{Shards: 12, Types: []terms.TableType{{Name: "board"}, {Name: "fix", Keyed: true}},
+			TypeIndex: map[string]int{"board": 0, "fix": 1}}}
+	d.f.Ready()
+	go d.f.Serve(ln)
+	t.Cleanup(func() { ln.Close() })
+	return d
+}
+
+// customer is one client connection.
+type customer struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (d *door) dial() *customer {
+	conn, err := net.Dial("tcp", d.addr)
+	require.NoError(d.t, err)
+	d.t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	return &customer{d.t, conn, bufio.NewReader(conn)}
+}
+
+func (c *customer) say(text string) *customer {
+	_, err := io.WriteString(c.conn, text)
+	require.NoError(c.t, err)
+	return c
+}
+
+func (c *customer) hear() (int, string, *http.Response) {
+	res, err := http.ReadResponse(c.in, nil)
+	require.NoError(c.t, err)
+	body, err := io.ReadAll(res.Body)
+	require.NoError(c.t, err)
+	return res.StatusCode, string(body), res
+}
+
+func (c *customer) over() bool {
+	_, err := c.in.ReadByte()
+	return err != nil && !isTimeout(err)
+}
+
+func receive(t *testing.T, ch chan *core.Scan) *core.Scan {
+	select {
+	case s := <-ch:
+		return s
+	case <-time.After(patience):
+		require.Fail(t, "nothing came")
+		return nil
+	}
+}
+
+func ask(path, heads, body string) string {
+	if !strings.Contains(heads, "X-Time-Left-Ms") {
+		heads += "X-Time-Left-Ms: 480\r\n"
+	}
+	if !strings.Contains(heads, "X-Correlation-Id") {
+		heads += "X-Correlation-Id: 9b1f\r\n"
+	}
+	if !strings.Contains(heads, "chunked") {
+		heads += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	}
+	return "POST " + path + " HTTP/1.1\r\nHost: origin.svc\r\n" + heads + "\r\n" + body
+}
+
+const good = `{"segments":[{"segment":3,"boost":0.5,"work":9000},{"segment":9,"boost":0.5,"affinity":"00"}],"text":"c41e77d0"}`
+
+func TestScan(t *testing.T) {
+	d := open(t, 10)
+	c := d.dial()
+	chunked := "5\r\n" + good[:5] + "\r\n" + "1\r\n" + good[5:6] + "\r\n" + // one byte at a time is allowed
+		strconv.FormatInt(int64(len(good)-6), 16) + "\r\n" + good[6:] + "\r\n0\r\n\r\n"
+	for name, request := range map[string]string{
+		"counted": ask("/board/x?y", "X-Repeat: 1\r\n", good),
+		"chunked": ask("/board", "X-Repeat: 1\r\nTransfer-Encoding: chunked\r\n", chunked),
+	} {
+		c.say(request)
+		s := receive(t, d.took)
+		assert.Equal(t, "9b1f", s.ID, name)
+		assert.Equal(t, []core.ScanPart{{Shard: 3, Weight: 0.5, Work: 9}, {Shard: 9, Weight: 0.5}}, s.Parts, name)
+		assert.Equal(t, [3]any{480.0, 1000.0, true}, [3]any{s.TimeLeft, s.At, s.Repeat}, name)
+		assert.Equal(t, "c41e77d0", s.Text, name)
+		Reply(core.Reply{Scan: s, Kind: logic.Answer, Whole: true, Hits: []core.Hit{{Shard: 3, Value: "5be2\"\n"}}})
+		status, body, _ := c.hear()
+		assert.Equal(t, 200, status, name)
+		assert.JSONEq(t, `{"all_in":true,"matches":[{"segment":3,"payload":"5be2\"\n"}]}`, body, name)
+	}
+	c.say(ask("/fix", "Idempotency-Key: k1\r\n", good))
+	s := receive(t, d.took)
+	assert.Equal(t, "k1", s.Key)
+	Reply(core.Reply{Scan: s, Kind: logic.Throttle, RetryAfter: 250})
+	status, _, res := c.hear()
+	assert.Equal(t, [2]any{429, "0.250"}, [2]any{status, res.Header.Get("Retry-After")})
+	c.say(ask("/board", "", good) + ask("/board", "X-Correlation-Id: two\r\n", good)) // nothing is raced away
+	Reply(core.Reply{Scan: receive(t, d.took), Kind: logic.Abandon})
+	status, _, _ = c.hear()
+	assert.Equal(t, 504, status)
+	s = receive(t, d.took)
+	assert.Equal(t, "two", s.ID)
+	Reply(core.Reply{Scan: s, Kind: logic.Answer})
+	_, body, _ := c.hear()
+	assert.JSONEq(t, `{"all_in":false,"matches":[]}`, body)
+	c.say("GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	status, _, _ = c.hear()
+	assert.Equal(t, 200, status)
+	assert.True(t, c.over())
+}
+
+// What is no scan never gets past the front; the connection goes on where the next request's start is known.
+func TestBadRequests(t *testing.T) {
+	d := open(t, 10)
+	seg := func(s string) string { return ask("/board", "", `{"segments":[`+s+`],"text":"t"}`) }
+	for request, want := range map[string]struct {
+		status int
+		goesOn bool
+	}{
+		ask("/nothing", "", good):                                                 {404, true},
+		ask("/", "", good):                                                        {404, true},
+		"GET /board HTTP/1.1\r\nHost: x\r\n\r\n":                                  {405, true},
+		"POST /healthz HTTP/1.1\r\nHost: x\r\n\r\n":                               {405, true},
+		ask("/board", "X-Time-Left-Ms: soon\r\n", good):                           {400, true},
+		ask("/board", "X-Time-Left-Ms: \r\n", good):                               {400, true},
+		ask("/board", "X-Time-Left-Ms: 0\r\n", good):                              {400, true},
+		ask("/board", "X-Time-Left-Ms: -5\r\n", good):                             {400, true},
+		ask("/board", "X-Time-Left-Ms: NaN\r\n", good):                            {400, true},
+		ask("/board", "X-Correlation-Id: \r\n", good):                             {400, true},
+		ask("/board", "X-Correlation-Id: a b\r\n", good):                          {400, true},
+		ask("/board", "X-Correlation-Id: a,b\r\n", good):                          {400, true},
+		ask("/board", "X-Correlation-Id: "+strings.Repeat("a", 201)+"\r\n", good): {400, true},
+		ask("/fix", "", good):                                                     {400, true},
+		ask("/fix", "Idempotency-Key: a,b\r\n", good):                             {400, true},
+		ask("/board", "", ""):                                                     {400, true},
+		ask("/board", "", "[]"):                                                   {400, true},
+		ask("/board", "", good[:40]):                                              {400, true},
+		ask("/board", "", `{"segments":[],"text":"t"}`):                           {400, true},
+		seg(`{"boost":1}`):                                                        {400, true},
+		seg(`{"segment":1}`):                                                      {400, true},
+		seg(`{"segment":12,"boost":1}`):                                           {400, true},
+		seg(`{"segment":-1,"boost":1}`):                                           {400, true},
+		seg(`{"segment":1.5,"boost":1}`):                                          {400, true},
+		seg(`{"segment":1,"boost":0.5},{"segment":1,"boost":0.5}`):                {400, true},
+		seg(`{"segment":1,"boost":-1},{"segment":2,"boost":2}`):                   {400, true},
+		seg(`{"segment":1,"boost":0}`):                                            {400, true},
+		seg(`{"segment":1,"boost":1,"work":-1}`):                                  {400, true},
+		ask("/board", "", `{"text":"`+strings.Repeat("t", 40000)+`","segments":[{"segment":1,"boost":1}]}`): {400, true},
+		ask("/board", "", strings.Repeat(" ", 65537)):                                                       {413, false},
+		ask("/board", "Transfer-Encoding: chunked\r\n", "zz\r\n"):                                           {400, false},
+		"NONSENSE\r\n\r\n": {400, false},
+		"GET /healthz HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 20000) + "\r\n\r\n": {400, false},
+	} {
+		c := d.dial()
+		c.conn.Write([]byte(request))
+		name := request[:min(len(request), 200)]
+		status, body, res := c.hear()
+		assert.Equal(t, want.status, status, name)
+		assert.NotEmpty(t, body, name)
+		assert.Equal(t, !want.goesOn, res.Close, name)
+		if want.goesOn {
+			c.say("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+			status, _, _ = c.hear()
+			assert.Equal(t, 200, status, name)
+		}
+	}
+	c := d.dial().say("POST /board HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\n{")
+	c.conn.(*net.TCPConn).CloseWrite()
+	status, _, _ := c.hear()
+	assert.Equal(t, 400, status, "a body cut short")
+	assert.Empty(t, d.took)
+}
+
+func TestClientLeaves(t *testing.T) {
+	d := open(t, 10)
+	for name, leave := range map[string]func(*net.TCPConn) error{
+		"closed": func(c *net.TCPConn) error { return c.Close() },
+		"reset":  func(c *net.TCPConn) error { c.SetLinger(0); return c.Close() },
+		"half":   func(c *net.TCPConn) error { return c.CloseWrite() },
+	} {
+		c := d.dial().say(ask("/board", "", good))
+		s := receive(t, d.took)
+		require.NoError(t, leave(c.conn.(*net.TCPConn)), name)
+		assert.Same(t, s, receive(t, d.left), name)
+		Reply(core.Reply{Scan: s, Kind: logic.Answer}) // crosses: it goes nowhere and blocks nobody
+		Reply(core.Reply{Scan: s, Kind: logic.Answer})
+	}
+}
+
+// At the limit idle connections go first, the longest idle before the others; busy ones stay.
+func TestCrowded(t *testing.T) {
+	d := open(t, 2)
+	busy := d.dial().say(ask("/board", "", good))
+	s := receive(t, d.took)
+	idle := d.dial().say("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	idle.hear()
+	third := d.dial().say(ask("/board", "", good))
+	s3 := receive(t, d.took)
+	assert.True(t, idle.over())
+	Reply(core.Reply{Scan: s, Kind: logic.Answer})
+	Reply(core.Reply{Scan: s3, Kind: logic.Answer})
+	busy.hear()
+	third.hear()
+	assert.Equal(t, 2, d.f.Conns())
+}
+
+// Stopping: what was taken is answered, connections that still arrive are served, then all is closed.
+func TestStop(t *testing.T) {
+	d := open(t, 10)
+	idle := d.dial().say("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	idle.hear()
+	c := d.dial().say(ask("/board", "", good))
+	s := receive(t, d.took)
+	stopped := make(chan struct{})
+	go func() {
+		d.f.Stop(patience)
+		close(stopped)
+	}()
+	require.Eventually(t, d.f.stopping.Load, patience, time.Millisecond)
+	late := d.dial().say(ask("/board", "X-Correlation-Id: late\r\n", good))
+	sl := receive(t, d.took)
+	Reply(core.Reply{Scan: sl, Kind: logic.Answer})
+	_, _, res := late.hear()
+	assert.True(t, res.Close)
+	assert.True(t, late.over())
+	assert.True(t, idle.over())
+	require.Eventually(t, d.f.tooLate.Load, patience, time.Millisecond)
+	status, _, _ := d.dial().say(ask("/board", "", good)).hear()
+	assert.Equal(t, 503, status, "too late to be finished")
+	select {
+	case <-stopped:
+		assert.Fail(t, "stopped with a scan open")
+	default:
+	}
+	Reply(core.Reply{Scan: s, Kind: logic.Answer})
+	status, _, res = c.hear()
+	assert.Equal(t, 200, status)
+	assert.True(t, res.Close)
+	select {
+	case <-stopped:
+	case <-time.After(patience):
+		assert.Fail(t, "did not stop")
+	}
+}
--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -99,7 +98,7 @@
 		return nil, a
 	}
 	if req.URL.Path == "/healthz" {
-		if req.Method != http.MethodGet && req.Method != http.MethodHead {
+		if req.Method != http.MethodGet {
 			return nil, plain(http.StatusMethodNotAllowed, "health is asked for with GET")
 		}
 		if !f.ready.Load() || f.stopping.Load() {
@@ -190,8 +189,8 @@
 		seen[p.Shard], sum = true, sum+p.Weight
 		s.Parts = append(s.Parts, p)
 	}
-	if math.Abs(sum-1) > 0.01 {
-		return bad("the boosts must sum to 1")
+	if sum <= 0 {
+		return bad("the boosts sum to nothing")
 	}
 	return s, 0, ""
 }
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,281 @@
+package node
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gullstair/internal/core"
+)
+
+const patience = 5 * time.Second
+
+// fake is a node that a test plays by hand.
+type fake struct {
+	t  *testing.T
+	ln net.Listener
+}
+
+func fakeNode(t *testing.T) *fake {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	return &fake{t, ln}
+}
+
+func (f *fake) addr() string { return f.ln.Addr().String() }
+
+func (f *fake) accept() *talk {
+	f.ln.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+	conn, err := f.ln.Accept()
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	return &talk{f.t, conn, bufio.NewReader(conn)}
+}
+
+// talk is one connection at the fake's end.
+type talk struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// frame reads one frame: its letter and rest; "" at the connection's end.
+func (k *talk) frame() string {
+	var head [4]byte
+	if _, err := io.ReadFull(k.in, head[:]); err != nil {
+		return ""
+	}
+	rest := make([]byte, binary.BigEndian.Uint32(head[:]))
+	_, err := io.ReadFull(k.in, rest)
+	require.NoError(k.t, err)
+	return string(rest)
+}
+
+func (k *talk) say(frame string) {
+	_, err := k.conn.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(frame))), frame...))
+	require.NoError(k.t, err)
+}
+
+func fleet(t *testing.T, reach Reach) (*Fleet, chan core.Ended) {
+	if reach.PerConn == 0 {
+		reach.PerConn = 32
+	}
+	reach.MaxConns, reach.ConnectTimeout = 8, patience
+	if reach.Idle == 0 {
+		reach.Idle = time.Minute
+	}
+	ends := make(chan core.Ended, 100)
+	return NewFleet(reach, func() float64 { return 1000 }, func(e core.Ended) { ends <- e }, zerolog.Nop()), ends
+}
+
+func next(t *testing.T, ends chan core.Ended) core.Ended {
+	select {
+	case e := <-ends:
+		return e
+	case <-time.After(patience):
+		require.Fail(t, "no end came")
+		return core.Ended{}
+	}
+}
+
+func call(host, dial string, refs ...int64) core.Call {
+	c := core.Call{Host: host, Dial: dial}
+	for _, ref := range refs {
+		c.Parts = append(c.Parts, core.CallPart{Ref: ref, ID: "q." + string(rune('0'+ref)), Shard: int(ref), WaitMs: 240, Text: "txt"})
+	}
+	return c
+}
+
+func TestFrames(t *testing.T) {
+	n := fakeNode(t)
+	f, ends := fleet(t, Reach{})
+	require.True(t, f.Call(core.Call{Host: "a", Dial: n.addr(), Parts: []core.CallPart{
+		{Ref: 1, ID: "9b1f03aa5c7e2d41.3", Shard: 3, WaitMs: 240, Key: "5c0f", Text: "c41e77d0"},
+		{Ref: 2, ID: "9b1f03aa5c7e2d41.5.get", Shard: 5, WaitMs: 90, From: "3+5", Whole: true, Text: "two\nlines"},
+		{Ref: 3, ID: "9b1f03aa5c7e2d41.6.get", Shard: 6, WaitMs: 90, From: "6"}}}))
+	k := n.accept()
+	assert.Equal(t, "R9b1f03aa5c7e2d41.3 3 d=240,k=5c0f 8\nc41e77d0"+
+		"9b1f03aa5c7e2d41.5.get 5 d=90,from=3+5,whole=1 9\ntwo\nlines9b1f03aa5c7e2d41.6.get 6 d=90,from=6,whole=0 0\n", k.frame())
+	k.say("Y9b1f03aa5c7e2d41.5.get OK 1840277719 inflight=7,util=0.61,novel=x,queue=-1,eps=NaN\nv\n1")
+	assert.Equal(t, core.Ended{Ref: 2, How: core.Answered, At: 1000, Score: 1840277719, Value: "v\n1",
+		Load: map[string]float64{"running": 7, "busy": 0.61}}, next(t, ends))
+	k.say("Y9b1f03aa5c7e2d41.5.get OK 1 -\nagain")
+	k.say("Yq.unknown OK 1 -\n")
+	k.say("Y9b1f03aa5c7e2d41.3 REJECTED 0 -\n")
+	assert.Equal(t, core.Ended{Ref: 1, How: core.TurnedAway, At: 1000}, next(t, ends), "odd answers are dropped, the connection stays")
+	f.GiveUp(core.GiveUp{Host: "a", Ref: 3})
+	assert.Equal(t, "A9b1f03aa5c7e2d41.6.get", k.frame())
+	assert.EqualValues(t, 2, f.Stats.Unknown.Load())
+	assert.Equal(t, 1, f.Conns())
+}
+
+// However a connection ends, each part that is out on it ends once, as what it was.
+func TestConnectionEnds(t *testing.T) {
+	say := func(frame string) func(*talk) { return func(k *talk) { k.say(frame) } }
+	raw := func(b string) func(*talk) { return func(k *talk) { k.conn.Write([]byte(b)); k.conn.Close() } }
+	for name, c := range map[string]struct {
+		do   func(*talk)
+		want core.End
+	}{
+		"closed":                 {func(k *talk) { k.conn.Close() }, core.PeerClosed},
+		"reset":                  {func(k *talk) { k.conn.(*net.TCPConn).SetLinger(0); k.conn.Close() }, core.ReadBroke},
+		"closed within a frame":  {raw("\x00\x00\x00\x10Yq.1 O"), core.ReadBroke},
+		"closed within a length": {raw("\x00\x00"), core.ReadBroke},
+		"cannot use":             {say("Nno such shard"), core.NotUsable},
+		"an empty frame":         {raw("\x00\x00\x00\x00"), core.BadFrame},
+		"an absurd length":       {raw("\xff\xff\xff\xffY"), core.BadFrame},
+		"an unknown letter":      {say("Zq.1 OK 1 -\n"), core.BadFrame},
+		"a probe not asked for":  {say("GOK"), core.BadFrame},
+		"no line end":            {say("Yq.1 OK 1 -"), core.BadFrame},
+		"a word too few":         {say("Yq.1 OK 1\nv"), core.BadFrame},
+		"an unknown end":         {say("Yq.1 MAYBE 1 -\nv"), core.BadFrame},
+		"a score that is none":   {say("Yq.1 OK much -\nv"), core.BadFrame},
+	} {
+		n := fakeNode(t)
+		f, ends := fleet(t, Reach{})
+		require.True(t, f.Call(call("a", n.addr(), 1, 2)), name)
+		k := n.accept()
+		require.NotEmpty(t, k.frame(), name)
+		c.do(k)
+		got := map[int64]core.End{}
+		for range 2 {
+			e := next(t, ends)
+			got[e.Ref] = e.How
+		}
+		assert.Equal(t, map[int64]core.End{1: c.want, 2: c.want}, got, name)
+		require.True(t, f.Call(call("a", n.addr(), 3)), name)
+		assert.Contains(t, n.accept().frame(), "q.3", "%s: the next call opens a new connection", name)
+		assert.Equal(t, 1, f.Conns(), name)
+	}
+}
+
+func TestCannotConnect(t *testing.T) {
+	n := fakeNode(t)
+	n.ln.Close()
+	f, ends := fleet(t, Reach{})
+	require.True(t, f.Call(call("a", n.addr(), 1, 2)))
+	assert.Equal(t, core.DialRefused, next(t, ends).How)
+	assert.Equal(t, core.DialRefused, next(t, ends).How)
+	assert.Zero(t, f.Conns())
+}
+
+// still is a peer whose actor does not run: the test hands it its mail.
+func still(f *Fleet, host, dial string) *peer {
+	p := &peer{f: f, host: host, dial: dial, mail: make(chan any, 2), ended: make(chan struct{}), out: map[int64]*link{}}
+	f.peers[host] = p
+	return p
+}
+
+func TestWaitingForAConnection(t *testing.T) {
+	n := fakeNode(t)
+	f, ends := fleet(t, Reach{})
+	p := still(f, "a", n.addr())
+	c := call("a", n.addr(), 1, 2, 3)
+	c.Parts[1].NotAfter = 999 // the clock stands at 1000
+	p.handle(c)
+	p.handle(core.GiveUp{Host: "a", Ref: 1})
+	p.handle(call("a", n.addr(), 4))
+	p.handle(core.GiveUp{Host: "a", Ref: 4})
+	p.handle(<-p.mail) // the connection is up
+	assert.Equal(t, core.Ended{Ref: 2, How: core.TooLate, At: 1000}, next(t, ends))
+	p.flush()
+	k := n.accept()
+	assert.Equal(t, "Rq.3 3 d=240 3\ntxt", k.frame(), "what ended meanwhile, or may not go any more, is not written")
+	p.handle(core.GiveUp{Host: "a", Ref: 3})
+	p.flush()
+	assert.Equal(t, "Aq.3", k.frame())
+}
+
+func TestFullMailbox(t *testing.T) {
+	f, _ := fleet(t, Reach{})
+	still(f, "a", "127.0.0.1:1")
+	assert.True(t, f.Call(call("a", "", 1)))
+	assert.True(t, f.Call(call("a", "", 2)))
+	assert.False(t, f.Call(call("a", "", 3)), "a full mailbox takes nothing and keeps nobody waiting")
+	f.Move(core.Move{Host: "a", Gone: true})
+	f.GiveUp(core.GiveUp{Host: "a", Ref: 1})
+}
+
+func TestRoom(t *testing.T) {
+	n := fakeNode(t)
+	f, ends := fleet(t, Reach{PerConn: 2})
+	f.Call(call("a", n.addr(), 1))
+	f.Call(call("a", n.addr(), 2))
+	k := n.accept()
+	k.frame()
+	k.frame()
+	f.Call(call("a", n.addr(), 3)) // no room: a further connection
+	k3 := n.accept()
+	assert.Contains(t, k3.frame(), "q.3")
+	k.say("Yq.1 OK 0 -\n")
+	next(t, ends)
+	f.Call(call("a", n.addr(), 4, 5)) // one place on each is too little for a call of two
+	k4 := n.accept()
+	assert.Contains(t, k4.frame(), "q.5")
+	assert.Equal(t, 3, f.Conns())
+	same := call("a", n.addr(), 6)
+	same.Parts[0].ID = "q.3" // a part's second dispatch while the first is out: answers could not be told apart
+	f.Call(same)
+	assert.Contains(t, k.frame(), "q.3")
+	many := call("b", n.addr(), 1)
+	for i := range 6 { // eight connections at most
+		many.Host = string(rune('b' + i))
+		f.Call(many)
+	}
+	assert.Equal(t, core.NoRoom, next(t, ends).How)
+	assert.LessOrEqual(t, f.Conns(), 8)
+}
+
+// A node that moves or goes keeps its connections while something is out on them, and gets no new calls there.
+func TestMoves(t *testing.T) {
+	old, other := fakeNode(t), fakeNode(t)
+	f, ends := fleet(t, Reach{})
+	f.Call(call("a", old.addr(), 1))
+	k := old.accept()
+	k.frame()
+	f.Move(core.Move{Host: "a", Dial: other.addr()})
+	f.Call(call("a", other.addr(), 2))
+	k2 := other.accept()
+	assert.Contains(t, k2.frame(), "q.2")
+	k.say("Yq.1 OK 0 -\n")
+	assert.Equal(t, core.Answered, next(t, ends).How)
+	assert.Empty(t, k.frame(), "the old connection is closed once nothing is out on it")
+	f.Move(core.Move{Host: "a", Dial: other.addr(), Gone: true})
+	k2.say("Yq.2 OK 0 -\n")
+	assert.Equal(t, core.Answered, next(t, ends).How)
+	assert.Empty(t, k2.frame())
+	p := f.peers["a"]
+	<-p.ended
+	f.Call(call("a", other.addr(), 3)) // it is back
+	assert.Contains(t, other.accept().frame(), "q.3")
+}
+
+func TestIdle(t *testing.T) {
+	n := fakeNode(t)
+	f, ends := fleet(t, Reach{Idle: 2 * time.Second}) // with its margin: at the next look
+	f.Call(call("a", n.addr(), 1))
+	k := n.accept()
+	k.frame()
+	k.say("Yq.1 OK 0 -\n")
+	next(t, ends)
+	assert.Empty(t, k.frame(), "closed before the node does")
+}
+
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("q.1 OK 1 inflight=1\nv"))
+	f.Fuzz(func(t *testing.T, rest []byte) {
+		if a, err := readAnswer(rest); err == nil {
+			assert.NotEmpty(t, a.id)
+			assert.Contains(t, []core.End{core.Answered, core.AnsweredError, core.TurnedAway}, a.how)
+		}
+	})
+}
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -321,10 +321,16 @@
 	b := begin(l.wbuf, callLetter)
 	var refs []int64
 	for i := range c.Parts {
-		if _, wanted := l.refs[c.Parts[i].Ref]; wanted {
-			b = addCall(b, &c.Parts[i])
-			refs = append(refs, c.Parts[i].Ref)
+		cp := &c.Parts[i]
+		if _, wanted := l.refs[cp.Ref]; !wanted {
+			continue
+		} else if cp.NotAfter > 0 && p.f.now() > cp.NotAfter {
+			p.forget(l, cp.Ref)
+			p.end(cp.Ref, core.TooLate, answer{})
+			continue
 		}
+		b = addCall(b, cp)
+		refs = append(refs, cp.Ref)
 	}
 	if len(refs) == 0 {
 		return
@@ -333,16 +339,22 @@
 	l.frames = append(l.frames, written{len(l.wbuf), refs})
 }
 
+// forget takes a dispatch off its connection and returns its part's id.
+func (p *peer) forget(l *link, ref int64) string {
+	id := l.refs[ref]
+	delete(p.out, ref)
+	delete(l.refs, ref)
+	delete(l.ids, id)
+	return id
+}
+
 // giveUp forgets a dispatch and, if its frame was written, tells the node.
 func (p *peer) giveUp(ref int64) {
 	l := p.out[ref]
 	if l == nil {
 		return
 	}
-	id := l.refs[ref]
-	delete(p.out, ref)
-	delete(l.refs, ref)
-	delete(l.ids, id)
+	id := p.forget(l, ref)
 	if l.up {
 		l.wbuf = addGiveUp(l.wbuf, id)
 	}
@@ -354,9 +366,7 @@
 		p.f.Stats.Unknown.Add(1)
 		return
 	}
-	delete(v.l.ids, v.a.id)
-	delete(v.l.refs, ref)
-	delete(p.out, ref)
+	p.forget(v.l, ref)
 	v.l.lastUse = time.Now()
 	p.end(ref, v.a.how, v.a)
 }
@@ -377,10 +387,8 @@
 					continue
 				}
 				for _, ref := range w.refs {
-					if id, out := l.refs[ref]; out {
-						delete(l.refs, ref)
-						delete(l.ids, id)
-						delete(p.out, ref)
+					if _, out := l.refs[ref]; out {
+						p.forget(l, ref)
 						p.end(ref, core.WriteBroke, answer{})
 					}
 				}
--- a/internal/terms/site.go
+++ b/internal/terms/site.go
@@ -21,9 +21,10 @@
 
 // TableType is what the sockets need of one.
 type TableType struct {
-	Name  string
-	Keyed bool
-	Fetch int // parts of the second step; 0: there is none
+	Name         string
+	Keyed        bool
+	Fetch        int     // parts of the second step; 0: there is none
+	RepeatWindow float64 // for how long repeats of a keyed part are dropped
 }
 
 // Read picks a Site out of the module's map. It names the first value that is missing or impossible.
@@ -61,7 +62,8 @@
 	for i := range int(num("tableType.count", 1, 1e5, -1)) {
 		name, _ := flat[fmt.Sprintf("tableType.%d.name", i)].(string)
 		s.Types = append(s.Types, TableType{Name: name, Keyed: flat[fmt.Sprintf("tableType.%d.effect", i)] == "keyed",
-			Fetch: int(num(fmt.Sprintf("layout.fetch.%d", i), 0, 1e5, 0))})
+			Fetch:        int(num(fmt.Sprintf("layout.fetch.%d", i), 0, 1e5, 0)),
+			RepeatWindow: num(fmt.Sprintf("tableType.%d.repeatWindow", i), 0, 1e9, 0)})
 	}
 	return s, fault
 }
