--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -56,7 +56,8 @@
 	ln    net.Listener
 	log   zerolog.Logger
 	fatal chan error
-	known int // nodes in the cached list
+
+	listed bool // the actor's: the module has a list with nodes
 }
 
 // Start brings a broker up: it listens, has told the module its start and its cached list, and follows
@@ -79,6 +80,7 @@
 	odd := func(host, why string) { log.Warn().Str("node", host).Msg(why) }
 	known := t.Known.Nodes(odd)
 	b.core = core.New(t.Site, t.Flat, t.Seed, known)
+	b.listed = len(known) > 0
 	w := &discovery.Watch{Addr: t.Discovery, Seq: t.Known.Seq, Tell: func(l core.List) { b.put(l) }, Log: log, Again: b.again}
 	b.ended.Go(b.run)
 	go w.Run(b.stop)
@@ -114,7 +116,7 @@
 	tally := time.NewTicker(tallyEvery)
 	defer tally.Stop()
 	last := math.Inf(-1)
-	first := true
+	ready := false
 	for {
 		at := b.core.Due()
 		if len(batch) > 0 {
@@ -145,11 +147,16 @@
 			}
 		}
 		last = b.clock.Now()
+		for _, in := range batch {
+			if l, ok := in.(core.List); ok && len(l.Nodes) > 0 {
+				b.listed = true
+			}
+		}
 		out := b.core.Step(last, batch)
 		clear(batch)
 		batch = b.carryOut(out, batch[:0])
-		if first {
-			first = false
+		if b.listed && !ready {
+			ready = true
 			b.front.Ready()
 		}
 	}
--- /dev/null
+++ b/internal/broker/broker_test.go
@@ -0,0 +1,87 @@
+package broker
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gullstair/internal/config"
+	"gullstair/internal/core"
+	"gullstair/internal/node"
+)
+
+const patience = 5 * time.Second
+
+// A broker that knows of no node is not ready before the list names one: the front would send it scans that
+// it can only throttle.
+func TestReadyWithList(t *testing.T) {
+	agent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer agent.Close()
+	asked, say := make(chan struct{}), make(chan struct{})
+	go func() {
+		conn, err := agent.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		in := bufio.NewReader(conn)
+		for range 2 {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			asked <- struct{}{}
+			<-say
+			body := `{"seq":42,"whole":true,"hosts":[{"host":"s-a","dial":"127.0.0.1:2","site":"west","class":"std","block":0,"health":"SERVING","share":1,"born_ms":0}]}`
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	}()
+	text, err := os.ReadFile("../config/testdata/start.json")
+	require.NoError(t, err)
+	told, err := config.Parse(text, func(key string) string {
+		return map[string]string{"GW_DISCOVERY": agent.Addr().String()}[key]
+	})
+	require.NoError(t, err)
+	told.Known.Hosts = nil
+	b, err := Start(told, zerolog.Nop())
+	require.NoError(t, err)
+	health := func() int {
+		res, err := http.Get("http://" + b.Addr() + "/healthz")
+		require.NoError(t, err)
+		res.Body.Close()
+		return res.StatusCode
+	}
+	<-asked
+	assert.Equal(t, 503, health())
+	say <- struct{}{}
+	<-asked
+	assert.Eventually(t, func() bool { return health() == 200 }, patience, time.Millisecond)
+	http.DefaultClient.CloseIdleConnections()
+	b.Stop(patience)
+	close(say)
+}
+
+// A call for which its peer's mailbox has no room comes back as dispatches that were not sent, and keeps nobody
+// waiting, however long the peer is held up.
+func TestNoRoom(t *testing.T) {
+	held := make(chan struct{})
+	defer close(held)
+	b := &Broker{clock: NewClock(), log: zerolog.Nop()}
+	b.fleet = node.NewFleet(node.Reach{}, b.clock.Now, func(core.Ended) { <-held }, zerolog.Nop())
+	c := core.Call{Host: "s-z", Dial: "127.0.0.1:1", Parts: []core.CallPart{{Ref: 7}, {Ref: 8}}}
+	var batch []core.Input
+	for i := 0; len(batch) == 0 && i < 10000; i++ {
+		batch = b.carryOut([]core.Output{c}, nil)
+	}
+	require.Len(t, batch, 2)
+	last := batch[1].(core.Ended)
+	assert.Equal(t, core.Ended{Ref: 8, How: core.NoRoom, At: last.At}, last)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -356,8 +356,7 @@
 	d.host = at.host
 	c.Counts.Dispatches++
 	c.plan(due{at: d.overAt, d: d})
-	cp := CallPart{Ref: d.ref, ID: s.ID + "." + strconv.Itoa(p.shard), Shard: p.shard,
-		WaitMs: int(math.Ceil(d.overAt - c.now)), Text: s.Text}
+	cp := CallPart{Ref: d.ref, ID: s.ID + "." + strconv.Itoa(p.shard), Shard: p.shard, Until: d.overAt, Text: s.Text}
 	if c.site.Types[s.TableType].Keyed {
 		cp.Key, cp.NotAfter = s.Key, c.notAfter(p)
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -92,7 +92,7 @@
 	require.Len(t, sent, 3)
 	assert.Equal(t, "q1.0", sent[0].ID)
 	assert.Empty(t, sent[0].Key, "a key goes with keyed table types alone")
-	assert.InDelta(t, 2980, sent[0].WaitMs, 1, "ten of its milliseconds passed in the front, ten the module keeps")
+	assert.InDelta(t, r.now+2980, sent[0].Until, 6, "ten of its milliseconds passed in the front, ten the module keeps")
 	assert.Empty(t, pick[core.Reply](r.step(50, r.ok(sent[0], 0), r.ok(sent[1], 0))))
 	replies := pick[core.Reply](r.step(50, r.ok(sent[2], 0), r.ok(sent[2], 0)))
 	require.Len(t, replies, 1)
@@ -197,7 +197,7 @@
 	begun := r.now
 	sent := parts(r.step(0, s))
 	require.Len(t, sent, 1)
-	assert.LessOrEqual(t, sent[0].WaitMs, 500)
+	assert.LessOrEqual(t, sent[0].Until, r.now+500)
 	for at := r.c.Due(); !math.IsInf(at, 1) && len(pick[core.Reply](r.all)) == 0; at = r.c.Due() {
 		r.step(max(0, at-r.now))
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -63,13 +63,14 @@
 
 // CallPart is one part in a Call.
 type CallPart struct {
-	Ref           int64 // of the dispatch; never used again
-	ID            string
-	Shard, WaitMs int
-	Key, From     string  // From: the shards that were in, for a second step
-	NotAfter      float64 // clock time past which it must not be written; 0: there is none
-	Whole         bool
-	Text          string
+	Ref       int64 // of the dispatch; never used again
+	ID        string
+	Shard     int
+	Until     float64 // clock time up to which the broker waits
+	NotAfter  float64 // clock time past which it must not be written; 0: there is none
+	Key, From string  // From: the shards that were in, for a second step
+	Whole     bool
+	Text      string
 }
 
 // GiveUp says that nobody waits for a dispatch any more.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,6 +23,7 @@
 	readWithin = 5 * time.Second // from its first byte a request has so long to come in
 	sendWithin = 2 * time.Second // an answer has so long to go out
 	arrivals   = 700 * time.Millisecond
+	acceptWait = 5 * time.Millisecond
 	quiesce    = 500 * time.Millisecond
 	settle     = 100 * time.Millisecond // a connection that came a moment ago has its request on the way
 )
@@ -96,10 +97,17 @@
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
-			if ne, ok := errors.AsType[net.Error](err); ok && ne.Timeout() {
-				continue
+			if errors.Is(err, net.ErrClosed) {
+				return err
 			}
-			return err
+			// No descriptor was free, or the client went before it was accepted. Ending over that would lose every
+			// scan that is open; it can only harm by trying in vain, so not too often.
+			f.Log.Warn().Err(err).Msg("a connection could not be accepted")
+			f.mu.Lock()
+			f.closeOldestIdle(0)
+			f.mu.Unlock()
+			time.Sleep(acceptWait)
+			continue
 		}
 		f.Stats.Accepted.Add(1)
 		c := &client{f: f, conn: conn, reply: make(chan core.Reply, 1), idle: true, since: time.Now()}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -152,38 +153,37 @@
 		status int
 		goesOn bool
 	}{
-		ask("/nothing", "", good):                                                 {404, true},
-		ask("/", "", good):                                                        {404, true},
-		"GET /board HTTP/1.1\r\nHost: x\r\n\r\n":                                  {405, true},
-		"POST /healthz HTTP/1.1\r\nHost: x\r\n\r\n":                               {405, true},
-		ask("/board", "X-Time-Left-Ms: soon\r\n", good):                           {400, true},
-		ask("/board", "X-Time-Left-Ms: \r\n", good):                               {400, true},
-		ask("/board", "X-Time-Left-Ms: 0\r\n", good):                              {400, true},
-		ask("/board", "X-Time-Left-Ms: -5\r\n", good):                             {400, true},
-		ask("/board", "X-Time-Left-Ms: NaN\r\n", good):                            {400, true},
-		ask("/board", "X-Correlation-Id: \r\n", good):                             {400, true},
-		ask("/board", "X-Correlation-Id: a b\r\n", good):                          {400, true},
-		ask("/board", "X-Correlation-Id: a,b\r\n", good):                          {400, true},
-		ask("/board", "X-Correlation-Id: "+strings.Repeat("a", 201)+"\r\n", good): {400, true},
-		ask("/fix", "", good):                                                     {400, true},
-		ask("/fix", "Idempotency-Key: a,b\r\n", good):                             {400, true},
-		ask("/board", "", ""):                                                     {400, true},
-		ask("/board", "", "[]"):                                                   {400, true},
-		ask("/board", "", good[:40]):                                              {400, true},
-		ask("/board", "", `{"segments":[],"text":"t"}`):                           {400, true},
-		seg(`{"boost":1}`):                                                        {400, true},
-		seg(`{"segment":1}`):                                                      {400, true},
-		seg(`{"segment":12,"boost":1}`):                                           {400, true},
-		seg(`{"segment":-1,"boost":1}`):                                           {400, true},
-		seg(`{"segment":1.5,"boost":1}`):                                          {400, true},
-		seg(`{"segment":1,"boost":0.5},{"segment":1,"boost":0.5}`):                {400, true},
-		seg(`{"segment":1,"boost":-1},{"segment":2,"boost":2}`):                   {400, true},
-		seg(`{"segment":1,"boost":0}`):                                            {400, true},
-		seg(`{"segment":1,"boost":1,"work":-1}`):                                  {400, true},
-		ask("/board", "", `{"text":"`+strings.Repeat("t", 40000)+`","segments":[{"segment":1,"boost":1}]}`): {400, true},
-		ask("/board", "", strings.Repeat(" ", 65537)):                                                       {413, false},
-		ask("/board", "Transfer-Encoding: chunked\r\n", "zz\r\n"):                                           {400, false},
-		"NONSENSE\r\n\r\n": {400, false},
+		ask("/nothing", "", good):                                                           {404, true},
+		ask("/", "", good):                                                                  {404, true},
+		"GET /board HTTP/1.1\r\nHost: x\r\n\r\n":                                            {405, true},
+		"POST /healthz HTTP/1.1\r\nHost: x\r\n\r\n":                                         {405, true},
+		ask("/board", "X-Time-Left-Ms: soon\r\n", good):                                     {400, true},
+		ask("/board", "X-Time-Left-Ms: \r\n", good):                                         {400, true},
+		ask("/board", "X-Time-Left-Ms: 0\r\n", good):                                        {400, true},
+		ask("/board", "X-Time-Left-Ms: -5\r\n", good):                                       {400, true},
+		ask("/board", "X-Time-Left-Ms: NaN\r\n", good):                                      {400, true},
+		ask("/board", "X-Correlation-Id: \r\n", good):                                       {400, true},
+		ask("/board", "X-Correlation-Id: a b\r\n", good):                                    {400, true},
+		ask("/board", "X-Correlation-Id: a,b\r\n", good):                                    {400, true},
+		ask("/board", "X-Correlation-Id: "+strings.Repeat("a", 201)+"\r\n", good):           {400, true},
+		ask("/fix", "", good):                                                               {400, true},
+		ask("/fix", "Idempotency-Key: a,b\r\n", good):                                       {400, true},
+		ask("/board", "", ""):                                                               {400, true},
+		ask("/board", "", "[]"):                                                             {400, true},
+		ask("/board", "", good[:40]):                                                        {400, true},
+		ask("/board", "", `{"segments":[],"text":"t"}`):                                     {400, true},
+		seg(`{"boost":1}`):                                                                  {400, true},
+		seg(`{"segment":1}`):                                                                {400, true},
+		seg(`{"segment":12,"boost":1}`):                                                     {400, true},
+		seg(`{"segment":-1,"boost":1}`):                                                     {400, true},
+		seg(`{"segment":1.5,"boost":1}`):                                                    {400, true},
+		seg(`{"segment":1,"boost":0.5},{"segment":1,"boost":0.5}`):                          {400, true},
+		seg(`{"segment":1,"boost":-1},{"segment":2,"boost":2}`):                             {400, true},
+		seg(`{"segment":1,"boost":0}`):                                                      {400, true},
+		seg(`{"segment":1,"boost":1,"work":-1}`):                                            {400, true},
+		ask("/board", "", strings.Repeat(" ", 65537)):                                       {413, false},
+		ask("/board", "Transfer-Encoding: chunked\r\n", "zz\r\n"):                           {400, false},
+		"NONSENSE\r\n\r\n":                                                                  {400, false},
 		"GET /healthz HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 20000) + "\r\n\r\n": {400, false},
 	} {
 		c := d.dial()
@@ -277,3 +277,30 @@
 		assert.Fail(t, "did not stop")
 	}
 }
+
+// flaky is a listener that fails at first, as it does when no descriptor is free.
+type flaky struct {
+	net.Listener
+	fails int
+}
+
+func (l *flaky) Accept() (net.Conn, error) {
+	if l.fails--; l.fails >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+func TestCannotAccept(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := &Front{Most: 10, Now: func() float64 { return 0 }, Log: zerolog.Nop()}
+	f.Ready()
+	ended := make(chan error, 1)
+	go func() { ended <- f.Serve(&flaky{ln, 3}) }()
+	d := &door{t: t, addr: ln.Addr().String()}
+	status, _, _ := d.dial().say("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").hear()
+	assert.Equal(t, 200, status, "a full table of descriptors ends nothing")
+	ln.Close()
+	assert.ErrorIs(t, <-ended, net.ErrClosed)
+}
--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -16,7 +16,6 @@
 
 const (
 	bodyMost = 64 << 10
-	textMost = 32 << 10 // so that a call of some parts fits a frame
 	idMost   = 200
 )
 
@@ -165,9 +164,6 @@
 		return bad("the body is not a scan in JSON")
 	}
 	s.Text = w.Text
-	if len(s.Text) > textMost {
-		return bad("the text is over 32 KiB")
-	}
 	if len(w.Segments) == 0 || len(w.Segments) > f.Site.Shards {
 		return bad("a scan has a part for 1 shard at least, and none twice")
 	}
--- a/internal/node/frame.go
+++ b/internal/node/frame.go
@@ -34,13 +34,13 @@
 	return b
 }
 
-// addCall adds one part to a call's frame.
-func addCall(b []byte, p *core.CallPart) []byte {
+// addCall adds one part to a call's frame, as of now.
+func addCall(b []byte, p *core.CallPart, now float64) []byte {
 	b = append(b, p.ID...)
 	b = append(b, ' ')
 	b = strconv.AppendInt(b, int64(p.Shard), 10)
 	b = append(b, " d="...)
-	b = strconv.AppendInt(b, int64(p.WaitMs), 10)
+	b = strconv.AppendInt(b, int64(max(1, math.Ceil(p.Until-now))), 10)
 	if p.Key != "" {
 		b = append(append(b, ",k="...), p.Key...)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -90,7 +90,7 @@
 func call(host, dial string, refs ...int64) core.Call {
 	c := core.Call{Host: host, Dial: dial}
 	for _, ref := range refs {
-		c.Parts = append(c.Parts, core.CallPart{Ref: ref, ID: "q." + string(rune('0'+ref)), Shard: int(ref), WaitMs: 240, Text: "txt"})
+		c.Parts = append(c.Parts, core.CallPart{Ref: ref, ID: "q." + string(rune('0'+ref)), Shard: int(ref), Until: 1239.5, Text: "txt"})
 	}
 	return c
 }
@@ -99,9 +99,9 @@
 	n := fakeNode(t)
 	f, ends := fleet(t, Reach{})
 	require.True(t, f.Call(core.Call{Host: "a", Dial: n.addr(), Parts: []core.CallPart{
-		{Ref: 1, ID: "9b1f03aa5c7e2d41.3", Shard: 3, WaitMs: 240, Key: "5c0f", Text: "c41e77d0"},
-		{Ref: 2, ID: "9b1f03aa5c7e2d41.5.get", Shard: 5, WaitMs: 90, From: "3+5", Whole: true, Text: "two\nlines"},
-		{Ref: 3, ID: "9b1f03aa5c7e2d41.6.get", Shard: 6, WaitMs: 90, From: "6"}}}))
+		{Ref: 1, ID: "9b1f03aa5c7e2d41.3", Shard: 3, Until: 1239.5, Key: "5c0f", Text: "c41e77d0"},
+		{Ref: 2, ID: "9b1f03aa5c7e2d41.5.get", Shard: 5, Until: 1090, From: "3+5", Whole: true, Text: "two\nlines"},
+		{Ref: 3, ID: "9b1f03aa5c7e2d41.6.get", Shard: 6, Until: 1090, From: "6"}}}))
 	k := n.accept()
 	assert.Equal(t, "R9b1f03aa5c7e2d41.3 3 d=240,k=5c0f 8\nc41e77d0"+
 		"9b1f03aa5c7e2d41.5.get 5 d=90,from=3+5,whole=1 9\ntwo\nlines9b1f03aa5c7e2d41.6.get 6 d=90,from=6,whole=0 0\n", k.frame())
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -56,12 +56,16 @@
 // Move tells the peer of a node where it is to be reached, or that it is gone. It never waits: each call names
 // its address too, so that a full mailbox loses nothing but haste.
 func (f *Fleet) Move(m core.Move) {
+	for host, p := range f.peers { // those of nodes that went
+		if p.closed() {
+			delete(f.peers, host)
+		}
+	}
 	p := f.peers[m.Host]
-	if m.Gone && (p == nil || p.closed()) {
-		delete(f.peers, m.Host)
+	if p == nil && m.Gone {
 		return
 	}
-	if p == nil || p.closed() {
+	if p == nil {
 		p = f.start(m.Host, m.Dial)
 	}
 	p.offer(m)
@@ -329,7 +333,7 @@
 			p.end(cp.Ref, core.TooLate, answer{})
 			continue
 		}
-		b = addCall(b, cp)
+		b = addCall(b, cp, p.f.now())
 		refs = append(refs, cp.Ref)
 	}
 	if len(refs) == 0 {
