A discovery that is down is not asked more and more often; results on sockets

Seen in a start by hand without discovery: the module's timer after each failed list ended the watch's own wait, and each such call failed and set a timer again, so calls grew in number. The watch now asks again by itself alone; core ignores Subscribe.

--- a/cmd/gullstair/main.go
+++ b/cmd/gullstair/main.go
@@ -20,7 +20,8 @@
 
 const usage = `usage: gullstair [command]
 
-  serve          run one broker (the default); it is told by GW_CONFIG, GW_NAME, GW_LISTEN, GW_DISCOVERY
+  serve          run one broker (the default); it is told by GW_CONFIG, GW_NAME, GW_LISTEN, GW_DISCOVERY;
+                 serve -h lists its flags
   check-config   read and check what serve would be told, say what was found, and exit
   version        print the version
 `
@@ -28,7 +29,7 @@
 func main() {
 	if err := run(os.Args[1:], os.Stdout); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
-			os.Exit(2)
+			return
 		}
 		fmt.Fprintln(os.Stderr, "gullstair:", err)
 		os.Exit(1)
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -24,7 +24,8 @@
 	mailboxSize = 1024
 	batchMost   = 4096
 	tallyEvery  = 10 * time.Second
-	spareFiles  = 24 // descriptors for the listener, discovery, standard streams and the runtime
+	readWithin  = 5 * time.Second // a client has so long to send a request, from its first byte
+	spareFiles  = 24              // descriptors for the listener, discovery, standard streams and the runtime
 )
 
 // Clock is one clock for all of a broker: Unix milliseconds at its start and monotonic time since.
@@ -50,7 +51,6 @@
 	mail  chan core.Input
 	stop  chan struct{} // closed: the actor ends
 	ended sync.WaitGroup
-	again chan struct{} // the module asks for the list
 	front *front.Front
 	fleet *node.Fleet
 	ln    net.Listener
@@ -70,18 +70,19 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	b := &Broker{clock: NewClock(), turn: t.Site.Turn, mail: make(chan core.Input, mailboxSize),
-		stop: make(chan struct{}), again: make(chan struct{}, 1), ln: ln, log: log, fatal: make(chan error, 1)}
+		stop: make(chan struct{}), ln: ln, log: log, fatal: make(chan error, 1)}
 	nodeConns := t.Sockets / 4
 	b.fleet = node.NewFleet(node.Reach{PerConn: t.Site.PerConn, MaxConns: nodeConns,
 		ConnectTimeout: ms(t.Site.ConnectTimeout), Idle: ms(t.Site.ConnIdle)}, b.clock.Now,
 		func(e core.Ended) { b.put(e) }, log)
 	b.front = &front.Front{Site: t.Site, Now: b.clock.Now, Take: func(s *core.Scan) { b.put(s) },
-		Left: func(s *core.Scan) { b.put(core.Left{Scan: s}) }, Most: t.Sockets - nodeConns - spareFiles, Log: log}
+		Left: func(s *core.Scan) { b.put(core.Left{Scan: s}) }, Most: t.Sockets - nodeConns - spareFiles,
+		ReadWithin: readWithin, Log: log}
 	odd := func(host, why string) { log.Warn().Str("node", host).Msg(why) }
 	known := t.Known.Nodes(odd)
 	b.core = core.New(t.Site, t.Flat, t.Seed, known)
 	b.listed = len(known) > 0
-	w := &discovery.Watch{Addr: t.Discovery, Seq: t.Known.Seq, Tell: func(l core.List) { b.put(l) }, Log: log, Again: b.again}
+	w := &discovery.Watch{Addr: t.Discovery, Seq: t.Known.Seq, Tell: func(l core.List) { b.put(l) }, Log: log}
 	b.ended.Go(b.run)
 	go w.Run(b.stop)
 	go func() {
@@ -179,11 +180,6 @@
 			front.Reply(v)
 		case core.Move:
 			b.fleet.Move(v)
-		case core.Watch:
-			select {
-			case b.again <- struct{}{}:
-			default:
-			}
 		case core.Log:
 			if v.Fatal {
 				select {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
+	"net/netip"
 	"os"
 	"strconv"
 
@@ -115,8 +115,8 @@
 	if err := stated(tree, key, variable, to); err != nil {
 		return err
 	}
-	if _, err := net.ResolveTCPAddr("tcp", *to); err != nil {
-		return fmt.Errorf("%s: %q is no host:port: %w", key, *to, err)
+	if _, err := netip.ParseAddrPort(*to); err != nil {
+		return fmt.Errorf("%s: %q is no address and port: %w", key, *to, err)
 	}
 	return nil
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -52,7 +52,7 @@
 	Units, Born            float64
 }
 
-// Output is what the core wants done: a Call, GiveUp, Reply, Move, Watch or Log.
+// Output is what the core wants done: a Call, GiveUp, Reply, Move or Log.
 type Output any
 
 // Call is one frame to a node.
@@ -101,9 +101,6 @@
 	Gone       bool
 }
 
-// Watch asks for the list again.
-type Watch struct{}
-
 // Log is a line of the module's; Fatal: it cannot go on.
 type Log struct {
 	Text  string
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -64,7 +65,7 @@
 			odd(h.Host, "unknown health "+h.Health)
 			n.Readiness = logic.Draining
 		}
-		if _, err := net.ResolveTCPAddr("tcp", n.Dial); err != nil || n.Dial == "" {
+		if _, err := netip.ParseAddrPort(n.Dial); err != nil { // there is no DNS to ask for a name
 			if n.Readiness != logic.Gone {
 				odd(h.Host, "an address that cannot be dialled: "+h.Dial)
 			}
@@ -77,11 +78,10 @@
 
 // Watch is the actor. It starts from Seq; Tell gets what the agent says, in its order, and may wait.
 type Watch struct {
-	Addr  string
-	Seq   int64
-	Tell  func(core.List)
-	Log   zerolog.Logger
-	Again chan struct{} // the module asks for the list: a wait after a failure ends
+	Addr string
+	Seq  int64
+	Tell func(core.List)
+	Log  zerolog.Logger
 
 	conn  net.Conn
 	in    *bufio.Reader
@@ -151,7 +151,6 @@
 	w.Tell(core.List{Kind: logic.ListFailed})
 	select {
 	case <-w.stop:
-	case <-w.Again:
 	case <-time.After(wait):
 	}
 	return min(2*wait, retryMost)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -41,8 +41,7 @@
 			a.serve(conn)
 		}
 	}()
-	w := &Watch{Addr: ln.Addr().String(), Seq: seq, Tell: func(l core.List) { a.told <- l }, Log: zerolog.Nop(),
-		Again: make(chan struct{}, 1)}
+	w := &Watch{Addr: ln.Addr().String(), Seq: seq, Tell: func(l core.List) { a.told <- l }, Log: zerolog.Nop()}
 	stop, ended := make(chan struct{}), make(chan struct{})
 	go func() {
 		w.Run(stop)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,7 +21,6 @@
 
 const (
 	headMost   = 16 << 10        // bytes of a request's head
-	readWithin = 5 * time.Second // from its first byte a request has so long to come in
 	sendWithin = 2 * time.Second // an answer has so long to go out
 	arrivals   = 700 * time.Millisecond
 	acceptWait = 5 * time.Millisecond
@@ -30,13 +30,15 @@
 
 // Front serves clients. Take gets each scan, Left each scan whose client went; both may wait.
 type Front struct {
-	Site  terms.Site
-	Now   func() float64
-	Take  func(*core.Scan)
-	Left  func(*core.Scan)
-	Most  int // client connections at once
-	Log   zerolog.Logger
-	Stats Stats
+	Site terms.Site
+	Now  func() float64
+	Take func(*core.Scan)
+	Left func(*core.Scan)
+	Most int // client connections at once
+	// ReadWithin is how long a request may take to come in, from its first byte: a slow client holds a descriptor.
+	ReadWithin time.Duration
+	Log        zerolog.Logger
+	Stats      Stats
 
 	ready    atomic.Bool
 	stopping atomic.Bool
@@ -206,7 +208,7 @@
 	if !c.setIdle(false) {
 		return false
 	}
-	c.conn.SetReadDeadline(time.Now().Add(readWithin))
+	c.conn.SetReadDeadline(time.Now().Add(c.f.ReadWithin))
 	req, err := http.ReadRequest(c.in)
 	if err != nil {
 		c.f.Stats.Malformed.Add(1)
@@ -223,13 +225,14 @@
 		return c.write(r, last) && !last && c.setIdle(true)
 	}
 	if c.f.tooLate.Load() {
-		return c.write(answer{status: http.StatusServiceUnavailable, text: "stopping"}, true) && false
+		c.write(plain(http.StatusServiceUnavailable, "stopping"), true)
+		return false
 	}
 	scan.Client = c
 	c.conn.SetReadDeadline(time.Time{})
 	c.f.Take(scan)
 	// While the scan is out the connection is watched: a client that closes it has left. Reply breaks the wait.
-	if _, err := c.in.Peek(1); err != nil && !isTimeout(err) && !errors.Is(err, errQuota) {
+	if _, err := c.in.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errQuota) {
 		c.f.Left(scan)
 		return false
 	}
@@ -238,11 +241,6 @@
 	return c.write(render(reply), last) && !last && c.setIdle(true)
 }
 
-func isTimeout(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
-}
-
 // Reply hands a scan's answer to its connection. It never waits.
 func Reply(r core.Reply) {
 	c := r.Scan.Client.(*client)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -35,7 +37,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	d := &door{t: t, addr: ln.Addr().String(), took: make(chan *core.Scan, 100), left: make(chan *core.Scan, 100)}
-	d.f = &Front{Most: most, Now: func() float64 { return 1000 }, Log: zerolog.Nop(),
+	d.f = &Front{Most: most, ReadWithin: patience, Now: func() float64 { return 1000 }, Log: zerolog.Nop(),
 		Take: func(s *core.Scan) { d.took <- s }, Left: func(s *core.Scan) { d.left <- s },
 		Site: terms.Site{Shards: 12, Types: []terms.TableType{{Name: "board"}, {Name: "fix", Keyed: true}},
 			TypeIndex: map[string]int{"board": 0, "fix": 1}}}
@@ -76,7 +78,7 @@
 
 func (c *customer) over() bool {
 	_, err := c.in.ReadByte()
-	return err != nil && !isTimeout(err)
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 func receive(t *testing.T, ch chan *core.Scan) *core.Scan {
@@ -206,6 +208,20 @@
 	assert.Empty(t, d.took)
 }
 
+// A request that does not come in whole in time is answered and its connection closed, wherever it stopped.
+func TestSlowRequests(t *testing.T) {
+	d := open(t, 10)
+	d.f.ReadWithin = 20 * time.Millisecond
+	request := ask("/board", "", good)
+	for _, n := range []int{1, 30, len(request) - 1} {
+		c := d.dial().say(request[:n])
+		status, _, _ := c.hear()
+		assert.Equal(t, 400, status, n)
+		assert.True(t, c.over(), n)
+	}
+	assert.Empty(t, d.took)
+}
+
 func TestClientLeaves(t *testing.T) {
 	d := open(t, 10)
 	for name, leave := range map[string]func(*net.TCPConn) error{
@@ -294,7 +310,7 @@
 func TestCannotAccept(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	f := &Front{Most: 10, Now: func() float64 { return 0 }, Log: zerolog.Nop()}
+	f := &Front{Most: 10, ReadWithin: patience, Now: func() float64 { return 0 }, Log: zerolog.Nop()}
 	f.Ready()
 	ended := make(chan error, 1)
 	go func() { ended <- f.Serve(&flaky{ln, 3}) }()
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -298,8 +297,7 @@
 	if d.err != nil {
 		p.f.Stats.DialsFailed.Add(1)
 		how := core.DialRefused
-		if errors.Is(d.err, context.DeadlineExceeded) || errors.Is(d.err, os.ErrDeadlineExceeded) ||
-			isTimeout(d.err) {
+		if ne, ok := errors.AsType[net.Error](d.err); ok && ne.Timeout() {
 			how = core.DialTimedOut
 		}
 		p.drop(d.l, how, d.err)
@@ -314,11 +312,6 @@
 	}
 }
 
-func isTimeout(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
-}
-
 // write adds a frame with those parts of c that are still wanted.
 func (p *peer) write(l *link, c core.Call) {
 	at := len(l.wbuf)
@@ -368,6 +361,7 @@
 	ref, out := v.l.ids[v.a.id]
 	if !out { // given up meanwhile, answered before, or never asked: nobody waits for it
 		p.f.Stats.Unknown.Add(1)
+		p.log.Debug().Str("part", v.a.id).Msg("an answer that nobody waits for")
 		return
 	}
 	p.forget(v.l, ref)
