A node hears of a time-out a Step before its part is asked again elsewhere

Read in core.fire: after a time-out the A frame and the next dispatch of the part left in the same Step, on two connections, by two goroutines whose order is the scheduler's. Also: an answer to a request that was not read whole is no longer lost to the reset that closing brings.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -161,11 +161,25 @@
 			c.list(v)
 		}
 	}
+	var over []*dispatch
 	for len(c.dues) > 0 && c.dues[0].at <= c.now {
-		c.fire(heap.Pop(&c.dues).(due))
+		if d := heap.Pop(&c.dues).(due); d.d != nil {
+			over = append(over, d.d)
+		} else {
+			c.fire(d)
+		}
 	}
 	events := c.events
 	c.events = nil
+	// The node is told now, the module in the next Step, as with a recall: what it sends next for the part goes over
+	// another connection and could arrive before the node knows that the last one is given up. That would be a
+	// second copy, which not every site allows. It costs a turn.
+	for _, d := range over {
+		if !d.finished {
+			c.do(GiveUp{Host: d.host, Ref: d.ref})
+			c.finish(d, Ended{How: OutOfTime, At: c.now})
+		}
+	}
 	c.act(c.brk.Step(c.now, events))
 	out := c.out
 	c.out = nil
@@ -183,21 +197,13 @@
 }
 
 func (c *Core) fire(d due) {
-	switch {
-	case d.d != nil:
-		if !d.d.finished {
-			c.finish(d.d, Ended{How: OutOfTime, At: c.now})
-			c.do(GiveUp{Host: d.d.host, Ref: d.d.ref})
-		}
-	case d.s != nil:
+	if d.s == nil {
+		c.events = append(c.events, logic.Event{Kind: logic.TimerDue, Timer: d.timer})
+	} else if c.scans[d.s.num] == d.s {
 		// The client's time is up and the module has not ended the scan: no scan may stay without an answer.
 		// It guards against a fault in the module or a stalled process; it can harm nothing that could be saved.
-		if c.scans[d.s.num] == d.s {
-			c.events = append(c.events, logic.Event{Kind: logic.ClientLeft, ID: d.s.num})
-			c.reply(d.s, Reply{Kind: logic.Abandon, Why: "out of time"})
-		}
-	default:
-		c.events = append(c.events, logic.Event{Kind: logic.TimerDue, Timer: d.timer})
+		c.events = append(c.events, logic.Event{Kind: logic.ClientLeft, ID: d.s.num})
+		c.reply(d.s, Reply{Kind: logic.Abandon, Why: "out of time"})
 	}
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"maps"
 	"math"
 	"os"
 	"testing"
@@ -23,12 +24,16 @@
 	all []core.Output
 }
 
-func play(t *testing.T) *rig {
+// play starts a core with the start file's settings, those in changes replaced.
+func play(t *testing.T, changes ...map[string]any) *rig {
 	text, err := os.ReadFile("../config/testdata/start.json")
 	require.NoError(t, err)
 	told, err := config.Parse(text, func(string) string { return "" })
 	require.NoError(t, err)
 	known := told.Known.Nodes(func(host, why string) { t.Errorf("%s: %s", host, why) })
+	for _, c := range changes {
+		maps.Copy(told.Flat, c)
+	}
 	r := &rig{t: t, c: core.New(told.Site, told.Flat, told.Seed, known), now: 1e12}
 	r.step(0)
 	return r
@@ -210,6 +215,34 @@
 		Parts: []core.ScanPart{{Shard: 0, Weight: 1}}}))[0].Kind, "a scan that comes out of time")
 }
 
+// Whatever ends a dispatch here, its node is told a Step before anything more is sent for the part: on another
+// connection that could arrive first and be a second copy.
+func TestGivenUpFirst(t *testing.T) {
+	r := play(t, map[string]any{"limit.cancelling": false}) // time-outs alone take parts back then
+	givenUp, sent := map[int64]int{}, map[string]int64{}
+	for _, p := range parts(r.step(0, r.scan(1, 3900, 0, 1))) {
+		sent[p.ID] = p.Ref
+	}
+	for turn := 0; !math.IsInf(r.c.Due(), 1); turn++ {
+		r.now = max(r.now+5, r.c.Due())
+		for _, o := range r.c.Step(r.now, nil) {
+			switch v := o.(type) {
+			case core.GiveUp:
+				givenUp[v.Ref] = turn
+			case core.Call:
+				for _, p := range v.Parts {
+					if last, again := sent[p.ID]; again {
+						at, told := givenUp[last]
+						assert.True(t, told && at < turn, "%s again in turn %d", p.ID, turn)
+					}
+					sent[p.ID] = p.Ref
+				}
+			}
+		}
+	}
+	assert.Greater(t, len(givenUp), 2, "parts were asked again")
+}
+
 func TestOpenCap(t *testing.T) {
 	r := play(t) // 20 scans and parts
 	for i := range 7 {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"gullstair/internal/buffers"
 	"gullstair/internal/core"
 	"gullstair/internal/terms"
 )
@@ -23,6 +24,8 @@
 	headMost   = 16 << 10        // bytes of a request's head
 	sendWithin = 2 * time.Second // an answer has so long to go out
 	arrivals   = 700 * time.Millisecond
+	drainFor   = 500 * time.Millisecond
+	drainMost  = 1 << 20
 	acceptWait = 5 * time.Millisecond
 	quiesce    = 500 * time.Millisecond
 	settle     = 100 * time.Millisecond // a connection that came a moment ago has its request on the way
@@ -214,6 +217,7 @@
 		c.f.Stats.Malformed.Add(1)
 		if !errors.Is(err, io.EOF) {
 			c.write(plain(http.StatusBadRequest, "the request could not be read"), true)
+			c.drain()
 		}
 		return false
 	}
@@ -222,7 +226,10 @@
 	scan, r := c.f.read(c, req, at)
 	if scan == nil {
 		last = last || r.fatal || c.f.stopping.Load()
-		return c.write(r, last) && !last && c.setIdle(true)
+		if c.write(r, last) && r.fatal {
+			c.drain()
+		}
+		return !last && c.setIdle(true)
 	}
 	if c.f.tooLate.Load() {
 		c.write(plain(http.StatusServiceUnavailable, "stopping"), true)
@@ -241,6 +248,22 @@
 	return c.write(render(reply), last) && !last && c.setIdle(true)
 }
 
+// drain reads on for a moment after an answer to a request that was not read whole: a connection closed with
+// bytes unread is reset, and the answer with it.
+func (c *client) drain() {
+	if tcp, ok := c.conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+		c.conn.SetReadDeadline(time.Now().Add(drainFor))
+		c.quota.left = drainMost
+		buf := buffers.Get()
+		defer buffers.Put(buf)
+		for {
+			if _, err := c.in.Read(buf[:]); err != nil {
+				return
+			}
+		}
+	}
+}
+
 // Reply hands a scan's answer to its connection. It never waits.
 func Reply(r core.Reply) {
 	c := r.Scan.Client.(*client)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -183,7 +183,7 @@
 		seg(`{"segment":1,"boost":-1},{"segment":2,"boost":2}`):                             {400, true},
 		seg(`{"segment":1,"boost":0}`):                                                      {400, true},
 		seg(`{"segment":1,"boost":1,"work":-1}`):                                            {400, true},
-		ask("/board", "", strings.Repeat(" ", 65537)):                                       {413, false},
+		ask("/board", "", strings.Repeat(" ", 600000)):                                      {413, false},
 		ask("/board", "Transfer-Encoding: chunked\r\n", "zz\r\n"):                           {400, false},
 		"NONSENSE\r\n\r\n":                                                                  {400, false},
 		"GET /healthz HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 20000) + "\r\n\r\n": {400, false},
