The list's actor has a mailbox; where the list must be asked for, the module begins the watch

The watch was a loop without mail; its connection's reader now posts to it, and a stop ends it at once. A further Ask adds no call while one is out or waited for.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -53,6 +53,7 @@
 	ended sync.WaitGroup
 	front *front.Front
 	fleet *node.Fleet
+	watch *discovery.Watch
 	ln    net.Listener
 	log   zerolog.Logger
 	fatal chan error
@@ -82,9 +83,8 @@
 	known := t.Known.Nodes(odd)
 	b.core = core.New(t.Site, t.Flat, t.Seed, known)
 	b.listed = len(known) > 0
-	w := &discovery.Watch{Addr: t.Discovery, Seq: t.Known.Seq, Tell: func(l core.List) { b.put(l) }, Log: log}
+	b.watch = discovery.Follow(t.Discovery, t.Known.Seq, t.Site.AskList, func(l core.List) { b.put(l) }, log)
 	b.ended.Go(b.run)
-	go w.Run(b.stop)
 	go func() {
 		if err := b.front.Serve(ln); err != nil {
 			select {
@@ -180,6 +180,8 @@
 			front.Reply(v)
 		case core.Move:
 			b.fleet.Move(v)
+		case core.Watch:
+			b.watch.Ask()
 		case core.Log:
 			if v.Fatal {
 				select {
@@ -203,6 +205,7 @@
 func (b *Broker) Stop(patience time.Duration) {
 	b.log.Info().Msg("stopping")
 	b.front.Stop(patience)
+	b.watch.Stop()
 	close(b.stop)
 	b.ended.Wait()
 	b.ln.Close()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -324,8 +324,7 @@
 		case logic.SetTimer:
 			c.plan(due{at: c.now + a.After, timer: a.Timer})
 		case logic.Subscribe:
-			// The watch is open from the start and asks again by itself after a failure. To let the module hasten it
-			// would add a call for each that failed, more and more of them while discovery is down.
+			c.do(Watch{})
 		case logic.Probe:
 			// No deployment's module asks for probes today; what cannot be done is said, not dropped.
 			c.do(Log{Text: "probes are not carried out"})
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -52,7 +52,7 @@
 	Units, Born            float64
 }
 
-// Output is what the core wants done: a Call, GiveUp, Reply, Move or Log.
+// Output is what the core wants done: a Call, GiveUp, Reply, Move, Watch or Log.
 type Output any
 
 // Call is one frame to a node.
@@ -86,7 +86,7 @@
 	Whole      bool
 	Hits       []Hit
 	RetryAfter float64 // 0: says nothing
-	Why        string
+	Why        string  // a word to the client, where there is one
 }
 
 // Hit is the value of one part that is in.
@@ -101,6 +101,9 @@
 	Gone       bool
 }
 
+// Watch says that the list is to be followed.
+type Watch struct{}
+
 // Log is a line of the module's; Fatal: it cannot go on.
 type Log struct {
 	Text  string
--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -68,11 +69,11 @@
 		}
 		return answer{status: http.StatusOK, kind: "application/json", text: string(text)}
 	case logic.Throttle:
-		a := plain(http.StatusTooManyRequests, "throttled")
+		a := plain(http.StatusTooManyRequests, cmp.Or(r.Why, "throttled"))
 		a.retryAfter = r.RetryAfter
 		return a
 	}
-	return plain(http.StatusGatewayTimeout, "abandoned")
+	return plain(http.StatusGatewayTimeout, cmp.Or(r.Why, "abandoned"))
 }
 
 // read takes a request apart. A scan comes back if it is one, else what to answer.
