--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -76,7 +76,7 @@
 	defer close(held)
 	b := &Broker{clock: NewClock(), log: zerolog.Nop()}
 	b.fleet = node.NewFleet(node.Reach{}, b.clock.Now, func(core.Ended) { <-held }, zerolog.Nop())
-	c := core.Call{Host: "s-z", Dial: "127.0.0.1:1", Parts: []core.CallPart{{Ref: 7}, {Ref: 8}}}
+	c := core.Call{Host: "s-z", Addr: "127.0.0.1:1", Parts: []core.CallPart{{Ref: 7}, {Ref: 8}}}
 	var batch []core.Input
 	for i := 0; len(batch) == 0 && i < 10000; i++ {
 		batch = b.carryOut([]core.Output{c}, nil)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -108,7 +108,7 @@
 }
 
 type place struct {
-	host, dial string
+	host, addr string
 	gone       bool
 }
 
@@ -350,7 +350,7 @@
 	case p.tries > c.site.Dispatches || s.endAt <= c.now:
 		c.finish(d, Ended{How: NeverSent, At: c.now})
 		return
-	case at == nil || at.dial == "":
+	case at == nil || at.addr == "":
 		c.finish(d, Ended{How: NoAddress, At: c.now})
 		return
 	case a.After < 0:
@@ -377,7 +377,7 @@
 		}
 	}
 	calls[a.Node] = len(c.out)
-	c.do(Call{Host: at.host, Dial: at.dial, Parts: []CallPart{cp}})
+	c.do(Call{Host: at.host, Addr: at.addr, Parts: []CallPart{cp}})
 }
 
 // notAfter is the latest moment at which a further dispatch of a keyed part may be written: while repeats are
@@ -504,9 +504,9 @@
 		}
 		named[num] = true
 		at, gone := c.hosts[num], n.Readiness == logic.Gone
-		if at.dial != n.Dial && n.Dial != "" || at.gone != gone {
-			at.dial, at.gone = cmp.Or(n.Dial, at.dial), gone
-			c.do(Move{Host: at.host, Dial: at.dial, Gone: gone})
+		if at.addr != n.Addr && n.Addr != "" || at.gone != gone {
+			at.addr, at.gone = cmp.Or(n.Addr, at.addr), gone
+			c.do(Move{Host: at.host, Addr: at.addr, Gone: gone})
 		}
 		e.Entries = append(e.Entries, logic.Entry{Node: num, Zone: c.index(c.site.Zones, n.Zone),
 			Kind: c.index(c.site.Kinds, n.Kind), Cell: n.Cell, Readiness: n.Readiness, Units: n.Units, Born: n.Born})
@@ -515,7 +515,7 @@
 		for num, at := range c.hosts {
 			if !named[num] && !at.gone {
 				at.gone = true
-				c.do(Move{Host: at.host, Dial: at.dial, Gone: true})
+				c.do(Move{Host: at.host, Addr: at.addr, Gone: true})
 			}
 		}
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -280,8 +280,8 @@
 }
 
 func TestLists(t *testing.T) {
-	node := func(host, dial string, ready logic.Readiness) core.Node {
-		return core.Node{Host: host, Dial: dial, Zone: "west", Kind: "std", Readiness: ready, Units: 1}
+	node := func(host, addr string, ready logic.Readiness) core.Node {
+		return core.Node{Host: host, Addr: addr, Zone: "west", Kind: "std", Readiness: ready, Units: 1}
 	}
 	for name, c := range map[string]struct {
 		list core.List
@@ -289,13 +289,13 @@
 	}{
 		"nothing new": {core.List{Kind: logic.ListChanges, Nodes: []core.Node{node("s-a", "127.0.0.1:2", logic.Ready)}}, nil},
 		"moved": {core.List{Kind: logic.ListChanges, Nodes: []core.Node{node("s-a", "127.0.0.1:9", logic.Ready)}},
-			[]core.Move{{Host: "s-a", Dial: "127.0.0.1:9"}}},
+			[]core.Move{{Host: "s-a", Addr: "127.0.0.1:9"}}},
 		"gone": {core.List{Kind: logic.ListChanges, Nodes: []core.Node{node("s-a", "", logic.Gone)}},
-			[]core.Move{{Host: "s-a", Dial: "127.0.0.1:2", Gone: true}}},
+			[]core.Move{{Host: "s-a", Addr: "127.0.0.1:2", Gone: true}}},
 		"left out of a whole list": {core.List{Kind: logic.ListWhole, Nodes: []core.Node{node("s-a", "127.0.0.1:2", logic.Ready)}},
-			[]core.Move{{Host: "s-b", Dial: "127.0.0.1:3", Gone: true}}},
+			[]core.Move{{Host: "s-b", Addr: "127.0.0.1:3", Gone: true}}},
 		"failed":       {core.List{Kind: logic.ListFailed}, nil},
-		"empty, whole": {core.List{Kind: logic.ListWhole}, []core.Move{{Host: "s-a", Dial: "127.0.0.1:2", Gone: true}, {Host: "s-b", Dial: "127.0.0.1:3", Gone: true}}},
+		"empty, whole": {core.List{Kind: logic.ListWhole}, []core.Move{{Host: "s-a", Addr: "127.0.0.1:2", Gone: true}, {Host: "s-b", Addr: "127.0.0.1:3", Gone: true}}},
 	} {
 		r := play(t)
 		assert.ElementsMatch(t, c.want, pick[core.Move](r.step(0, c.list)), name)
@@ -303,7 +303,7 @@
 	r := play(t)
 	r.step(100, core.List{Kind: logic.ListFailed})
 	assert.Equal(t, []core.Output{core.Watch{}}, r.until(r.now+5000), "the module asks for the list once more")
-	odd := core.Node{Host: "s-c", Dial: "127.0.0.1:4", Zone: "moon", Kind: "odd", Cell: 99, Readiness: logic.Ready}
+	odd := core.Node{Host: "s-c", Addr: "127.0.0.1:4", Zone: "moon", Kind: "odd", Cell: 99, Readiness: logic.Ready}
 	assert.Len(t, pick[core.Log](r.step(0, core.List{Kind: logic.ListChanges, Nodes: []core.Node{odd}})), 2, "odd zones are told")
 	assert.Empty(t, pick[core.Call](r.step(0, core.List{Kind: logic.ListChanges, Nodes: []core.Node{
 		node("s-a", "127.0.0.1:2", logic.Draining), node("s-a", "127.0.0.1:2", logic.Draining)}}, r.scan(1, 3000, 0))),
@@ -313,10 +313,10 @@
 // Nodes have the same number at every broker, or their turns at cold nodes would fall together.
 func TestSameNumbers(t *testing.T) {
 	a, b := play(t), play(t)
-	list := core.List{Kind: logic.ListChanges, Nodes: []core.Node{{Host: "s-x", Dial: "127.0.0.1:7", Zone: "west",
+	list := core.List{Kind: logic.ListChanges, Nodes: []core.Node{{Host: "s-x", Addr: "127.0.0.1:7", Zone: "west",
 		Kind: "std", Readiness: logic.Ready, Units: 1, Born: 1e12 - 1}}}
 	a.step(0, list)
-	b.step(0, core.List{Kind: logic.ListWhole, Nodes: []core.Node{{Host: "s-y", Dial: "127.0.0.1:8", Zone: "west",
+	b.step(0, core.List{Kind: logic.ListWhole, Nodes: []core.Node{{Host: "s-y", Addr: "127.0.0.1:8", Zone: "west",
 		Kind: "std", Readiness: logic.Ready, Units: 1}}}, list)
 	assert.Equal(t, a.c.Number("s-x"), b.c.Number("s-x"))
 	assert.NotZero(t, a.c.Number("s-x"))
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -46,7 +46,7 @@
 
 // Node is one line of a list, in the words of the sockets.
 type Node struct {
-	Host, Dial, Zone, Kind string
+	Host, Addr, Zone, Kind string
 	Cell                   int
 	Readiness              logic.Readiness
 	Units, Born            float64
@@ -57,7 +57,7 @@
 
 // Call is one frame to a node.
 type Call struct {
-	Host, Dial string
+	Host, Addr string
 	Parts      []CallPart
 }
 
@@ -97,7 +97,7 @@
 
 // Move says where a node is to be reached from now on, or that it is gone.
 type Move struct {
-	Host, Dial string
+	Host, Addr string
 	Gone       bool
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -56,7 +56,7 @@
 // whose state is not known counts as draining, which sends it nothing new.
 func (l Listing) Nodes(odd func(host, why string)) (nodes []core.Node) {
 	for _, h := range l.Hosts {
-		n := core.Node{Host: h.Host, Dial: h.Dial, Zone: h.Site, Kind: h.Class, Cell: h.Block,
+		n := core.Node{Host: h.Host, Addr: h.Dial, Zone: h.Site, Kind: h.Class, Cell: h.Block,
 			Readiness: readiness[h.Health], Units: max(h.Share, 0), Born: h.BornMs}
 		if n.Host == "" {
 			odd(h.Host, "a line names no host")
@@ -66,11 +66,11 @@
 			odd(h.Host, "unknown health "+h.Health)
 			n.Readiness = logic.Draining
 		}
-		if _, err := netip.ParseAddrPort(n.Dial); err != nil { // there is no DNS to ask for a name
+		if _, err := netip.ParseAddrPort(n.Addr); err != nil { // there is no DNS to ask for a name
 			if n.Readiness != logic.Gone {
 				odd(h.Host, "an address that cannot be dialled: "+h.Dial)
 			}
-			n.Dial = ""
+			n.Addr = ""
 		}
 		nodes = append(nodes, n)
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -91,7 +91,7 @@
 	a := watch(t, 41, false)
 	assert.Equal(t, since(41), next(t, a.asked))
 	a.reply <- body(`{"seq":43,"whole":false,"hosts":[` + fmt.Sprintf(line, "DRAINING") + `]}`)
-	assert.Equal(t, core.List{Kind: logic.ListChanges, Nodes: []core.Node{{Host: "s-1", Dial: "127.0.0.1:8000", Zone: "a",
+	assert.Equal(t, core.List{Kind: logic.ListChanges, Nodes: []core.Node{{Host: "s-1", Addr: "127.0.0.1:8000", Zone: "a",
 		Kind: "m2", Cell: 3, Readiness: logic.Draining, Units: 1.5, Born: 7}}}, next(t, a.told))
 	assert.Equal(t, since(43), next(t, a.asked))
 	a.reply <- "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{\"s\r\n" + "1f\r\neq\":44,\"whole\":true,\"hosts\":[]}\r\n0\r\n\r\n"
@@ -145,7 +145,7 @@
 	l := Listing{Hosts: []wireEntry{{Host: "a", Dial: "127.0.0.1:1", Health: "ILL"}, {Dial: "127.0.0.1:1", Health: "SERVING"},
 		{Host: "b", Dial: "nowhere", Health: "SERVING"}, {Host: "c", Health: "DELETED"}, {Host: "d", Dial: "127.0.0.1:1", Health: "SERVING", Share: -1}}}
 	nodes := l.Nodes(func(_, _ string) { odd++ })
-	assert.Equal(t, []core.Node{{Host: "a", Dial: "127.0.0.1:1", Readiness: logic.Draining}, {Host: "b", Readiness: logic.Ready},
-		{Host: "c", Readiness: logic.Gone}, {Host: "d", Dial: "127.0.0.1:1", Readiness: logic.Ready}}, nodes)
+	assert.Equal(t, []core.Node{{Host: "a", Addr: "127.0.0.1:1", Readiness: logic.Draining}, {Host: "b", Readiness: logic.Ready},
+		{Host: "c", Readiness: logic.Gone}, {Host: "d", Addr: "127.0.0.1:1", Readiness: logic.Ready}}, nodes)
 	assert.Equal(t, 3, odd)
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -87,8 +87,8 @@
 	}
 }
 
-func call(host, dial string, refs ...int64) core.Call {
-	c := core.Call{Host: host, Dial: dial}
+func call(host, addr string, refs ...int64) core.Call {
+	c := core.Call{Host: host, Addr: addr}
 	for _, ref := range refs {
 		c.Parts = append(c.Parts, core.CallPart{Ref: ref, ID: "q." + string(rune('0'+ref)), Shard: int(ref), Until: 1239.5, Text: "txt"})
 	}
@@ -98,7 +98,7 @@
 func TestFrames(t *testing.T) {
 	n := fakeNode(t)
 	f, ends := fleet(t, Reach{})
-	require.True(t, f.Call(core.Call{Host: "a", Dial: n.addr(), Parts: []core.CallPart{
+	require.True(t, f.Call(core.Call{Host: "a", Addr: n.addr(), Parts: []core.CallPart{
 		{Ref: 1, ID: "9b1f03aa5c7e2d41.3", Shard: 3, Until: 1239.5, Key: "5c0f", Text: "c41e77d0"},
 		{Ref: 2, ID: "9b1f03aa5c7e2d41.5.get", Shard: 5, Until: 1090, From: "3+5", Whole: true, Text: "two\nlines"},
 		{Ref: 3, ID: "9b1f03aa5c7e2d41.6.get", Shard: 6, Until: 1090, From: "6"}}}))
@@ -169,8 +169,8 @@
 }
 
 // still is a peer whose actor does not run: the test hands it its mail.
-func still(f *Fleet, host, dial string) *peer {
-	p := &peer{f: f, host: host, dial: dial, mail: make(chan any, 2), ended: make(chan struct{}), out: map[int64]*link{}}
+func still(f *Fleet, host, addr string) *peer {
+	p := &peer{f: f, host: host, addr: addr, mail: make(chan any, 2), ended: make(chan struct{}), out: map[int64]*link{}}
 	f.peers[host] = p
 	return p
 }
@@ -242,14 +242,14 @@
 	f.Call(call("a", old.addr(), 1))
 	k := old.accept()
 	k.frame()
-	f.Move(core.Move{Host: "a", Dial: other.addr()})
+	f.Move(core.Move{Host: "a", Addr: other.addr()})
 	f.Call(call("a", other.addr(), 2))
 	k2 := other.accept()
 	assert.Contains(t, k2.frame(), "q.2")
 	k.say("Yq.1 OK 0 -\n")
 	assert.Equal(t, core.Answered, next(t, ends).How)
 	assert.Empty(t, k.frame(), "the old connection is closed once nothing is out on it")
-	f.Move(core.Move{Host: "a", Dial: other.addr(), Gone: true})
+	f.Move(core.Move{Host: "a", Addr: other.addr(), Gone: true})
 	k2.say("Yq.2 OK 0 -\n")
 	assert.Equal(t, core.Answered, next(t, ends).How)
 	assert.Empty(t, k2.frame())
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -65,13 +65,13 @@
 		return
 	}
 	if p == nil {
-		p = f.start(m.Host, m.Dial)
+		p = f.start(m.Host, m.Addr)
 	}
 	p.offer(m)
 }
 
-func (f *Fleet) start(host, dial string) *peer {
-	p := &peer{f: f, host: host, dial: dial, mail: make(chan any, mailboxSize), ended: make(chan struct{}),
+func (f *Fleet) start(host, addr string) *peer {
+	p := &peer{f: f, host: host, addr: addr, mail: make(chan any, mailboxSize), ended: make(chan struct{}),
 		out: map[int64]*link{}, log: f.log.With().Str("node", host).Logger()}
 	f.peers[host] = p
 	go p.run()
@@ -83,7 +83,7 @@
 func (f *Fleet) Call(c core.Call) bool {
 	p := f.peers[c.Host]
 	if p == nil || p.closed() {
-		p = f.start(c.Host, c.Dial)
+		p = f.start(c.Host, c.Addr)
 	}
 	return p.offer(c)
 }
@@ -139,7 +139,7 @@
 	over  bool // under mu: no message is taken any more
 	f     *Fleet
 	host  string
-	dial  string
+	addr  string
 	gone  bool
 	mail  chan any
 	ended chan struct{}
@@ -151,7 +151,7 @@
 // link is one connection. Until it is up, its frames wait in queue.
 type link struct {
 	conn    net.Conn
-	dial    string
+	addr    string
 	up      bool
 	ids     map[string]int64 // parts that are out, by id
 	refs    map[int64]string
@@ -218,8 +218,8 @@
 		p.giveUp(v.Ref)
 	case core.Move:
 		p.gone = v.Gone
-		if v.Dial != "" {
-			p.dial = v.Dial
+		if v.Addr != "" {
+			p.addr = v.Addr
 		}
 		p.sweep()
 	case dialed:
@@ -237,12 +237,12 @@
 
 // call puts a frame on a connection that has room for its parts, or on a new one.
 func (p *peer) call(c core.Call) {
-	if c.Dial != "" {
-		p.dial = c.Dial
+	if c.Addr != "" {
+		p.addr = c.Addr
 	}
 	var best *link
 	for _, l := range p.links {
-		if l.dial == p.dial && len(l.refs)+len(c.Parts) <= max(p.f.reach.PerConn, len(c.Parts)) &&
+		if l.addr == p.addr && len(l.refs)+len(c.Parts) <= max(p.f.reach.PerConn, len(c.Parts)) &&
 			(best == nil || l.up && !best.up) && !p.clash(l, c) {
 			best = l
 		}
@@ -281,13 +281,13 @@
 		p.f.conns.Add(-1)
 		return nil
 	}
-	l := &link{dial: p.dial, ids: map[string]int64{}, refs: map[int64]string{}, lastUse: time.Now()}
+	l := &link{addr: p.addr, ids: map[string]int64{}, refs: map[int64]string{}, lastUse: time.Now()}
 	p.links = append(p.links, l)
 	p.f.Stats.Dials.Add(1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), p.f.reach.ConnectTimeout)
 		defer cancel()
-		conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", l.dial)
+		conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", l.addr)
 		p.post(dialed{l, conn, err})
 	}()
 	return l
@@ -432,7 +432,7 @@
 	for i := len(p.links) - 1; i >= 0; i-- {
 		l := p.links[i]
 		if l.up && len(l.refs) == 0 && len(l.wbuf) == 0 &&
-			(p.gone || l.dial != p.dial || time.Since(l.lastUse) >= idle) {
+			(p.gone || l.addr != p.addr || time.Since(l.lastUse) >= idle) {
 			p.drop(l, core.TakenBack, nil)
 		}
 	}
