A restart may overlap: an address in use is waited for; scans that outlast patience are answered

Read in broker.Start and broker.Stop: a broker started while the one before was still answering ended at once with its address in use, and scans open when patience ended were dropped without an answer. Tests: TestListenAgain, TestLastWords.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -3,12 +3,14 @@
 package broker
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"net"
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,7 +27,9 @@
 	batchMost   = 4096
 	tallyEvery  = 10 * time.Second
 	readWithin  = 5 * time.Second // a client has so long to send a request, from its first byte
-	spareFiles  = 24              // descriptors for the listener, discovery, standard streams and the runtime
+	lastWords   = time.Second     // for the answers to scans that outlast the end
+	listenFor   = 15 * time.Second
+	spareFiles  = 24 // descriptors for the listener, discovery, standard streams and the runtime
 )
 
 // Clock is one clock for all of a broker: Unix milliseconds at its start and monotonic time since.
@@ -66,7 +70,7 @@
 func Start(t *config.Told, log zerolog.Logger) (*Broker, error) {
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(t.MemoryMB) << 20 * 3 / 4)
-	ln, err := net.Listen("tcp", t.Listen)
+	ln, err := listen(t.Listen, listenFor)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -99,6 +103,17 @@
 	return b, nil
 }
 
+// listen waits for an address that is in use: after a planned restart the broker that had it may still be
+// answering what it took. Where something else holds it the start fails so much later.
+func listen(addr string, patience time.Duration) (net.Listener, error) {
+	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		ln, err := net.Listen("tcp", addr)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(begun) > patience {
+			return ln, err
+		}
+	}
+}
+
 func ms(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
 
 // put waits for room in the mailbox.
@@ -204,7 +219,10 @@
 // Stop answers what was taken and ends; patience bounds it.
 func (b *Broker) Stop(patience time.Duration) {
 	b.log.Info().Msg("stopping")
-	b.front.Stop(patience)
+	if !b.front.Stop(patience) { // no scan goes without an answer, even a bad one
+		b.put(core.Closing{})
+		b.front.Stop(lastWords)
+	}
 	b.watch.Stop()
 	close(b.stop)
 	b.ended.Wait()
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -85,3 +87,48 @@
 	last := batch[1].(core.Ended)
 	assert.Equal(t, core.Ended{Ref: 8, How: core.NoRoom, At: last.At}, last)
 }
+
+// A broker takes over an address from one that is still on its way out.
+func TestListenAgain(t *testing.T) {
+	old, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	_, err = listen(old.Addr().String(), 0)
+	assert.ErrorIs(t, err, syscall.EADDRINUSE)
+	time.AfterFunc(20*time.Millisecond, func() { old.Close() })
+	ln, err := listen(old.Addr().String(), patience)
+	require.NoError(t, err)
+	ln.Close()
+}
+
+// A scan that is still open when patience ends is answered all the same, though its node says nothing.
+func TestLastWords(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer silent.Close()
+	text, err := os.ReadFile("../config/testdata/start.json")
+	require.NoError(t, err)
+	told, err := config.Parse(text, func(string) string { return "" })
+	require.NoError(t, err)
+	for i := range told.Known.Hosts {
+		told.Known.Hosts[i].Dial = silent.Addr().String()
+	}
+	b, err := Start(told, zerolog.Nop())
+	require.NoError(t, err)
+	status := make(chan int, 1)
+	go func() {
+		req, _ := http.NewRequest("POST", "http://"+b.Addr()+"/board", strings.NewReader(`{"segments":[{"segment":0,"boost":1}],"text":"t"}`))
+		req.Header = http.Header{"X-Time-Left-Ms": {"3900"}, "X-Correlation-Id": {"q1"}}
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			status <- 0
+			return
+		}
+		res.Body.Close()
+		status <- res.StatusCode
+	}()
+	conn, err := silent.Accept()
+	require.NoError(t, err)
+	defer conn.Close()
+	b.Stop(0)
+	assert.Equal(t, 504, <-status)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"container/heap"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -159,6 +160,10 @@
 			c.ended(v)
 		case List:
 			c.list(v)
+		case Closing:
+			for _, num := range slices.Sorted(maps.Keys(c.scans)) {
+				c.abandon(c.scans[num], "stopping")
+			}
 		}
 	}
 	var over []*dispatch
@@ -202,11 +207,16 @@
 	} else if c.scans[d.s.num] == d.s {
 		// The client's time is up and the module has not ended the scan: no scan may stay without an answer.
 		// It guards against a fault in the module or a stalled process; it can harm nothing that could be saved.
-		c.events = append(c.events, logic.Event{Kind: logic.ClientLeft, ID: d.s.num})
-		c.reply(d.s, Reply{Kind: logic.Abandon, Why: "out of time"})
+		c.abandon(d.s, "out of time")
 	}
 }
 
+// abandon ends a scan that the module has not ended, and tells it so.
+func (c *Core) abandon(s *scan, why string) {
+	c.events = append(c.events, logic.Event{Kind: logic.ClientLeft, ID: s.num})
+	c.reply(s, Reply{Kind: logic.Abandon, Why: why})
+}
+
 // take gives a scan and its parts their numbers and tells the module, unless it would be too many at once.
 func (c *Core) take(r *Scan) {
 	c.Counts.Scans++
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -159,6 +159,7 @@
 	answers := func(r *rig, _ *core.Scan, sent []core.CallPart) []core.Output {
 		return r.step(0, r.ok(sent[0], 0), r.ok(sent[1], 0))
 	}
+	closing := func(r *rig, _ *core.Scan, _ []core.CallPart) []core.Output { return r.step(0, core.Closing{}) }
 	timeUp := func(r *rig, _ *core.Scan, _ []core.CallPart) []core.Output { return r.until(r.now + 20000) }
 	for name, c := range map[string]struct {
 		steps   []step
@@ -167,6 +168,7 @@
 		"answered, then the client leaves":     {[]step{answers, left, timeUp}, 1},
 		"the client leaves, then answers come": {[]step{left, answers, timeUp}, 0},
 		"time is up, then answers come":        {[]step{timeUp, answers, left}, 1},
+		"the broker ends, then answers come":   {[]step{closing, answers, timeUp}, 1},
 		"the client leaves twice":              {[]step{left, left, timeUp}, 0},
 		"answers and a leaving client in one go": {[]step{func(r *rig, s *core.Scan, sent []core.CallPart) []core.Output {
 			return r.step(0, r.ok(sent[0], 0), core.Left{Scan: s}, r.ok(sent[1], 0))
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -2,7 +2,7 @@
 
 import "gullstair/logic"
 
-// Input is what the sockets tell the core: a *Scan, Left, Ended or List.
+// Input is what the sockets tell the core: a *Scan, Left, Ended, List or Closing.
 type Input any
 
 // Scan is what a client asked for. The front fills it and finds it again in Reply.
@@ -38,6 +38,9 @@
 	Load  map[string]float64
 }
 
+// Closing says that the broker ends now: each open scan gets its answer.
+type Closing struct{}
+
 // List is what discovery says.
 type List struct {
 	Kind  logic.ListKind
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -155,11 +155,13 @@
 }
 
 // Stop begins the end: from now on answers say Connection: close. It returns when connections that still
-// arrive have had their time, the idle ones are closed and nothing is open, or when patience is over.
-func (f *Front) Stop(patience time.Duration) {
+// arrive have had their time, the idle ones are closed and nothing is open, or, with false, when patience is over.
+func (f *Front) Stop(patience time.Duration) bool {
 	begun := time.Now()
 	f.stopping.Store(true)
-	time.Sleep(quiesce)
+	if !f.tooLate.Load() {
+		time.Sleep(quiesce)
+	}
 	for {
 		f.mu.Lock()
 		for f.closeOldestIdle(settle) {
@@ -169,7 +171,7 @@
 		if passed := time.Since(begun); passed >= arrivals {
 			f.tooLate.Store(true)
 			if left == 0 || passed >= patience {
-				return
+				return left == 0
 			}
 		}
 		time.Sleep(20 * time.Millisecond)
