--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -189,6 +189,10 @@
 					batch = append(batch, core.Ended{Ref: p.Ref, How: core.NoRoom, At: now})
 				}
 			}
+		case core.Probe:
+			if !b.fleet.Probe(v) {
+				batch = append(batch, core.Ended{Ref: v.Ref, How: core.NoRoom, At: b.clock.Now()})
+			}
 		case core.GiveUp:
 			b.fleet.GiveUp(v)
 		case core.Reply:
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -67,6 +67,7 @@
 	at    float64
 	seq   int64
 	timer int64
+	probe int64
 	d     *dispatch
 	s     *scan
 }
@@ -102,12 +103,18 @@
 	parts   map[int64]*part
 	open    int // scans and parts
 	flights map[int64]*dispatch
-	second  []*scan // with a second step to begin
+	probes  map[int64]probe // that are out, by number
+	second  []*scan         // with a second step to begin
 
 	nodes map[string]int64 // numbers, by name
 	hosts map[int64]*place
 }
 
+type probe struct {
+	node int64
+	at   float64
+}
+
 type place struct {
 	host, addr string
 	gone       bool
@@ -115,7 +122,7 @@
 
 // New makes a core that has its start event and its cached list to tell.
 func New(site terms.Site, flat map[string]any, seed uint64, known []Node) *Core {
-	c := &Core{site: site, scans: map[int64]*scan{}, parts: map[int64]*part{}, flights: map[int64]*dispatch{},
+	c := &Core{site: site, scans: map[int64]*scan{}, parts: map[int64]*part{}, flights: map[int64]*dispatch{}, probes: map[int64]probe{},
 		nodes: map[string]int64{}, hosts: map[int64]*place{}}
 	c.events = append(c.events, logic.Event{Kind: logic.Started, Seed: seed, Terms: flat})
 	c.list(List{Kind: logic.ListCached, Nodes: known})
@@ -202,7 +209,9 @@
 }
 
 func (c *Core) fire(d due) {
-	if d.s == nil {
+	if d.probe != 0 {
+		c.probed(Ended{Ref: d.probe, How: OutOfTime, At: c.now})
+	} else if d.s == nil {
 		c.events = append(c.events, logic.Event{Kind: logic.TimerDue, Timer: d.timer})
 	} else if c.scans[d.s.num] == d.s {
 		// The client's time is up and the module has not ended the scan: no scan may stay without an answer.
@@ -286,6 +295,9 @@
 // ended takes a dispatch's end from the sockets. One that had ended before is counted and dropped.
 func (c *Core) ended(e Ended) {
 	d := c.flights[e.Ref]
+	if c.probed(e) {
+		return
+	}
 	if d == nil || d.finished {
 		c.Counts.Late++
 		return
@@ -336,8 +348,7 @@
 		case logic.Subscribe:
 			c.do(Watch{})
 		case logic.Probe:
-			// No deployment's module asks for probes today; what cannot be done is said, not dropped.
-			c.do(Log{Text: "probes are not carried out"})
+			c.probe(a.Node)
 		case logic.Note:
 			c.do(Log{Text: a.Text})
 		case logic.Fatal:
@@ -400,6 +411,29 @@
 	return p.ranAt + c.site.Types[p.scan.TableType].RepeatWindow
 }
 
+// probe asks a node for its load. A probe waits as long as a connection may take to come up.
+func (c *Core) probe(num int64) {
+	ref, at := c.number(), c.hosts[num]
+	c.probes[ref] = probe{node: num, at: c.now}
+	if at == nil || at.addr == "" {
+		c.probed(Ended{Ref: ref, How: NoAddress, At: c.now})
+		return
+	}
+	c.plan(due{at: c.now + c.site.ConnectTimeout, probe: ref})
+	c.do(Probe{Host: at.host, Addr: at.addr, Ref: ref})
+}
+
+// probed ends a probe, if e is the end of one that is out.
+func (c *Core) probed(e Ended) bool {
+	p, out := c.probes[e.Ref]
+	if out {
+		delete(c.probes, e.Ref)
+		c.events = append(c.events, logic.Event{Kind: logic.ProbeEnded, Node: p.node, Outcome: e.How.Outcome(),
+			Elapsed: max(0, e.At-p.at), Load: e.Load})
+	}
+	return out
+}
+
 // takeBack ends an open dispatch that nobody waits for any more and tells the node.
 func (c *Core) takeBack(d *dispatch) {
 	c.do(GiveUp{Host: d.host, Ref: d.ref})
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -55,7 +55,7 @@
 	Units, Born            float64
 }
 
-// Output is what the core wants done: a Call, GiveUp, Reply, Move, Watch or Log.
+// Output is what the core wants done: a Call, GiveUp, Probe, Reply, Move, Watch or Log.
 type Output any
 
 // Call is one frame to a node.
@@ -82,6 +82,12 @@
 	Ref  int64
 }
 
+// Probe asks a node for its load. It ends as a dispatch does, with Ended.
+type Probe struct {
+	Host, Addr string
+	Ref        int64
+}
+
 // Reply is the one answer to a scan.
 type Reply struct {
 	Scan       *Scan
--- a/internal/node/frame.go
+++ b/internal/node/frame.go
@@ -22,6 +22,7 @@
 	giveUpLetter = 'A'
 	answerLetter = 'Y'
 	refuseLetter = 'N'
+	probeLetter  = 'T'
 )
 
 var errFrame = errors.New("no frame of this protocol")
@@ -113,6 +114,14 @@
 	return a, nil
 }
 
+// readProbe reads the rest of a T frame: a report, - or ERROR.
+func readProbe(rest []byte) answer {
+	if string(rest) == "ERROR" {
+		return answer{how: core.AnsweredError}
+	}
+	return answer{how: core.Answered, load: readReport(string(rest))}
+}
+
 // readReport reads what can be read of a load report; the rest of it says nothing.
 func readReport(s string) map[string]float64 {
 	if s == "-" || s == "" {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -126,19 +126,19 @@
 		do   func(*talk)
 		want core.End
 	}{
-		"closed":                 {func(k *talk) { k.conn.Close() }, core.PeerClosed},
-		"reset":                  {func(k *talk) { k.conn.(*net.TCPConn).SetLinger(0); k.conn.Close() }, core.ReadBroke},
-		"closed within a frame":  {raw("\x00\x00\x00\x10Yq.1 O"), core.ReadBroke},
-		"closed within a length": {raw("\x00\x00"), core.ReadBroke},
-		"cannot use":             {say("Nno such shard"), core.NotUsable},
-		"an empty frame":         {raw("\x00\x00\x00\x00"), core.BadFrame},
-		"an absurd length":       {raw("\xff\xff\xff\xffY"), core.BadFrame},
-		"an unknown letter":      {say("Zq.1 OK 1 -\n"), core.BadFrame},
-		"a probe not asked for":  {say("GOK"), core.BadFrame},
-		"no line end":            {say("Yq.1 OK 1 -"), core.BadFrame},
-		"a word too few":         {say("Yq.1 OK 1\nv"), core.BadFrame},
-		"an unknown end":         {say("Yq.1 MAYBE 1 -\nv"), core.BadFrame},
-		"a score that is none":   {say("Yq.1 OK much -\nv"), core.BadFrame},
+		"closed":                       {func(k *talk) { k.conn.Close() }, core.PeerClosed},
+		"reset":                        {func(k *talk) { k.conn.(*net.TCPConn).SetLinger(0); k.conn.Close() }, core.ReadBroke},
+		"closed within a frame":        {raw("\x00\x00\x00\x10Yq.1 O"), core.ReadBroke},
+		"closed within a length":       {raw("\x00\x00"), core.ReadBroke},
+		"cannot use":                   {say("Nno such shard"), core.NotUsable},
+		"an empty frame":               {raw("\x00\x00\x00\x00"), core.BadFrame},
+		"an absurd length":             {raw("\xff\xff\xff\xffY"), core.BadFrame},
+		"an unknown letter":            {say("Zq.1 OK 1 -\n"), core.BadFrame},
+		"a health check not asked for": {say("GOK"), core.BadFrame},
+		"no line end":                  {say("Yq.1 OK 1 -"), core.BadFrame},
+		"a word too few":               {say("Yq.1 OK 1\nv"), core.BadFrame},
+		"an unknown end":               {say("Yq.1 MAYBE 1 -\nv"), core.BadFrame},
+		"a score that is none":         {say("Yq.1 OK much -\nv"), core.BadFrame},
 	} {
 		n := fakeNode(t)
 		f, ends := fleet(t, Reach{})
@@ -279,3 +279,31 @@
 		}
 	})
 }
+
+// Probes are answered in their order, on a connection that carries calls too; what breaks it ends them.
+func TestProbes(t *testing.T) {
+	n := fakeNode(t)
+	f, ends := fleet(t, Reach{})
+	require.True(t, f.Probe(core.Probe{Host: "a", Addr: n.addr(), Ref: 1}))
+	k := n.accept()
+	assert.Equal(t, "T", k.frame())
+	require.True(t, f.Probe(core.Probe{Host: "a", Addr: n.addr(), Ref: 2}))
+	require.True(t, f.Call(call("a", n.addr(), 3)))
+	assert.Equal(t, "T", k.frame())
+	assert.Contains(t, k.frame(), "q.3")
+	k.say("Tutil=0.5,queue=3")
+	assert.Equal(t, core.Ended{Ref: 1, How: core.Answered, At: 1000, Load: map[string]float64{"busy": 0.5, "waiting": 3}}, next(t, ends))
+	k.say("TERROR")
+	assert.Equal(t, core.Ended{Ref: 2, How: core.AnsweredError, At: 1000}, next(t, ends))
+	k.say("T-")
+	require.Eventually(t, func() bool { return f.Stats.Unknown.Load() == 1 }, patience, time.Millisecond, "nobody asked")
+	f.Probe(core.Probe{Host: "a", Addr: n.addr(), Ref: 4})
+	assert.Equal(t, "T", k.frame())
+	k.conn.Close()
+	got := map[int64]core.End{}
+	for range 2 {
+		e := next(t, ends)
+		got[e.Ref] = e.How
+	}
+	assert.Equal(t, map[int64]core.End{3: core.PeerClosed, 4: core.PeerClosed}, got)
+}
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -81,13 +81,19 @@
 // Call hands a frame to its node's peer. It never waits: where the mailbox is full, false comes back and the
 // parts count as not sent.
 func (f *Fleet) Call(c core.Call) bool {
-	p := f.peers[c.Host]
-	if p == nil || p.closed() {
-		p = f.start(c.Host, c.Addr)
+	return f.peerOf(c.Host, c.Addr).offer(c)
+}
+
+func (f *Fleet) peerOf(host, addr string) *peer {
+	if p := f.peers[host]; p != nil && !p.closed() {
+		return p
 	}
-	return p.offer(c)
+	return f.start(host, addr)
 }
 
+// Probe hands a probe to its node's peer, as Call does a frame.
+func (f *Fleet) Probe(v core.Probe) bool { return f.peerOf(v.Host, v.Addr).offer(v) }
+
 // GiveUp tells the peer that nobody waits for a dispatch any more. It never waits; what a full mailbox drops
 // the node finds out from the dispatch's own wait.
 func (f *Fleet) GiveUp(g core.GiveUp) {
@@ -156,6 +162,7 @@
 	ids     map[string]int64 // parts that are out, by id
 	refs    map[int64]string
 	queue   []core.Call
+	probes  []int64 // that are out or, before the connection is up, wait; they are answered in their order
 	wbuf    []byte
 	frames  []written // what stands in wbuf
 	lastUse time.Time
@@ -174,8 +181,9 @@
 }
 
 type arrived struct {
-	l *link
-	a answer
+	l     *link
+	probe bool
+	a     answer
 }
 
 type broke struct {
@@ -214,6 +222,8 @@
 	switch v := m.(type) {
 	case core.Call:
 		p.call(v)
+	case core.Probe:
+		p.probe(v)
 	case core.GiveUp:
 		p.giveUp(v.Ref)
 	case core.Move:
@@ -240,20 +250,14 @@
 	if c.Addr != "" {
 		p.addr = c.Addr
 	}
-	var best *link
-	for _, l := range p.links {
-		if l.addr == p.addr && len(l.refs)+len(c.Parts) <= max(p.f.reach.PerConn, len(c.Parts)) &&
-			(best == nil || l.up && !best.up) && !p.clash(l, c) {
-			best = l
-		}
-	}
+	best := p.pick(func(l *link) bool {
+		return len(l.refs)+len(c.Parts) <= max(p.f.reach.PerConn, len(c.Parts)) && !p.clash(l, c)
+	})
 	if best == nil {
-		if best = p.open(); best == nil {
-			for i := range c.Parts {
-				p.end(c.Parts[i].Ref, core.NoRoom, answer{})
-			}
-			return
+		for i := range c.Parts {
+			p.end(c.Parts[i].Ref, core.NoRoom, answer{})
 		}
+		return
 	}
 	for i := range c.Parts {
 		best.ids[c.Parts[i].ID], best.refs[c.Parts[i].Ref] = c.Parts[i].Ref, c.Parts[i].ID
@@ -266,6 +270,38 @@
 	}
 }
 
+// pick finds a connection that will do, rather one that is up, or opens one; nil: there is no room for another.
+func (p *peer) pick(do func(*link) bool) (best *link) {
+	for _, l := range p.links {
+		if l.addr == p.addr && (best == nil || l.up && !best.up) && do(l) {
+			best = l
+		}
+	}
+	if best == nil {
+		best = p.open()
+	}
+	return best
+}
+
+// probe asks for the node's load on any connection.
+func (p *peer) probe(v core.Probe) {
+	p.addr = v.Addr
+	l := p.pick(func(*link) bool { return true })
+	if l == nil {
+		p.end(v.Ref, core.NoRoom, answer{})
+		return
+	}
+	l.probes = append(l.probes, v.Ref)
+	if l.up {
+		l.addProbe()
+	}
+}
+
+func (l *link) addProbe() {
+	at := len(l.wbuf)
+	l.wbuf = finish(begin(l.wbuf, probeLetter), at)
+}
+
 // clash says whether a part of c is out on l already: answers go by its id.
 func (p *peer) clash(l *link, c core.Call) bool {
 	for i := range c.Parts {
@@ -310,6 +346,9 @@
 	for _, c := range queue {
 		p.write(d.l, c)
 	}
+	for range d.l.probes {
+		d.l.addProbe()
+	}
 }
 
 // write adds a frame with those parts of c that are still wanted.
@@ -358,6 +397,15 @@
 }
 
 func (p *peer) arrived(v arrived) {
+	if v.probe {
+		if len(v.l.probes) == 0 {
+			p.f.Stats.Unknown.Add(1)
+			return
+		}
+		p.end(v.l.probes[0], v.a.how, v.a)
+		v.l.probes, v.l.lastUse = v.l.probes[1:], time.Now()
+		return
+	}
 	ref, out := v.l.ids[v.a.id]
 	if !out { // given up meanwhile, answered before, or never asked: nobody waits for it
 		p.f.Stats.Unknown.Add(1)
@@ -420,7 +468,10 @@
 			delete(p.out, ref)
 			p.end(ref, how, answer{})
 		}
-		l.refs, l.ids, l.up = nil, nil, false
+		for _, ref := range l.probes {
+			p.end(ref, how, answer{})
+		}
+		l.refs, l.ids, l.probes, l.up = nil, nil, nil, false
 		return
 	}
 }
@@ -431,7 +482,7 @@
 	idle := p.f.reach.Idle - max(p.f.reach.Idle/10, 2*sweepEvery)
 	for i := len(p.links) - 1; i >= 0; i-- {
 		l := p.links[i]
-		if l.up && len(l.refs) == 0 && len(l.wbuf) == 0 &&
+		if l.up && len(l.refs) == 0 && len(l.probes) == 0 && len(l.wbuf) == 0 &&
 			(p.gone || l.addr != p.addr || time.Since(l.lastUse) >= idle) {
 			p.drop(l, core.TakenBack, nil)
 		}
@@ -448,6 +499,9 @@
 		if err == nil && letter == answerLetter {
 			a, err = readAnswer(rest)
 		}
+		if err == nil && letter == probeLetter {
+			a = readProbe(rest)
+		}
 		words := ""
 		if err == nil && letter == refuseLetter {
 			words = string(rest[:min(len(rest), 200)])
@@ -465,8 +519,8 @@
 		case err != nil:
 			p.post(broke{l, core.ReadBroke, err})
 			return
-		case letter == answerLetter:
-			p.post(arrived{l, a})
+		case letter == answerLetter || letter == probeLetter:
+			p.post(arrived{l, letter == probeLetter, a})
 		case letter == refuseLetter:
 			p.f.Stats.Malformed.Add(1)
 			p.log.Warn().Str("words", words).Msg("the node could not use a frame")
