--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -200,13 +200,8 @@
 		select {
 		case m := <-p.mail:
 			p.handle(m)
-			for more := true; more; { // what has gathered is written together
-				select {
-				case m := <-p.mail:
-					p.handle(m)
-				default:
-					more = false
-				}
+			for range len(p.mail) { // what has gathered is written together
+				p.handle(<-p.mail)
 			}
 			p.flush()
 		case <-sweep.C:
