--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -122,7 +122,8 @@
 
 // New makes a core that has its start event and its cached list to tell.
 func New(site terms.Site, flat map[string]any, seed uint64, known []Node) *Core {
-	c := &Core{site: site, scans: map[int64]*scan{}, parts: map[int64]*part{}, flights: map[int64]*dispatch{}, probes: map[int64]probe{},
+	c := &Core{site: site, scans: map[int64]*scan{}, parts: map[int64]*part{},
+		flights: map[int64]*dispatch{}, probes: map[int64]probe{},
 		nodes: map[string]int64{}, hosts: map[int64]*place{}}
 	c.events = append(c.events, logic.Event{Kind: logic.Started, Seed: seed, Terms: flat})
 	c.list(List{Kind: logic.ListCached, Nodes: known})
--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -194,5 +194,6 @@
 
 // word says whether s can stand in a frame's line.
 func word(s string) bool {
-	return s != "" && len(s) <= idMost && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r > '~' || r == ',' })
+	odd := func(r rune) bool { return r <= ' ' || r > '~' || r == ',' }
+	return s != "" && len(s) <= idMost && !strings.ContainsFunc(s, odd)
 }
