--- a/cmd/gullstair/main.go
+++ b/cmd/gullstair/main.go
@@ -82,6 +82,7 @@
 	log := zerolog.New(os.Stderr).Level(lv).With().Timestamp().Logger()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
 	told, err := config.Read(os.Getenv)
 	if err != nil {
 		return err
--- a/cmd/gullstair/main_test.go
+++ b/cmd/gullstair/main_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -110,6 +111,7 @@
 		return 0, "", err
 	}
 	req.Header.Set("X-Correlation-Id", "q1")
+	req.Header.Set("Idempotency-Key", "k1") // sent again once where the broker closed a connection between requests
 	req.Header.Set("X-Time-Left-Ms", "3000")
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -120,15 +122,13 @@
 	return res.StatusCode, string(body), err
 }
 
-// The whole program: it starts, serves scans of one and of two steps, loses a node in the middle of one, and on
-// SIGTERM answers what it has taken and ends.
-func TestServe(t *testing.T) {
+// start runs serve over these stores until it is ready; ended brings how it ended.
+func start(t *testing.T, stores ...*store) (at string, ended chan error) {
 	ln := listen(t)
-	at := ln.Addr().String()
+	at = ln.Addr().String()
 	ln.Close()
-	a, b, c := startStore(t), startStore(t), startStore(t)
-	t.Setenv("GW_CONFIG", startFile(t, at, a, b, c))
-	ended := make(chan error, 1)
+	t.Setenv("GW_CONFIG", startFile(t, at, stores...))
+	ended = make(chan error, 1)
 	go func() { ended <- run([]string{"serve", "-log", "error"}, io.Discard) }()
 	require.Eventually(t, func() bool {
 		res, err := http.Get("http://" + at + "/healthz")
@@ -138,6 +138,46 @@
 		res.Body.Close()
 		return res.StatusCode == http.StatusOK
 	}, patience, 5*time.Millisecond)
+	return at, ended
+}
+
+// Clients at work while SIGTERM comes: each request is answered whole, and those that come too late with a 503.
+func TestStopAtWork(t *testing.T) {
+	at, ended := start(t, startStore(t), startStore(t))
+	var answered, late atomic.Int64
+	var clients sync.WaitGroup
+	for range 8 {
+		clients.Go(func() {
+			for range 100000 {
+				status, _, err := ask(at, "/board", 0, 1)
+				if !assert.NoError(t, err) || status == http.StatusServiceUnavailable {
+					late.Add(1)
+					return
+				}
+				if status == http.StatusOK {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return answered.Load() > 50 }, patience, time.Millisecond)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	clients.Wait()
+	assert.EqualValues(t, 8, late.Load())
+	http.DefaultClient.CloseIdleConnections()
+	select {
+	case err := <-ended:
+		assert.NoError(t, err)
+	case <-time.After(patience):
+		assert.Fail(t, "did not end")
+	}
+}
+
+// The whole program: it starts, serves scans of one and of two steps, loses a node in the middle of one, and on
+// SIGTERM answers what it has taken and ends.
+func TestServe(t *testing.T) {
+	a, b, c := startStore(t), startStore(t), startStore(t)
+	at, ended := start(t, a, b, c)
 
 	status, body, err := ask(at, "/board", 0, 1)
 	require.NoError(t, err)
