--- a/cmd/gullstair/main.go
+++ b/cmd/gullstair/main.go
@@ -83,6 +83,11 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
+	// Before anything is read: a SIGHUP that nobody takes ends the process, and with it all that is open. Several
+	// in a row may become one, since each reads the file as it is then; during a stop they change nothing.
+	renewals := make(chan os.Signal, 1)
+	signal.Notify(renewals, syscall.SIGHUP)
+	defer signal.Stop(renewals)
 	told, err := config.Read(os.Getenv)
 	if err != nil {
 		return err
@@ -91,11 +96,19 @@
 	if err != nil {
 		return err
 	}
-	select {
-	case err := <-b.Fatal():
-		return err
-	case <-signals:
-		b.Stop(*patience) // further signals change nothing
-		return nil
+	for {
+		select {
+		case err := <-b.Fatal():
+			return err
+		case <-renewals:
+			if fresh, err := config.Reread(os.Getenv); err != nil {
+				log.Error().Err(err).Msg("the new start file was not taken up")
+			} else {
+				b.Renew(fresh)
+			}
+		case <-signals:
+			b.Stop(*patience) // further signals change nothing
+			return nil
+		}
 	}
 }
--- a/cmd/gullstair/main_test.go
+++ b/cmd/gullstair/main_test.go
@@ -173,6 +173,47 @@
 	}
 }
 
+// SIGHUP under load: a faulty file changes nothing, a good one moves the watch to the discovery that the file names,
+// though a variable held over the file at the start, and no client notices.
+func TestRenew(t *testing.T) {
+	old, fresh := listen(t), listen(t)
+	t.Setenv("GW_DISCOVERY", old.Addr().String())
+	at, ended := start(t, startStore(t), startStore(t))
+	text, err := os.ReadFile(os.Getenv("GW_CONFIG"))
+	require.NoError(t, err)
+	asked := make(chan string, 1)
+	go func() {
+		if conn, err := fresh.Accept(); err == nil {
+			call, _ := bufio.NewReader(conn).ReadString('\n')
+			asked <- call
+		}
+	}()
+	var tree map[string]any
+	require.NoError(t, json.Unmarshal(text, &tree))
+	tree["discovery"] = fresh.Addr().String()
+	good, err := json.Marshal(tree)
+	require.NoError(t, err)
+	for _, text := range [][]byte{good[:len(good)/2], good, good} {
+		require.NoError(t, os.WriteFile(os.Getenv("GW_CONFIG"), text, 0o600))
+		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		for range 20 {
+			status, _, err := ask(at, "/board", 0, 1)
+			require.NoError(t, err)
+			assert.Equal(t, 200, status)
+		}
+	}
+	select {
+	case call := <-asked:
+		assert.Equal(t, "GET /v1/servers HTTP/1.1\r\n", call, "the whole list")
+	case <-time.After(patience):
+		assert.Fail(t, "the new discovery was not asked")
+	}
+	http.DefaultClient.CloseIdleConnections()
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP), "one during the end changes nothing")
+	assert.NoError(t, <-ended)
+}
+
 // The whole program: it starts, serves scans of one and of two steps, loses a node in the middle of one, and on
 // SIGTERM answers what it has taken and ends.
 func TestServe(t *testing.T) {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -49,6 +49,7 @@
 
 // Broker is one running broker.
 type Broker struct {
+	told  *config.Told
 	clock Clock
 	core  *core.Core
 	turn  float64
@@ -74,7 +75,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	b := &Broker{clock: NewClock(), turn: t.Site.Turn, mail: make(chan core.Input, mailboxSize),
+	b := &Broker{told: t, clock: NewClock(), turn: t.Site.Turn, mail: make(chan core.Input, mailboxSize),
 		stop: make(chan struct{}), ln: ln, log: log, fatal: make(chan error, 1)}
 	nodeConns := t.Sockets / 4
 	b.fleet = node.NewFleet(node.Reach{PerConn: t.Site.PerConn, MaxConns: nodeConns,
@@ -214,6 +215,13 @@
 	return batch
 }
 
+// Renew takes up a start file that has been read again: the list is followed at the address that it names. The
+// rest of it waits for a restart.
+func (b *Broker) Renew(t *config.Told) {
+	b.log.Info().Str("discovery", t.Discovery).Strs("at_next_start", b.told.Differ(t)).Msg("start file read again")
+	b.watch.Move(t.Discovery)
+}
+
 // Fatal brings the error that ends the broker.
 func (b *Broker) Fatal() <-chan error { return b.fatal }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 
 	"gullstair/internal/discovery"
@@ -23,6 +25,8 @@
 	Known                   discovery.Listing
 	Flat                    map[string]any // the start settings in the module's words
 	Site                    terms.Site
+
+	filed string // discovery as the file states it, if it does
 }
 
 const (
@@ -46,6 +50,33 @@
 	return Parse(text, getenv)
 }
 
+// Reread reads the file again while the broker runs. What the file says of discovery holds over the variable
+// then: the file has been replaced since the start, the environment cannot be.
+func Reread(getenv func(string) string) (*Told, error) {
+	t, err := Read(getenv)
+	if err != nil || t.filed == "" {
+		return t, err
+	}
+	if _, err := netip.ParseAddrPort(t.filed); err != nil {
+		return nil, fmt.Errorf("discovery: %q is no address and port: %w", t.filed, err)
+	}
+	t.Discovery = t.filed
+	return t, nil
+}
+
+// Differ names what o states otherwise than t and only a restart takes up.
+func (t *Told) Differ(o *Told) (keys []string) {
+	for key, same := range map[string]bool{"name": t.Name == o.Name, "listen": t.Listen == o.Listen,
+		"limits":   t.Cores == o.Cores && t.MemoryMB == o.MemoryMB && t.Sockets == o.Sockets,
+		"settings": reflect.DeepEqual(t.Flat, o.Flat)} {
+		if !same {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // Parse is Read with the file's text at hand. A variable that is set holds over the file's value.
 func Parse(text []byte, getenv func(string) string) (*Told, error) {
 	var tree map[string]json.RawMessage
@@ -58,7 +89,12 @@
 	steps := []func() error{
 		func() error { return stated(tree, "name", getenv("GW_NAME"), &t.Name) },
 		func() error { return address(tree, "listen", getenv("GW_LISTEN"), &t.Listen) },
-		func() error { return address(tree, "discovery", getenv("GW_DISCOVERY"), &t.Discovery) },
+		func() error {
+			if raw, there := tree["discovery"]; there && json.Unmarshal(raw, &t.filed) != nil {
+				return errors.New("discovery: no text")
+			}
+			return address(tree, "discovery", getenv("GW_DISCOVERY"), &t.Discovery)
+		},
 		func() error {
 			var hex string
 			if err := stated(tree, "seed", "", &hex); err != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -35,6 +35,20 @@
 	assert.Equal(t, 1500.0, told.Flat["tableType.1.target"])
 }
 
+// A file read again: its discovery holds over the variable, and what only a restart takes up is named.
+func TestReread(t *testing.T) {
+	env := map[string]string{"GW_CONFIG": "testdata/start.json", "GW_DISCOVERY": "127.0.0.1:9", "GW_NAME": "b9"}
+	first, err := Read(func(k string) string { return env[k] })
+	require.NoError(t, err)
+	assert.Equal(t, "127.0.0.1:9", first.Discovery)
+	again, err := Reread(func(k string) string { return env[k] })
+	require.NoError(t, err)
+	assert.Equal(t, [2]string{"127.0.0.1:1", "b9"}, [2]string{again.Discovery, again.Name})
+	assert.Empty(t, first.Differ(again))
+	again.Name, again.Sockets, again.Flat = "b8", 7, nil
+	assert.Equal(t, []string{"limits", "name", "settings"}, first.Differ(again))
+}
+
 // Each fault is told with the key at fault, before anything is opened.
 func TestFaults(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -25,6 +25,7 @@
 
 const (
 	watchFor    = 20 * time.Second       // how long the agent may hold a watch open
+	connectFor  = 500 * time.Millisecond // the agent is on this machine
 	grace       = 2 * time.Second        // after which an agent that says nothing is taken for dead
 	retryFirst  = 100 * time.Millisecond // wait after a failed call; doubled up to retryMost
 	retryMost   = 1600 * time.Millisecond
@@ -98,6 +99,7 @@
 // Its mail.
 type (
 	wanted   struct{}
+	moved    struct{ addr string }
 	answered struct {
 		conn net.Conn
 		l    Listing
@@ -133,6 +135,11 @@
 	}
 }
 
+// Move follows the list at another address from now on. What the old one still sends counts no more, or a list of
+// its would undo a newer one; the new one is asked for the whole list at once, since its versions need not be the
+// old one's, and no drain may go unheard in between.
+func (w *Watch) Move(addr string) { w.post(moved{addr}) }
+
 // Stop ends the watch.
 func (w *Watch) Stop() { close(w.stop) }
 
@@ -147,6 +154,16 @@
 					w.begun = true
 					w.call()
 				}
+			case moved:
+				if v.addr == w.addr {
+					continue
+				}
+				w.hangUp()
+				w.retry.Stop()
+				w.addr, w.whole, w.wait = v.addr, true, retryFirst
+				if w.begun {
+					w.call()
+				}
 			case answered:
 				if v.conn == w.conn {
 					w.answered(v)
@@ -182,7 +199,7 @@
 func (w *Watch) answered(v answered) {
 	l, had := v.l, w.seq
 	w.used, w.wait = true, retryFirst
-	w.whole = !l.Whole && l.Seq < had
+	w.whole = !l.Whole && (l.Seq < had || w.whole)
 	if !w.whole {
 		w.seq = l.Seq
 	}
@@ -223,7 +240,7 @@
 // call sends the next call of the watch, on a new connection if need be.
 func (w *Watch) call() {
 	if w.conn == nil {
-		conn, err := net.DialTimeout("tcp", w.addr, grace)
+		conn, err := net.DialTimeout("tcp", w.addr, connectFor)
 		if err != nil {
 			w.failed(fmt.Errorf("connecting to discovery: %w", err))
 			return
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -140,6 +140,25 @@
 	assert.Empty(t, a.asked)
 }
 
+// A watch that moves asks the new agent for the whole list at once, and what the old one still sends is not told.
+func TestMove(t *testing.T) {
+	from, to := watch(t, 41, false), watch(t, 0, true)
+	next(t, from.asked)
+	from.w.Move(from.ln.Addr().String()) // where it is already: the watch goes on
+	from.w.Move(to.ln.Addr().String())
+	assert.Equal(t, "/v1/servers", next(t, to.asked))
+	from.reply <- body(`{"seq":99,"whole":true,"hosts":[]}`)
+	to.reply <- body(`{"seq":7,"whole":true,"hosts":[` + fmt.Sprintf(line, "SERVING") + `]}`)
+	assert.Len(t, next(t, from.told).Nodes, 1, "the new agent's list")
+	assert.Contains(t, next(t, to.asked), "since=7&", "its versions count, though the old one's were higher")
+	assert.Empty(t, from.told)
+	to.ln.Close()
+	to.reply <- ""
+	assert.Equal(t, logic.ListFailed, next(t, from.told).Kind)
+	from.w.Move(from.ln.Addr().String())
+	assert.Equal(t, "/v1/servers", next(t, from.asked), "from an agent that is gone to one that is there")
+}
+
 func TestOddLines(t *testing.T) {
 	odd := 0
 	l := Listing{Hosts: []wireEntry{{Host: "a", Dial: "127.0.0.1:1", Health: "ILL"}, {Dial: "127.0.0.1:1", Health: "SERVING"},
