--- a/cmd/gullstair/main.go
+++ b/cmd/gullstair/main.go
@@ -10,7 +10,6 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -70,7 +69,7 @@
 func serve(args []string) error {
 	fs := flag.NewFlagSet("serve", flag.ContinueOnError)
 	level := fs.String("log", "info", "least level of the log: debug, info, warn or error")
-	patience := fs.Duration("patience", 30*time.Second, "after SIGTERM, how long open scans may take")
+	patience := fs.Duration("patience", -1, "after SIGTERM, how long open scans may take; below 0: what a planned restart leaves")
 	if err := fs.Parse(args); err != nil {
 		return err
 	}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -26,8 +26,11 @@
 	mailboxSize = 1024
 	batchMost   = 4096
 	tallyEvery  = 10 * time.Second
-	readWithin  = 5 * time.Second // a client has so long to send a request, from its first byte
-	lastWords   = time.Second     // for the answers to scans that outlast the end
+	readWithin  = 5 * time.Second        // a client has so long to send a request, from its first byte
+	lastWords   = 200 * time.Millisecond // for the answers to scans that outlast the end
+	killMost    = 3 * time.Second        // the platform's: a planned restart waits for a query timeout, but no longer,
+	beforeKill  = 300 * time.Millisecond // and 0.7 s more: the broker uses so much of those,
+	lingerLess  = 500 * time.Millisecond // and stops taking scans so long before
 	listenFor   = 15 * time.Second
 	spareFiles  = 24 // descriptors for the listener, discovery, standard streams and the runtime
 )
@@ -86,6 +89,7 @@
 		ReadWithin: readWithin, Log: log}
 	odd := func(host, why string) { log.Warn().Str("node", host).Msg(why) }
 	known := t.Known.Nodes(odd)
+	b.front.Linger = max(0, b.lastKill()-lingerLess)
 	b.core = core.New(t.Site, t.Flat, t.Seed, known)
 	b.listed = len(known) > 0
 	b.watch = discovery.Follow(t.Discovery, t.Known.Seq, t.Site.AskList, func(l core.List) { b.put(l) }, log)
@@ -100,7 +104,8 @@
 	}()
 	log.Info().Str("name", t.Name).Str("listen", ln.Addr().String()).Str("discovery", t.Discovery).
 		Int("known", len(known)).Int64("seq", t.Known.Seq).Int("memory_mb", t.MemoryMB).Int("sockets", t.Sockets).
-		Msg("started")
+		Float64("cores", t.Cores).Int("open_cap", t.Site.OpenCap).Float64("turn_ms", t.Site.Turn).
+		Interface("types", t.Site.Types).Msg("started")
 	return b, nil
 }
 
@@ -228,9 +233,13 @@
 // Addr is where clients connect.
 func (b *Broker) Addr() string { return b.ln.Addr().String() }
 
-// Stop answers what was taken and ends; patience bounds it.
+// Stop answers what was taken and ends; patience bounds it. Below 0 it is what a planned restart leaves at least: the
+// longest query timeout, 3 s at most, and a little.
 func (b *Broker) Stop(patience time.Duration) {
 	b.log.Info().Msg("stopping")
+	if patience < 0 {
+		patience = b.lastKill() + beforeKill
+	}
 	if !b.front.Stop(patience) { // no scan goes without an answer, even a bad one
 		b.put(core.Closing{})
 		b.front.Stop(lastWords)
@@ -243,6 +252,15 @@
 	b.log.Info().Msg("stopped")
 }
 
+// lastKill is how long after SIGTERM no SIGKILL comes, but for the 0.7 s that are left to end in.
+func (b *Broker) lastKill() time.Duration {
+	longest := 0.0
+	for _, typ := range b.told.Site.Types {
+		longest = max(longest, typ.Timeout)
+	}
+	return min(ms(longest), killMost)
+}
+
 func (b *Broker) tally() {
 	c, fr, fl := &b.core.Counts, &b.front.Stats, &b.fleet.Stats
 	var mem runtime.MemStats
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,13 +21,13 @@
 )
 
 const (
-	headMost   = 16 << 10        // bytes of a request's head
-	sendWithin = 2 * time.Second // an answer has so long to go out
-	arrivals   = 700 * time.Millisecond
+	headMost   = 16 << 10               // bytes of a request's head
+	sendWithin = 2 * time.Second        // an answer has so long to go out
+	arrivals   = 700 * time.Millisecond // after Stop: for so long connections still come in
 	drainFor   = 500 * time.Millisecond
 	drainMost  = 1 << 20
 	acceptWait = 5 * time.Millisecond
-	quiesce    = 500 * time.Millisecond
+	lastComers = 200 * time.Millisecond // after Linger: requests that cross the end are still taken
 	settle     = 100 * time.Millisecond // a connection that came a moment ago has its request on the way
 )
 
@@ -40,11 +40,14 @@
 	Most int // client connections at once
 	// ReadWithin is how long a request may take to come in, from its first byte: a slow client holds a descriptor.
 	ReadWithin time.Duration
-	Log        zerolog.Logger
-	Stats      Stats
+	// Linger is how long after Stop has begun clients are still served on the connections they have.
+	Linger time.Duration
+	Log    zerolog.Logger
+	Stats  Stats
 
 	ready    atomic.Bool
 	stopping atomic.Bool
+	leaving  atomic.Bool
 	tooLate  atomic.Bool
 
 	mu    sync.Mutex
@@ -154,21 +157,27 @@
 	}
 }
 
-// Stop begins the end: from now on answers say Connection: close. It returns when connections that still
-// arrive have had their time, the idle ones are closed and nothing is open, or, with false, when patience is over.
+// Stop begins the end: /healthz says so, and for Linger the connections that clients have are served on. Whoever sends
+// clients here takes a while to find another broker for them, and in a roll there may be none: a connection closed
+// early is scans turned away for nothing. Then answers say Connection: close and idle connections are closed. It
+// returns when nothing is open, or, with false, when patience is over.
 func (f *Front) Stop(patience time.Duration) bool {
 	begun := time.Now()
-	f.stopping.Store(true)
-	if !f.tooLate.Load() {
-		time.Sleep(quiesce)
+	linger := min(f.Linger, patience)
+	if f.stopping.Swap(true) {
+		linger = 0
 	}
 	for {
+		passed := time.Since(begun)
 		f.mu.Lock()
-		for f.closeOldestIdle(settle) {
+		if passed >= linger {
+			f.leaving.Store(true)
+			for f.closeOldestIdle(settle) {
+			}
 		}
 		left := len(f.conns)
 		f.mu.Unlock()
-		if passed := time.Since(begun); passed >= arrivals {
+		if passed >= linger+lastComers || left == 0 && passed >= arrivals {
 			f.tooLate.Store(true)
 			if left == 0 || passed >= patience {
 				return left == 0
@@ -224,10 +233,10 @@
 		return false
 	}
 	c.f.Stats.Requests.Add(1)
-	last := req.Close || c.f.stopping.Load()
+	last := req.Close || c.f.leaving.Load()
 	scan, r := c.f.read(c, req, at)
 	if scan == nil {
-		last = last || r.fatal || c.f.stopping.Load()
+		last = last || r.fatal || c.f.leaving.Load()
 		if c.write(r, last) && r.fatal {
 			c.drain()
 		}
@@ -246,7 +255,7 @@
 		return false
 	}
 	reply := <-c.reply
-	last = last || c.f.stopping.Load()
+	last = last || c.f.leaving.Load()
 	return c.write(render(reply), last) && !last && c.setIdle(true)
 }
 
--- a/internal/terms/site.go
+++ b/internal/terms/site.go
@@ -25,6 +25,7 @@
 	Keyed        bool
 	Fetch        int     // parts of the second step; 0: there is none
 	RepeatWindow float64 // for how long repeats of a keyed part are dropped
+	Timeout      float64 // the longest that a client waits
 }
 
 // Read picks a Site out of the module's map. It names the first value that is missing or impossible.
@@ -63,7 +64,8 @@
 		name, _ := flat[fmt.Sprintf("tableType.%d.name", i)].(string)
 		s.Types = append(s.Types, TableType{Name: name, Keyed: flat[fmt.Sprintf("tableType.%d.effect", i)] == "keyed",
 			Fetch:        int(num(fmt.Sprintf("layout.fetch.%d", i), 0, 1e5, 0)),
-			RepeatWindow: num(fmt.Sprintf("tableType.%d.repeatWindow", i), 0, 1e9, 0)})
+			RepeatWindow: num(fmt.Sprintf("tableType.%d.repeatWindow", i), 0, 1e9, 0),
+			Timeout:      num(fmt.Sprintf("tableType.%d.timeout", i), 0, 1e9, 0)})
 	}
 	return s, fault
 }
