--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -70,8 +70,13 @@
 	probe int64
 	d     *dispatch
 	s     *scan
+	told  *logic.Event
 }
 
+// crossing is how long a part that was given up at one node is kept from the others. Word of it goes over another
+// connection than the next dispatch, which could arrive first and be a second copy; not every site allows those.
+const crossing = 5.0
+
 type dueHeap []due
 
 func (h dueHeap) Len() int { return len(h) }
@@ -184,9 +189,6 @@
 	}
 	events := c.events
 	c.events = nil
-	// The node is told now, the module in the next Step, as with a recall: what it sends next for the part goes over
-	// another connection and could arrive before the node knows that the last one is given up. That would be a
-	// second copy, which not every site allows. It costs a turn.
 	for _, d := range over {
 		if !d.finished {
 			c.do(GiveUp{Host: d.host, Ref: d.ref})
@@ -210,7 +212,9 @@
 }
 
 func (c *Core) fire(d due) {
-	if d.probe != 0 {
+	if d.told != nil {
+		c.events = append(c.events, *d.told)
+	} else if d.probe != 0 {
 		c.probed(Ended{Ref: d.probe, How: OutOfTime, At: c.now})
 	} else if d.s == nil {
 		c.events = append(c.events, logic.Event{Kind: logic.TimerDue, Timer: d.timer})
@@ -320,8 +324,13 @@
 		p.ranAt = d.at
 	}
 	open := c.parts[p.id] == p
-	c.events = append(c.events, logic.Event{Kind: logic.DispatchEnded, ID: p.id, Dispatch: d.n, Node: d.node,
-		Outcome: e.How.Outcome(), Elapsed: max(0, e.At-d.at), Closed: p.in || !open, Load: e.Load})
+	told := logic.Event{Kind: logic.DispatchEnded, ID: p.id, Dispatch: d.n, Node: d.node,
+		Outcome: e.How.Outcome(), Elapsed: max(0, e.At-d.at), Closed: p.in || !open, Load: e.Load}
+	if open && (e.How == OutOfTime || e.How == TakenBack) {
+		c.plan(due{at: c.now + crossing, told: &told}) // the node is told now, the module when the node knows
+		return
+	}
+	c.events = append(c.events, told)
 }
 
 // act carries out the module's actions in their order. What goes to one node is gathered in frames.
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -27,6 +30,7 @@
 
 const (
 	mailboxSize = 512
+	pastMost    = 8
 	sweepEvery  = time.Second
 )
 
@@ -38,6 +42,7 @@
 	log   zerolog.Logger
 	conns atomic.Int64
 	peers map[string]*peer
+	share atomic.Int64 // connections that a peer may hold beyond its first
 	Stats Stats
 }
 
@@ -74,6 +79,7 @@
 	p := &peer{f: f, host: host, addr: addr, mail: make(chan any, mailboxSize), ended: make(chan struct{}),
 		out: map[int64]*link{}, log: f.log.With().Str("node", host).Logger()}
 	f.peers[host] = p
+	f.share.Store(int64(f.reach.MaxConns / (len(f.peers) + 1)))
 	go p.run()
 	return p
 }
@@ -166,14 +172,25 @@
 	wbuf    []byte
 	frames  []written // what stands in wbuf
 	lastUse time.Time
+	// retired: nothing more goes out on it, and it is closed when nothing is out. A part was given up on it, whose
+	// answer may never come and holds a place on the node's side until the node reads that it was; a node that finds
+	// all places taken reads no more. Or more came than was asked for, and what comes next is anybody's guess.
+	retired bool
+	past    [pastMost]string // ids that were out last: a late answer or a second copy is no spoilt one
+	pasts   int
 }
 
+// known says whether id was out on l a short while ago.
+func (l *link) known(id string) bool { return slices.Contains(l.past[:], id) }
+
 // written is one frame in a link's buffer: where it ends, and the dispatches in it.
 type written struct {
 	end  int
 	refs []int64
 }
 
+var errUnasked = errors.New("an answer that was never asked for")
+
 type dialed struct {
 	l    *link
 	conn net.Conn
@@ -204,6 +221,7 @@
 				p.handle(<-p.mail)
 			}
 			p.flush()
+			p.sweep()
 		case <-sweep.C:
 			p.sweep()
 		}
@@ -265,19 +283,36 @@
 	}
 }
 
-// pick finds a connection that will do, rather one that is up, or opens one; nil: there is no room for another.
+// pick finds the connection on which the least is out, and of idle ones the longest idle; nil: there is no room for
+// another. What ends a connection takes all parts on it along, so a further one comes up for the next call as soon as
+// none is idle. Nobody waits for it where one is up: a node may be slow to accept.
 func (p *peer) pick(do func(*link) bool) (best *link) {
+	rising := false
 	for _, l := range p.links {
-		if l.addr == p.addr && (best == nil || l.up && !best.up) && do(l) {
+		if l.addr != p.addr || l.retired {
+			continue
+		}
+		rising = rising || !l.up
+		if do(l) && (best == nil || l.before(best)) {
 			best = l
 		}
 	}
-	if best == nil {
-		best = p.open()
+	if best == nil || best.up && len(best.refs) > 0 && !rising && int64(len(p.links)) < p.f.share.Load() {
+		if l := p.open(); best == nil {
+			best = l
+		}
 	}
 	return best
 }
 
+// before says whether a call should rather go to l than to m.
+func (l *link) before(m *link) bool {
+	if l.up != m.up {
+		return l.up
+	}
+	return len(l.refs) < len(m.refs) || len(l.refs) == len(m.refs) && l.lastUse.Before(m.lastUse)
+}
+
 // probe asks for the node's load on any connection.
 func (p *peer) probe(v core.Probe) {
 	p.addr = v.Addr
@@ -373,6 +408,8 @@
 // forget takes a dispatch off its connection and returns its part's id.
 func (p *peer) forget(l *link, ref int64) string {
 	id := l.refs[ref]
+	l.past[l.pasts%pastMost] = id
+	l.pasts++
 	delete(p.out, ref)
 	delete(l.refs, ref)
 	delete(l.ids, id)
@@ -387,7 +424,7 @@
 	}
 	id := p.forget(l, ref)
 	if l.up {
-		l.wbuf = addGiveUp(l.wbuf, id)
+		l.wbuf, l.retired = addGiveUp(l.wbuf, id), true
 	}
 }
 
@@ -402,9 +439,11 @@
 		return
 	}
 	ref, out := v.l.ids[v.a.id]
-	if !out { // given up meanwhile, answered before, or never asked: nobody waits for it
+	if !out { // nobody waits for it
 		p.f.Stats.Unknown.Add(1)
-		p.log.Debug().Str("part", v.a.id).Msg("an answer that nobody waits for")
+		if v.l.retired = true; !v.l.known(v.a.id) {
+			p.drop(v.l, core.BadFrame, errUnasked) // one that waits has had its answer under this name
+		}
 		return
 	}
 	p.forget(v.l, ref)
@@ -423,17 +462,7 @@
 		n, err := l.conn.Write(l.wbuf)
 		l.lastUse = time.Now()
 		if err != nil {
-			for _, w := range l.frames {
-				if w.end <= n {
-					continue
-				}
-				for _, ref := range w.refs {
-					if _, out := l.refs[ref]; out {
-						p.forget(l, ref)
-						p.end(ref, core.WriteBroke, answer{})
-					}
-				}
-			}
+			l.frames = slices.DeleteFunc(l.frames, func(w written) bool { return w.end <= n })
 			p.drop(l, core.ReadBroke, err)
 			continue
 		}
@@ -459,6 +488,14 @@
 			p.f.Stats.Broken.Add(1)
 			p.log.Debug().Str("end", how.String()).Int("out", len(l.refs)).AnErr("cause", err).Msg("connection ended")
 		}
+		for _, w := range l.frames { // not written yet
+			for _, ref := range w.refs {
+				if _, out := l.refs[ref]; out {
+					p.forget(l, ref)
+					p.end(ref, core.WriteBroke, answer{})
+				}
+			}
+		}
 		for ref := range l.refs {
 			delete(p.out, ref)
 			p.end(ref, how, answer{})
@@ -478,7 +515,7 @@
 	for i := len(p.links) - 1; i >= 0; i-- {
 		l := p.links[i]
 		if l.up && len(l.refs) == 0 && len(l.probes) == 0 && len(l.wbuf) == 0 &&
-			(p.gone || l.addr != p.addr || time.Since(l.lastUse) >= idle) {
+			(p.gone || l.retired || l.addr != p.addr || time.Since(l.lastUse) >= idle) {
 			p.drop(l, core.TakenBack, nil)
 		}
 	}
@@ -488,8 +525,16 @@
 func (p *peer) read(l *link) {
 	r := bufio.NewReaderSize(l.conn, 4<<10)
 	for {
+		// A frame that has begun comes at once; the rest of a spoilt one never does.
+		l.conn.SetReadDeadline(time.Time{})
+		_, err := r.Peek(1)
+		l.conn.SetReadDeadline(time.Now().Add(p.f.reach.ConnectTimeout))
 		buf := buffers.Get()
-		letter, rest, err := readFrame(r, buf)
+		var letter byte
+		var rest []byte
+		if err == nil {
+			letter, rest, err = readFrame(r, buf)
+		}
 		var a answer
 		if err == nil && letter == answerLetter {
 			a, err = readAnswer(rest)
@@ -503,9 +548,8 @@
 		}
 		buffers.Put(buf)
 		switch {
-		case errors.Is(err, errFrame):
+		case errors.Is(err, errFrame), errors.Is(err, os.ErrDeadlineExceeded):
 			p.f.Stats.Malformed.Add(1)
-			p.log.Warn().Err(err).Msg("closing a connection")
 			p.post(broke{l, core.BadFrame, err})
 			return
 		case errors.Is(err, io.EOF):
@@ -518,12 +562,10 @@
 			p.post(arrived{l, letter == probeLetter, a})
 		case letter == refuseLetter:
 			p.f.Stats.Malformed.Add(1)
-			p.log.Warn().Str("words", words).Msg("the node could not use a frame")
-			p.post(broke{l, core.NotUsable, syscall.EPROTO})
+			p.post(broke{l, core.NotUsable, fmt.Errorf("%w: %s", syscall.EPROTO, words)})
 			return
 		default: // nothing else was asked for
 			p.f.Stats.Malformed.Add(1)
-			p.log.Warn().Str("letter", string(rune(letter))).Msg("closing a connection: unknown frame")
 			p.post(broke{l, core.BadFrame, errFrame})
 			return
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,11 +28,12 @@
 	typShare    = 0.05     // and in a table type's
 	lateDevs    = 3.0      // a dispatch is late when it is so many mean deviations over the mean,
 	silentDevs  = 8.0      // and so many if the node is held to be silent; either
+	silentLoads = 3.0      // a node may say nothing for so many times what its work that is out takes
 	quietMeans  = 4.0      // only when its scan heard nothing for a mean, and so many more by open parts
 	lateTail    = 0.3      // past its target time this weight may be asked again, times the benefit left
 	spareShare  = 0.1      // second dispatches of late parts for each first; one that comes first is free
 	spareMost   = 20.0     // and so many saved up at most
-	goodEnough  = 6        // successes among a node's last eight outcomes that let it work as usual
+	goodEnough  = 4        // successes among a node's last eight outcomes that let it work as usual
 	restTime    = 1000.0   // how long a node rests that does poorly; then it is tried
 	callShare   = 0.13     // most work of a call, as a share of the target time
 	trimSlack   = 0.05     // weight kept beyond the least share when parts are spared
@@ -49,42 +50,6 @@
 	longAgo     = -1e15
 )
 
-type dispatch struct {
-	node                int
-	call                *int    // parts of its call that are still out
-	at, late, silent    float64 // when it is late, when silent
-	load                float64 // work outstanding at the node with it
-	open, ran, lateSeen bool    // ran: it may have run
-}
-
-type part struct {
-	id           int64
-	scan         *scan
-	shard, open  int
-	nodes        []int // holders that it may go to now
-	weight, work float64
-	done         bool
-	tries        []dispatch
-}
-
-type scan struct {
-	id, num                      int64
-	typ, step                    int
-	parts                        []*part // of the present step
-	got, heard                   float64 // their weight that has completed; when the last of them did
-	placed, ended, dirty, spared bool
-	factor                       float64 // on its benefit: over its tenant's share, late from the start
-	targetAt, endAt              float64 // the answer must leave by then: for the whole benefit, at all
-	look                         float64 // the timer set for it
-}
-
-type tableType struct {
-	target, timeout, benefit, lateBenefit, repeatWindow, need, floor, partial float64
-	effect                                                                    string
-	fetch                                                                     int
-	mean, dev, work                                                           float64 // as seen
-}
-
 // Broker is one instance of the module; it waits for its Started event.
 type Broker struct {
 	terms        // what the site states at start
@@ -105,7 +70,8 @@
 	history                               []uint8   // last eight outcomes, the newest lowest, 1 = success
 	units, born, outWork                  []float64 // outWork: outstanding, calls counted
 	latency, under                        []float64 // recent; under how much work; both by target time
-	latAt, heard, restEnd                 []float64 // latency seen, answer heard, rest ends
+	latAt, heard, restEnd, failAt         []float64 // latency seen, answer heard, rest ends, it failed
+	passed                                []float64 // when the newest dispatch that it has answered was sent
 	allowed, allowAt                      []float64 // work that may go to it while it is cold; as of
 	inCell                                [][]int   // the holder table: ready nodes by cell
 	meanLat, meanUnder, meanValue, valued float64
@@ -227,22 +193,29 @@
 	}
 	quiet := s.heard + b.types[s.typ].mean*(1+quietMeans/open)
 	for _, p := range s.parts {
-		late, silent := p.open > 0, false
+		late, silent, passedBy := p.open > 0, false, false
 		for i := range p.tries {
-			d := &p.tries[i]
-			silent = silent || b.heard[d.node] < d.at || b.poor(d.node) // else the node is merely slow
-			if d.open && !p.done && !b.due(max(d.late, quiet)) {
-				late, next = false, min(next, max(d.late, quiet))
-			} else if d.open && !p.done && !b.due(d.silent) {
+			// Crashed, cut off, or its answers are lost: the symptom is silence, of the node for longer than what is
+			// out there explains, or for this dispatch though one sent when it was late has come: the node works, the
+			// answer is lost. It holds against parts that hang too. A jam holds up both alike; a recall would feed it.
+			d, n := &p.tries[i], p.tries[i].node
+			passed := b.passed[n] > d.late && b.due(d.silent)
+			gone := passed || b.now-max(d.at, b.heard[n]) > d.wait
+			silent = silent || gone || b.poor(n) || b.heard[n] < d.at && b.flag("limit.secondCopies")
+			passedBy = passedBy || passed && d.open
+			if !d.open || p.done {
+				continue
+			} else if at := max(d.late, quiet); !b.due(at) && !passed {
+				late, next = false, min(next, at)
+			} else if !b.due(d.silent) {
 				next = min(next, d.silent)
-			} else if d.open && !p.done && !d.lateSeen {
-				// Crashed, cut off, or its answers are lost: the symptom is silence. It is no slowness: load would
-				// show in the answers of others. Where it is long since the node spoke, one silence is enough.
-				if d.lateSeen = true; b.heard[d.node] >= d.at {
-					b.sawLatency(d, s, b.now-d.at, true)
-				} else if b.judge(d.node, false); b.now-b.heard[d.node] > recent {
-					b.history[d.node] &= 0xf8
+			} else if next = min(next, b.now+lookAgain); gone && !d.lostSeen {
+				if d.lostSeen = true; b.judge(n, false) && b.now-b.heard[n] > recent {
+					b.history[n] = 6 // long unheard, one silence is enough: poor, and sound after two good trials
 				}
+			} else if !gone && !d.slowSeen {
+				d.slowSeen = true
+				b.sawLatency(d, s, b.now-d.at, true)
 			}
 		}
 		if p.done || p.open > 0 && !late {
@@ -255,8 +228,8 @@
 			continue
 		}
 		p.nodes = b.eligible(p)
-		again := p.open == 1 && silent && len(p.nodes) > 0 && !b.tried(p, p.nodes[0]) &&
-			!b.sick(p.nodes[0]) && b.spare >= 1
+		again := p.open == 1 && silent && len(p.nodes) > 0 && (passedBy || b.spare >= 1 &&
+			!b.sick(p.nodes[0]) && p.nodes[0] != p.tries[len(p.tries)-1].node)
 		failed := len(p.nodes) > 0 && b.tried(p, p.nodes[0]) && b.now < p.tries[len(p.tries)-1].at+lookAgain
 		if p.open == 0 && (len(p.nodes) == 0 || failed) { // nobody, or it has just failed there
 			held, next = held+p.weight, min(next, b.now+lookAgain)
@@ -268,9 +241,9 @@
 			if len(p.tries) > 0 { // counted here, so that one scan's parts cannot pass the budget together
 				b.extras = append(b.extras, [2]float64{b.now})
 			}
-		} else if again && b.flag("limit.cancelling") && p.tries[len(p.tries)-1].lateSeen {
+		} else if again && b.flag("limit.cancelling") && b.due(p.tries[len(p.tries)-1].silent) {
 			b.recall(p)
-			b.spare -= 1 / open
+			b.spare = max(0, b.spare-1/open)
 		}
 	}
 	return asks, lost, held, next
@@ -442,8 +415,12 @@
 	return worst
 }
 
-// weigh is the node's recent latency over the mean one; a failing node's work counts as done again.
+// weigh is the node's recent latency over the mean one; a failing node's work counts as done again. One that
+// has had its rest is tried by the next call: whoever has another holder would never learn that it is well.
 func (b *Broker) weigh(n int) float64 {
+	if b.poor(n) {
+		return 0.2
+	}
 	lat, _ := b.lat(n)
 	return min(max(lat/b.meanLat, 0.2), 8) * 8 / max(1, float64(bits.OnesCount8(b.history[n])))
 }
@@ -487,7 +464,9 @@
 	if typ.partial*b.least(s)/typ.need > typ.lateBenefit && b.least(s) < typ.need && !b.due(s.targetAt) {
 		limit = min(limit, s.targetAt) // it is answered then: a node need not begin what comes later
 	}
-	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, silent: silent,
+	lat, under := b.lat(n)
+	wait := max(silent-b.now, silentLoads*b.outWork[n]*lat/max(under, 0.001))
+	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, silent: silent, wait: wait,
 		load: b.outWork[n], open: true, ran: true})
 	p.open++
 	b.do(Action{Kind: Dispatch, ID: p.id, Node: b.nodeID[n], After: limit - b.now})
@@ -509,7 +488,7 @@
 	}
 	switch e.Outcome {
 	case Completed:
-		b.heard[n] = b.now
+		b.heard[n], b.passed[n] = b.now, max(b.passed[n], d.at)
 		b.answers++
 		b.sawLatency(d, s, e.Elapsed, false)
 		typ.dev += typShare * (math.Abs(e.Elapsed-typ.mean) - typ.dev)
@@ -520,7 +499,7 @@
 		if !p.done {
 			p.done, s.heard = true, b.now
 			s.got += p.weight
-			if e.Dispatch > 0 && p.open > 0 { // a second copy that came first was worth it
+			if e.Dispatch > 0 && (p.open > 0 || !b.due(d.late)) { // it came first, or soon: it was worth it
 				b.spare = min(b.spare+1, spareMost)
 			}
 			b.recall(p)
@@ -528,7 +507,7 @@
 	case Errored, Severed:
 		b.judge(n, false)
 	case ConnRefused: // nobody is there: no need for more proof
-		b.history[n] = 0
+		b.history[n] = 6
 		b.judge(n, false)
 	case Saturated: // full, not ill: it counts as slow
 		b.heard[n] = b.now
@@ -556,7 +535,12 @@
 }
 
 // judge keeps the last eight outcomes of a node. One that does poorly rests and then gets one call at a time.
-func (b *Broker) judge(n int, good bool) {
+// What fails at one moment is one failure: a connection that breaks takes all parts on it along, and tells no
+// more than if it had carried one. A node that dies fails again at the next moment, or refuses connections.
+func (b *Broker) judge(n int, good bool) bool {
+	if !good && b.failAt[n] == b.now {
+		return false
+	}
 	poor := b.poor(n)
 	b.history[n] <<= 1
 	if good {
@@ -564,9 +548,10 @@
 		if poor { // a trial that went well counts twice
 			b.history[n], b.restEnd[n] = b.history[n]<<1|1, b.now
 		}
-	} else if b.poor(n) && b.now >= b.restEnd[n] {
+	} else if b.failAt[n] = b.now; b.poor(n) && b.now >= b.restEnd[n] {
 		b.restEnd[n] = b.now + restTime
 	}
+	return true
 }
 
 func (b *Broker) poor(n int) bool { return bits.OnesCount8(b.history[n]) < goodEnough }
@@ -737,15 +722,13 @@
 			b.nodeID, b.state, b.history = append(b.nodeID, en.Node), append(b.state, Gone), append(b.history, 0xff)
 			b.cell, b.zone, b.outCalls = append(b.cell, 0), append(b.zone, 0), append(b.outCalls, 0)
 			for i, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.allowed, &b.allowAt, &b.latency,
-				&b.under, &b.latAt, &b.heard, &b.restEnd} {
+				&b.under, &b.latAt, &b.heard, &b.restEnd, &b.passed, &b.failAt} {
 				*col = append(*col, longAgo*float64(min(1, i/7)))
 			}
-		} else if en.Born > b.born[n] { // a new process: what the old one did says nothing
-			b.history[n], b.restEnd[n] = 0xff, longAgo
-			b.latAt[n] = longAgo
 		}
 		b.cell[n], b.zone[n], b.state[n] = en.Cell, en.Zone, en.Readiness
-		if en.Born > b.born[n] {
+		if en.Born > b.born[n] { // a new process: what an old one did says nothing
+			b.history[n], b.restEnd[n], b.latAt[n] = 0xff, longAgo, longAgo
 			turn := b.num("ordinal")/b.num("brokers") + golden*float64(en.Node%1000)
 			b.allowed[n], b.allowAt[n] = -b.meanWork*math.Mod(turn, 1), b.now
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -524,3 +524,76 @@
 	assert.Empty(t, r.final(1))
 	assert.Len(t, kinds(r.step(100, timer(1)), Dispatch), 1)
 }
+
+// Answers that are lost one by one, as a node's network or a part that hangs may do it: the node works, so an answer to
+// something sent when the part was late already is the proof, and even its only holder is asked again. A jam holds up
+// what is out in its order, and is left alone for as long as the work that is out explains.
+func TestLostAnswers(t *testing.T) {
+	pair := []Entry{{Node: 100, Readiness: Ready, Units: 1}, {Node: 104, Readiness: Ready, Units: 1}}
+	for _, c := range []struct {
+		name    string
+		list    []Entry
+		others  int     // scans after the first; below 0: before it
+		wait    float64 // until they are sent
+		answer  bool    // the others are answered
+		recalls int
+	}{
+		{"a later one came", pair[:1], 1, 750, true, 2},
+		{"one sent soon after came", pair[:1], 1, 10, true, 0},
+		{"silent, but nobody else to ask", pair[:1], 0, 10, false, 0},
+		{"silent", pair, 0, 10, false, 2},
+		{"a jam", pair, -11, 0, false, 0},
+	} {
+		r := play(t, map[string]any{"limit.secondCopies": false, "layout.reach": 1.0}, c.list)
+		for i := range -c.others {
+			r.step(0, scanOf(int64(2+i), 0, 6000, 0)...)
+		}
+		r.step(1, scanOf(1, 0, 6000, 0, 4)...)
+		for i := range c.others {
+			r.step(c.wait, scanOf(int64(2+i), 0, 6000, 0)...)
+			if c.answer {
+				r.step(200, r.answers(int64(2+i), 1)...)
+			}
+		}
+		recalls := kinds(r.step(50000+1300-r.now, timer(1)), Recall)
+		require.Len(t, recalls, c.recalls, c.name)
+		for _, a := range recalls {
+			again := kinds(r.step(5, r.ended(a.ID, a.Dispatch, Recalled, 1300)), Dispatch)
+			assert.Len(t, again, 1, c.name)
+			assert.Equal(t, c.others > 0, again[0].Node == 100, c.name)
+		}
+	}
+}
+
+// What fails at one moment is one failure: else each connection that breaks would rest a node. A node that has rested is
+// tried by the next scan, though others hold its shards.
+func TestRest(t *testing.T) {
+	for _, apart := range []float64{0, 1} {
+		r := play(t, nil, ring(4))
+		for i := int64(1); i <= 12; i++ {
+			r.step(1, scanOf(i, 2, 6000, 0)...)
+		}
+		var broken []Event
+		for _, a := range kinds(r.acts, Dispatch) {
+			if a.Node == 100 {
+				broken = append(broken, r.ended(a.ID, 0, Severed, 10))
+			}
+		}
+		require.Greater(t, len(broken), 4)
+		for _, e := range broken {
+			if apart == 0 {
+				r.step(0, broken...)
+				break
+			}
+			r.step(apart, e)
+		}
+		n := r.b.index[100]
+		assert.Equal(t, apart > 0, r.b.poor(n), "%g ms apart", apart)
+		if apart > 0 {
+			assert.NotContains(t, nodes(r.step(10, scanOf(20, 0, 6000, 0)...)), int64(100), "it rests")
+			r.step(9000)
+			assert.Contains(t, nodes(r.step(1, scanOf(21, 0, 6000, 0)...)), int64(100), "it is tried")
+			assert.NotContains(t, nodes(r.step(1, scanOf(22, 0, 6000, 0)...)), int64(100), "by one call")
+		}
+	}
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -117,3 +117,43 @@
 	Whole    bool
 	Text     string
 }
+
+// What the module keeps of a scan, its parts and their dispatches, and of a table type.
+
+type dispatch struct {
+	node               int
+	call               *int    // parts of its call that are still out
+	at, late, silent   float64 // when it is late, when silent
+	wait               float64 // for how long its node may say nothing
+	load               float64 // work outstanding at the node with it
+	open, ran          bool    // ran: it may have run
+	slowSeen, lostSeen bool    // its node has been held slow, or failing, for it
+}
+
+type part struct {
+	id           int64
+	scan         *scan
+	shard, open  int
+	nodes        []int // holders that it may go to now
+	weight, work float64
+	done         bool
+	tries        []dispatch
+}
+
+type scan struct {
+	id, num                      int64
+	typ, step                    int
+	parts                        []*part // of the present step
+	got, heard                   float64 // their weight that has completed; when the last of them did
+	placed, ended, dirty, spared bool
+	factor                       float64 // on its benefit: over its tenant's share, late from the start
+	targetAt, endAt              float64 // the answer must leave by then: for the whole benefit, at all
+	look                         float64 // the timer set for it
+}
+
+type tableType struct {
+	target, timeout, benefit, lateBenefit, repeatWindow, need, floor, partial float64
+	effect                                                                    string
+	fetch                                                                     int
+	mean, dev, work                                                           float64 // as seen
+}
