--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -26,11 +26,11 @@
 	mailboxSize = 1024
 	batchMost   = 4096
 	tallyEvery  = 10 * time.Second
-	readWithin  = 5 * time.Second        // a client has so long to send a request, from its first byte
-	lastWords   = 200 * time.Millisecond // for the answers to scans that outlast the end
-	killMost    = 3 * time.Second        // the platform's: a planned restart waits for a query timeout, but no longer,
-	beforeKill  = 300 * time.Millisecond // and 0.7 s more: the broker uses so much of those,
-	lingerLess  = 500 * time.Millisecond // and stops taking scans so long before
+	readWithin  = 2500 * time.Millisecond // clients are owed an error or a close within 3 s; open connections, 2 s
+	lastWords   = 200 * time.Millisecond  // for the answers to scans that outlast the end
+	killMost    = 3 * time.Second         // the platform's: a planned restart waits for a query timeout, but no longer,
+	beforeKill  = 300 * time.Millisecond  // and 0.7 s more: the broker uses so much of those,
+	lingerLess  = 500 * time.Millisecond  // and stops taking scans so long before
 	listenFor   = 15 * time.Second
 	spareFiles  = 24 // descriptors for the listener, discovery, standard streams and the runtime
 )
@@ -275,6 +275,7 @@
 		Int("full", c.Full).Int("abandoned", c.Abandoned).Int("left", c.Left).Int("open", b.core.Open()).
 		Int("dispatches", c.Dispatches).Int("late", c.Late).Dict("ends", ends).
 		Int("clients", b.front.Conns()).Int64("requests", fr.Requests.Load()).Int64("malformed", fr.Malformed.Load()).
+		Int64("crowded", fr.Crowded.Load()).Int64("accepts_failed", fr.Failed.Load()).
 		Int("node_conns", b.fleet.Conns()).Int64("dials", fl.Dials.Load()).Int64("dials_failed", fl.DialsFailed.Load()).
 		Int64("unasked", fl.Unknown.Load()).Int64("bad_frames", fl.Malformed.Load()).
 		Uint64("heap_kb", mem.HeapAlloc>>10).Uint64("sys_kb", mem.Sys>>10).Msg("tally")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -105,6 +105,7 @@
 	dues    dueHeap
 	last    int64 // the number given last: scans, parts, dispatches and dues share them
 	scans   map[int64]*scan
+	ids     map[string]*scan // by the client's id
 	parts   map[int64]*part
 	open    int // scans and parts
 	flights map[int64]*dispatch
@@ -127,7 +128,7 @@
 
 // New makes a core that has its start event and its cached list to tell.
 func New(site terms.Site, flat map[string]any, seed uint64, known []Node) *Core {
-	c := &Core{site: site, scans: map[int64]*scan{}, parts: map[int64]*part{},
+	c := &Core{site: site, scans: map[int64]*scan{}, ids: map[string]*scan{}, parts: map[int64]*part{},
 		flights: map[int64]*dispatch{}, probes: map[int64]probe{},
 		nodes: map[string]int64{}, hosts: map[int64]*place{}}
 	c.events = append(c.events, logic.Event{Kind: logic.Started, Seed: seed, Terms: flat})
@@ -247,9 +248,15 @@
 		c.do(Reply{Scan: r, Kind: logic.Abandon, Why: "out of time"})
 		return
 	}
+	// Nodes answer by the id, and give up by it: the scan that has it would get the other's values, or be ended.
+	if c.ids[r.ID] != nil {
+		c.Counts.Abandoned++
+		c.do(Reply{Scan: r, Kind: logic.Abandon, Conflict: true, Why: "an open request has this X-Correlation-Id"})
+		return
+	}
 	s := &scan{Scan: r, num: c.number(), step: 1, endAt: c.now + left}
 	r.num = s.num
-	c.scans[s.num] = s
+	c.scans[s.num], c.ids[r.ID] = s, s
 	work, flags := 0.0, int64(0)
 	if r.Repeat {
 		flags |= 2
@@ -527,6 +534,7 @@
 func (c *Core) close(s *scan) {
 	c.dropParts(s)
 	delete(c.scans, s.num)
+	delete(c.ids, s.ID)
 	c.open--
 }
 
@@ -574,6 +582,25 @@
 		}
 	}
 	c.events = append(c.events, e)
+	c.release()
+}
+
+// release forgets the nodes that are gone, once nothing is out at them: where nodes are replaced under new names all
+// day their names would pile up. One that comes back is met as a stranger, by the number that its name makes.
+func (c *Core) release() {
+	busy := map[int64]bool{}
+	for _, d := range c.flights {
+		busy[d.node] = true
+	}
+	for _, p := range c.probes {
+		busy[p.node] = true
+	}
+	for num, at := range c.hosts {
+		if at.gone && !busy[num] {
+			delete(c.hosts, num)
+			delete(c.nodes, at.host)
+		}
+	}
 }
 
 // index is a name's place in a list of the settings; one that is not there gets -1, which is nobody's.
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -96,6 +96,7 @@
 	Hits       []Hit
 	RetryAfter float64 // 0: says nothing
 	Why        string  // a word to the client, where there is one
+	Conflict   bool    // the request was not taken: its id is another's
 }
 
 // Hit is the value of one part that is in.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -21,7 +20,7 @@
 )
 
 const (
-	headMost   = 16 << 10               // bytes of a request's head
+	headMost   = 4 << 10                // bytes of a request's head, and of each connection's reader
 	sendWithin = 2 * time.Second        // an answer has so long to go out
 	arrivals   = 700 * time.Millisecond // after Stop: for so long connections still come in
 	drainFor   = 500 * time.Millisecond
@@ -38,7 +37,9 @@
 	Take func(*core.Scan)
 	Left func(*core.Scan)
 	Most int // client connections at once
-	// ReadWithin is how long a request may take to come in, from its first byte: a slow client holds a descriptor.
+	// ReadWithin is how long a connection may stay without a request, and how long a request may take to come in:
+	// counted from the accept for the first one, then from the last answer and from its first byte. Whoever says
+	// nothing holds a descriptor that others need.
 	ReadWithin time.Duration
 	// Linger is how long after Stop has begun clients are still served on the connections they have.
 	Linger time.Duration
@@ -52,19 +53,28 @@
 
 	mu    sync.Mutex
 	conns map[*client]struct{}
-	room  *sync.Cond
 }
 
 // Stats count what the front saw.
-type Stats struct{ Accepted, Requests, Malformed, Crowded atomic.Int64 }
+type Stats struct{ Accepted, Failed, Requests, Malformed, Crowded atomic.Int64 }
 
-// client is one connection. idle, under the front's mutex: nothing of a request has come in.
+// stage is how far a connection is: between two requests, with a part of one come in, or with one at work.
+type stage int
+
+const (
+	idle stage = iota
+	reading
+	working
+)
+
+// client is one connection; stage and since, when that began, are under the front's mutex.
 type client struct {
 	f     *Front
 	conn  net.Conn
 	in    *bufio.Reader
 	quota quota
-	idle  bool
+	first bool // no request has come in whole yet
+	stage stage
 	since time.Time
 	reply chan core.Reply
 }
@@ -96,11 +106,12 @@
 	return len(f.conns)
 }
 
-// Serve accepts until the listener closes. At the limit the connection that has been idle longest goes first;
-// while none is idle, new ones wait in the machine's queue.
+// Serve accepts until the listener closes. It never waits, since the time of those in the machine's queue runs: at the
+// limit the connection goes that has been idle longest, or has sent half a request for longest; where all are at work
+// it is the new one.
 func (f *Front) Serve(ln net.Listener) error {
 	f.mu.Lock()
-	f.conns, f.room = map[*client]struct{}{}, sync.NewCond(&f.mu)
+	f.conns = map[*client]struct{}{}
 	f.mu.Unlock()
 	for {
 		conn, err := ln.Accept()
@@ -110,23 +121,22 @@
 			}
 			// No descriptor was free, or the client went before it was accepted. Ending over that would lose every
 			// scan that is open; it can only harm by trying in vain, so not too often.
-			f.Log.Warn().Err(err).Msg("a connection could not be accepted")
+			f.Stats.Failed.Add(1)
 			f.mu.Lock()
-			f.closeOldestIdle(0)
+			f.closeOldest(idle, 0)
 			f.mu.Unlock()
 			time.Sleep(acceptWait)
 			continue
 		}
 		f.Stats.Accepted.Add(1)
-		c := &client{f: f, conn: conn, reply: make(chan core.Reply, 1), idle: true, since: time.Now()}
+		c := &client{f: f, conn: conn, reply: make(chan core.Reply, 1), first: true, since: time.Now()}
 		c.quota.conn = conn
-		c.in = bufio.NewReaderSize(&c.quota, 4<<10)
 		f.mu.Lock()
-		for len(f.conns) >= f.Most {
-			if !f.closeOldestIdle(0) {
-				f.Stats.Crowded.Add(1)
-				f.room.Wait()
-			}
+		if len(f.conns) >= f.Most && !f.closeOldest(idle, 0) && !f.closeOldest(reading, settle) {
+			f.Stats.Crowded.Add(1)
+			f.mu.Unlock()
+			conn.Close()
+			continue
 		}
 		f.conns[c] = struct{}{}
 		f.mu.Unlock()
@@ -134,29 +144,22 @@
 	}
 }
 
-// closeOldestIdle closes the connection that has been idle longest, and at least for so long. It needs the mutex.
-func (f *Front) closeOldestIdle(atLeast time.Duration) bool {
+// closeOldest closes the connection that has been at a stage longest, and at least for so long. It needs the mutex.
+func (f *Front) closeOldest(at stage, atLeast time.Duration) bool {
 	var oldest *client
 	for c := range f.conns {
-		if c.idle && (oldest == nil || c.since.Before(oldest.since)) {
+		if c.stage == at && (oldest == nil || c.since.Before(oldest.since)) {
 			oldest = c
 		}
 	}
 	if oldest == nil || time.Since(oldest.since) < atLeast {
 		return false
 	}
-	f.forget(oldest)
+	delete(f.conns, oldest)
 	oldest.conn.Close()
 	return true
 }
 
-func (f *Front) forget(c *client) {
-	if _, here := f.conns[c]; here {
-		delete(f.conns, c)
-		f.room.Signal()
-	}
-}
-
 // Stop begins the end: /healthz says so, and for Linger the connections that clients have are served on. Whoever sends
 // clients here takes a while to find another broker for them, and in a roll there may be none: a connection closed
 // early is scans turned away for nothing. Then answers say Connection: close and idle connections are closed. It
@@ -172,7 +175,7 @@
 		f.mu.Lock()
 		if passed >= linger {
 			f.leaving.Store(true)
-			for f.closeOldestIdle(settle) {
+			for f.closeOldest(idle, settle) {
 			}
 		}
 		left := len(f.conns)
@@ -188,46 +191,53 @@
 }
 
 func (c *client) serve() {
+	c.in = bufio.NewReaderSize(&c.quota, headMost)
 	defer func() {
 		c.conn.Close()
 		c.f.mu.Lock()
-		c.f.forget(c)
+		delete(c.f.conns, c)
 		c.f.mu.Unlock()
 	}()
 	for c.one() {
 	}
 }
 
-// setIdle says whether the connection is between two requests; false: it has been closed meanwhile.
-func (c *client) setIdle(idle bool) bool {
+// enter says how far the connection is; false: it has been closed meanwhile.
+func (c *client) enter(at stage) bool {
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
 	_, here := c.f.conns[c]
-	if c.idle, c.since = idle, time.Now(); idle {
-		c.f.room.Signal() // one that waits at the limit may have this one's place now
-	}
+	c.stage, c.since = at, time.Now()
 	return here
 }
 
 // one serves one request; false: the connection is to be closed.
 func (c *client) one() bool {
 	c.quota.left = headMost
-	if c.in.Buffered() == 0 {
-		c.conn.SetReadDeadline(time.Time{})
-		if _, err := c.in.Peek(1); err != nil {
-			return false
-		}
+	begun := c.since
+	c.conn.SetReadDeadline(begun.Add(c.f.ReadWithin))
+	if _, err := c.in.Peek(1); err != nil {
+		return false
 	}
 	at := c.f.Now()
-	if !c.setIdle(false) {
+	if !c.enter(reading) {
+		return false
+	}
+	if !c.first {
+		c.conn.SetReadDeadline(time.Now().Add(c.f.ReadWithin))
+	}
+	c.first = false
+	if status, why := c.head(); status != 0 {
+		c.f.Stats.Malformed.Add(1)
+		if c.write(plain(status, why), true) {
+			c.drain()
+		}
 		return false
 	}
-	c.conn.SetReadDeadline(time.Now().Add(c.f.ReadWithin))
 	req, err := http.ReadRequest(c.in)
 	if err != nil {
 		c.f.Stats.Malformed.Add(1)
-		if !errors.Is(err, io.EOF) {
-			c.write(plain(http.StatusBadRequest, "the request could not be read"), true)
+		if c.write(plain(http.StatusBadRequest, "the request could not be read"), true) {
 			c.drain()
 		}
 		return false
@@ -240,12 +250,15 @@
 		if c.write(r, last) && r.fatal {
 			c.drain()
 		}
-		return !last && c.setIdle(true)
+		return !last && c.enter(idle)
 	}
 	if c.f.tooLate.Load() {
 		c.write(plain(http.StatusServiceUnavailable, "stopping"), true)
 		return false
 	}
+	if !c.enter(working) {
+		return false
+	}
 	scan.Client = c
 	c.conn.SetReadDeadline(time.Time{})
 	c.f.Take(scan)
@@ -256,7 +269,26 @@
 	}
 	reply := <-c.reply
 	last = last || c.f.leaving.Load()
-	return c.write(render(reply), last) && !last && c.setIdle(true)
+	return c.write(render(reply), last) && !last && c.enter(idle)
+}
+
+// head waits for a request's head and looks at it as it came, or says what to answer. Of two lengths, or a length and
+// chunks, http.ReadRequest keeps one and forgets the other, and what stands behind the body by the one could be a
+// request by the other: nobody may be served that.
+func (c *client) head() (status int, why string) {
+	for n := 1; ; n++ {
+		n = max(n, c.in.Buffered())
+		text, err := c.in.Peek(n)
+		if end := headEnd(text); end > 0 {
+			return framing(text[:end])
+		} else if errors.Is(err, bufio.ErrBufferFull) || errors.Is(err, errQuota) {
+			return http.StatusRequestHeaderFieldsTooLarge, "the head is too long"
+		} else if errors.Is(err, os.ErrDeadlineExceeded) {
+			return http.StatusRequestTimeout, "the request took too long"
+		} else if err != nil {
+			return http.StatusBadRequest, "the request could not be read"
+		}
+	}
 }
 
 // drain reads on for a moment after an answer to a request that was not read whole: a connection closed with
--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -1,11 +1,13 @@
 package front
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,6 +20,8 @@
 const (
 	bodyMost = 64 << 10
 	idMost   = 200
+	// boostSlack is what the rounding of a scan's boosts may add up to.
+	boostSlack = 0.01
 )
 
 // answer is what goes to a client.
@@ -73,11 +77,53 @@
 		a.retryAfter = r.RetryAfter
 		return a
 	}
+	if r.Conflict {
+		return plain(http.StatusConflict, r.Why)
+	}
 	return plain(http.StatusGatewayTimeout, cmp.Or(r.Why, "abandoned"))
 }
 
+// headEnd is where a head's empty line ends; 0: it has not come yet.
+func headEnd(text []byte) int {
+	for i, c := range text {
+		if rest := text[i+1:]; c != '\n' {
+			continue
+		} else if bytes.HasPrefix(rest, []byte("\n")) {
+			return i + 2
+		} else if bytes.HasPrefix(rest, []byte("\r\n")) {
+			return i + 3
+		}
+	}
+	return 0
+}
+
+// framing finds what makes a body's end doubtful.
+func framing(head []byte) (status int, why string) {
+	lengths, codings := 0, 0
+	for i, line := range bytes.Split(head, []byte("\n")) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		switch {
+		case i > 0 && (bytes.HasPrefix(line, []byte(" ")) || bytes.HasPrefix(line, []byte("\t"))):
+			return http.StatusBadRequest, "a header goes on in a second line"
+		case bytes.EqualFold(bytes.TrimSpace(name), []byte("Content-Length")):
+			lengths++
+		case bytes.EqualFold(bytes.TrimSpace(name), []byte("Transfer-Encoding")):
+			codings++
+		}
+	}
+	if lengths+codings > 1 {
+		return http.StatusBadRequest, "more than one header says where the body ends"
+	}
+	return 0, ""
+}
+
 // read takes a request apart. A scan comes back if it is one, else what to answer.
 func (f *Front) read(c *client, req *http.Request, at float64) (*core.Scan, answer) {
+	if req.ContentLength > bodyMost {
+		a := plain(http.StatusRequestEntityTooLarge, "the body is over 64 KiB")
+		a.fatal = true
+		return nil, a
+	}
 	if req.Header.Get("Expect") == "100-continue" {
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, answer{status: http.StatusBadRequest, fatal: true}
@@ -134,7 +180,7 @@
 		Boost   *float64 `json:"boost"`
 		Work    *float64 `json:"work"`
 	} `json:"segments"`
-	Text string `json:"text"`
+	Text *string `json:"text"`
 }
 
 // scan checks a request for a scan: what goes on from here is well formed, whatever a client sent.
@@ -150,21 +196,24 @@
 	}
 	s := &core.Scan{ID: req.Header.Get("X-Correlation-Id"), Key: req.Header.Get("Idempotency-Key"), TableType: typ,
 		Repeat: req.Header.Get("X-Repeat") == "1", At: at, Tenant: f.Site.Tenants[req.Header.Get("X-Account")]}
-	left, err := strconv.ParseFloat(req.Header.Get("X-Time-Left-Ms"), 64)
+	left, err := strconv.ParseUint(req.Header.Get("X-Time-Left-Ms"), 10, 30)
 	switch {
-	case err != nil || !(left > 0 && left < 1e9):
-		return bad("X-Time-Left-Ms must be a number of milliseconds above 0")
+	case err != nil || left == 0:
+		return bad("X-Time-Left-Ms must be a whole number of milliseconds above 0")
 	case !word(s.ID):
 		return bad("X-Correlation-Id must be 1 to 200 printable characters without space or comma")
 	case f.Site.Types[typ].Keyed && !word(s.Key):
 		return bad("this table type needs an Idempotency-Key without space or comma")
 	}
-	s.TimeLeft = left
+	s.TimeLeft = float64(left)
 	var w wireScan
 	if err := json.Unmarshal(body, &w); err != nil {
 		return bad("the body is not a scan in JSON")
 	}
-	s.Text = w.Text
+	if w.Text == nil {
+		return bad("a scan has a text")
+	}
+	s.Text = *w.Text
 	if len(w.Segments) == 0 || len(w.Segments) > f.Site.Shards {
 		return bad("a scan has a part for 1 shard at least, and none twice")
 	}
@@ -174,8 +223,8 @@
 		if seg.Segment == nil || *seg.Segment < 0 || *seg.Segment >= f.Site.Shards || seen[*seg.Segment] {
 			return bad("a segment is missing, out of range or there twice")
 		}
-		if seg.Boost == nil || *seg.Boost < 0 || *seg.Boost > 1e9 {
-			return bad("a boost is missing or impossible")
+		if seg.Boost == nil || *seg.Boost <= 0 || *seg.Boost > 1 {
+			return bad("a boost is missing, or not above 0 and up to 1")
 		}
 		if seg.Work != nil {
 			if p.Work = *seg.Work / 1000; p.Work < 0 || p.Work > 1e9 {
@@ -186,8 +235,8 @@
 		seen[p.Shard], sum = true, sum+p.Weight
 		s.Parts = append(s.Parts, p)
 	}
-	if sum <= 0 {
-		return bad("the boosts sum to nothing")
+	if math.Abs(sum-1) > boostSlack {
+		return bad("the boosts do not sum to 1")
 	}
 	return s, 0, ""
 }
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -65,6 +65,7 @@
 			delete(f.peers, host)
 		}
 	}
+	f.share.Store(int64(f.reach.MaxConns / (len(f.peers) + 1)))
 	p := f.peers[m.Host]
 	if p == nil && m.Gone {
 		return
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -71,11 +71,11 @@
 	units, born, outWork                  []float64 // outWork: outstanding, calls counted
 	latency, under                        []float64 // recent; under how much work; both by target time
 	latAt, heard, restEnd, failAt         []float64 // latency seen, answer heard, rest ends, it failed
-	passed                                []float64 // when the newest dispatch that it has answered was sent
+	passed, listed                        []float64 // sending of the newest dispatch answered; not gone then
 	allowed, allowAt                      []float64 // work that may go to it while it is cold; as of
 	inCell                                [][]int   // the holder table: ready nodes by cell
 	meanLat, meanUnder, meanValue, valued float64
-	startAt, answers                      float64      // answers: how many since
+	startAt, answers, longest             float64      // answers: how many since; the longest timeout
 	spare                                 float64      // second dispatches that late parts may have now
 	silent                                float64      // share of late dispatches that proved silent
 	meanWork, done, doneAt, allUnits      float64      // work completed, fading; units of all ready nodes
@@ -710,6 +710,9 @@
 		return
 	}
 	for n := range b.state {
+		if b.state[n] != Gone {
+			b.listed[n] = b.now
+		}
 		if e.List != ListChanges {
 			b.state[n] = Gone
 		}
@@ -717,13 +720,20 @@
 	for _, en := range e.Entries {
 		n, known := b.index[en.Node]
 		if !known {
-			n = len(b.nodeID)
-			b.index[en.Node] = n
-			b.nodeID, b.state, b.history = append(b.nodeID, en.Node), append(b.state, Gone), append(b.history, 0xff)
-			b.cell, b.zone, b.outCalls = append(b.cell, 0), append(b.zone, 0), append(b.outCalls, 0)
+			// The place of a node that nothing refers to any more goes to the newcomer, and nothing of what was known.
+			for n = 0; n < len(b.nodeID) && (b.outCalls[n] > 0 || b.listed[n] > b.now-b.longest); n++ {
+			}
+			if n < len(b.nodeID) {
+				delete(b.index, b.nodeID[n])
+			} else {
+				b.nodeID, b.state, b.history = append(b.nodeID, 0), append(b.state, Gone), append(b.history, 0)
+				b.cell, b.zone, b.outCalls = append(b.cell, 0), append(b.zone, 0), append(b.outCalls, 0)
+			}
+			b.index[en.Node], b.nodeID[n], b.history[n] = n, en.Node, 0xff
 			for i, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.allowed, &b.allowAt, &b.latency,
-				&b.under, &b.latAt, &b.heard, &b.restEnd, &b.passed, &b.failAt} {
-				*col = append(*col, longAgo*float64(min(1, i/7)))
+				&b.under, &b.latAt, &b.heard, &b.restEnd, &b.passed, &b.failAt, &b.listed} {
+				*col = append(*col, 0)[:len(b.nodeID)]
+				(*col)[n] = longAgo * float64(min(1, i/7))
 			}
 		}
 		b.cell[n], b.zone[n], b.state[n] = en.Cell, en.Zone, en.Readiness
@@ -732,7 +742,7 @@
 			turn := b.num("ordinal")/b.num("brokers") + golden*float64(en.Node%1000)
 			b.allowed[n], b.allowAt[n] = -b.meanWork*math.Mod(turn, 1), b.now
 		}
-		b.units[n], b.born[n] = max(en.Units, 0.01), max(b.born[n], en.Born)
+		b.units[n], b.born[n], b.listed[n] = max(en.Units, 0.01), max(b.born[n], en.Born), b.now
 	}
 	b.inCell, b.allUnits = make([][]int, len(b.inCell)), 0.01
 	for n, c := range b.cell {
@@ -762,7 +772,7 @@
 		t.effect, _ = b.stated[at("effect")].(string)
 		b.meanWork = t.target / 20
 		t.mean, t.dev, t.work = t.target/5, t.target/20, t.target/20
-		b.types = append(b.types, t)
+		b.types, b.longest = append(b.types, t), max(b.longest, t.timeout)
 		b.meanLat, b.meanUnder = t.mean/t.target, t.mean/t.target // until something is seen
 	}
 	b.inCell = make([][]int, int(min(b.num("layout.cells"), 1e6)))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -597,3 +597,22 @@
 		}
 	}
 }
+
+// Where nodes are replaced under new ids all day, the places of those that are gone are used again, and a newcomer
+// starts with nothing of what was known of the last one there. Not before all scans that may refer to it have ended.
+func TestPlacesUsedAgain(t *testing.T) {
+	r := play(t, nil, ring(4))
+	r.b.history[0], r.b.latAt[0], r.b.outWork[0] = 0, r.now, 7
+	for i := range int64(50) {
+		list := []Entry{{Node: 200 + i, Cell: 1, Readiness: Ready, Units: 1}}
+		r.step(100, Event{Kind: ListArrived, List: ListWhole, Entries: list})
+	}
+	assert.Len(t, r.b.nodeID, 54, "the longest query timeout has not passed")
+	for i := range int64(200) {
+		list := []Entry{{Node: 300 + i, Cell: 1, Readiness: Ready, Units: 1}}
+		r.step(100, Event{Kind: ListArrived, List: ListWhole, Entries: list})
+	}
+	assert.Less(t, len(r.b.nodeID), 70)
+	assert.Len(t, r.b.index, len(r.b.nodeID))
+	assert.Equal(t, [3]any{uint8(0xff), longAgo, 0.0}, [3]any{r.b.history[0], r.b.latAt[0], r.b.outWork[0]})
+}
