--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -85,7 +85,7 @@
 		ConnectTimeout: ms(t.Site.ConnectTimeout), Idle: ms(t.Site.ConnIdle)}, b.clock.Now,
 		func(e core.Ended) { b.put(e) }, log)
 	b.front = &front.Front{Site: t.Site, Now: b.clock.Now, Take: func(s *core.Scan) { b.put(s) },
-		Left: func(s *core.Scan) { b.put(core.Left{Scan: s}) }, Most: t.Sockets - nodeConns - spareFiles,
+		Left: func(s *core.Scan) { b.put(core.Left{Scan: s}) }, Most: t.Sockets - nodeConns - spareFiles, Ample: t.Sockets / 6, // half of what clients hold for requests
 		ReadWithin: readWithin, Log: log}
 	odd := func(host, why string) { log.Warn().Str("node", host).Msg(why) }
 	known := t.Known.Nodes(odd)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -27,6 +27,7 @@
 	drainMost  = 1 << 20
 	acceptWait = 5 * time.Millisecond
 	lastComers = 200 * time.Millisecond // after Linger: requests that cross the end are still taken
+	speakUp    = 300 * time.Millisecond // beyond Ample: a connection that has said nothing for so long goes
 	settle     = 100 * time.Millisecond // a connection that came a moment ago has its request on the way
 )
 
@@ -37,6 +38,10 @@
 	Take func(*core.Scan)
 	Left func(*core.Scan)
 	Most int // client connections at once
+	// Ample is how many of them leave room enough. Beyond it a connection gives its place back with the answer, and one
+	// that has never said anything goes soon: its client may count it against what it can open, and so may a machine
+	// between. Clients of old connect once more; more than that it cannot harm.
+	Ample int
 	// ReadWithin is how long a connection may stay without a request, and how long a request may take to come in:
 	// counted from the accept for the first one, then from the last answer and from its first byte. Whoever says
 	// nothing holds a descriptor that others need.
@@ -67,13 +72,13 @@
 	working
 )
 
-// client is one connection; stage and since, when that began, are under the front's mutex.
+// client is one connection; first, stage and since, when that began, are under the front's mutex.
 type client struct {
 	f     *Front
 	conn  net.Conn
 	in    *bufio.Reader
 	quota quota
-	first bool // no request has come in whole yet
+	first bool // nothing has come in yet
 	stage stage
 	since time.Time
 	reply chan core.Reply
@@ -99,6 +104,10 @@
 // Ready lets /healthz say so.
 func (f *Front) Ready() { f.ready.Store(true) }
 
+// crowded says whether answers should give their connections' places back; not while stopping, when a connection that
+// is open is all that a client has.
+func (f *Front) crowded() bool { return f.Conns() > f.Ample && !f.stopping.Load() }
+
 // Conns is how many client connections are open.
 func (f *Front) Conns() int {
 	f.mu.Lock()
@@ -123,7 +132,7 @@
 			// scan that is open; it can only harm by trying in vain, so not too often.
 			f.Stats.Failed.Add(1)
 			f.mu.Lock()
-			f.closeOldest(idle, 0)
+			f.closeOldest(idle, 0, false)
 			f.mu.Unlock()
 			time.Sleep(acceptWait)
 			continue
@@ -132,7 +141,9 @@
 		c := &client{f: f, conn: conn, reply: make(chan core.Reply, 1), first: true, since: time.Now()}
 		c.quota.conn = conn
 		f.mu.Lock()
-		if len(f.conns) >= f.Most && !f.closeOldest(idle, 0) && !f.closeOldest(reading, settle) {
+		for len(f.conns) >= f.Ample && f.closeOldest(idle, speakUp, true) {
+		}
+		if len(f.conns) >= f.Most && !f.closeOldest(idle, 0, false) && !f.closeOldest(reading, settle, false) {
 			f.Stats.Crowded.Add(1)
 			f.mu.Unlock()
 			conn.Close()
@@ -144,11 +155,12 @@
 	}
 }
 
-// closeOldest closes the connection that has been at a stage longest, and at least for so long. It needs the mutex.
-func (f *Front) closeOldest(at stage, atLeast time.Duration) bool {
+// closeOldest closes the connection that has been at a stage longest, and at least for so long; silent: of those that
+// have never sent anything. It needs the mutex.
+func (f *Front) closeOldest(at stage, atLeast time.Duration, silent bool) bool {
 	var oldest *client
 	for c := range f.conns {
-		if c.stage == at && (oldest == nil || c.since.Before(oldest.since)) {
+		if c.stage == at && (c.first || !silent) && (oldest == nil || c.since.Before(oldest.since)) {
 			oldest = c
 		}
 	}
@@ -175,7 +187,7 @@
 		f.mu.Lock()
 		if passed >= linger {
 			f.leaving.Store(true)
-			for f.closeOldest(idle, settle) {
+			for f.closeOldest(idle, settle, false) {
 			}
 		}
 		left := len(f.conns)
@@ -207,7 +219,7 @@
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
 	_, here := c.f.conns[c]
-	c.stage, c.since = at, time.Now()
+	c.stage, c.since, c.first = at, time.Now(), false
 	return here
 }
 
@@ -220,13 +232,13 @@
 		return false
 	}
 	at := c.f.Now()
+	first := c.first
 	if !c.enter(reading) {
 		return false
 	}
-	if !c.first {
+	if !first {
 		c.conn.SetReadDeadline(time.Now().Add(c.f.ReadWithin))
 	}
-	c.first = false
 	if status, why := c.head(); status != 0 {
 		c.f.Stats.Malformed.Add(1)
 		if c.write(plain(status, why), true) {
@@ -243,7 +255,7 @@
 		return false
 	}
 	c.f.Stats.Requests.Add(1)
-	last := req.Close || c.f.leaving.Load()
+	last := req.Close || c.f.leaving.Load() || c.f.crowded()
 	scan, r := c.f.read(c, req, at)
 	if scan == nil {
 		last = last || r.fatal || c.f.leaving.Load()
@@ -268,7 +280,7 @@
 		return false
 	}
 	reply := <-c.reply
-	last = last || c.f.leaving.Load()
+	last = last || c.f.leaving.Load() || c.f.crowded()
 	return c.write(render(reply), last) && !last && c.enter(idle)
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -37,7 +37,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	d := &door{t: t, addr: ln.Addr().String(), took: make(chan *core.Scan, 100), left: make(chan *core.Scan, 100)}
-	d.f = &Front{Most: most, ReadWithin: append(within, patience)[0], Now: func() float64 { return 1000 }, Log: zerolog.Nop(),
+	d.f = &Front{Most: most, Ample: most, ReadWithin: append(within, patience)[0], Now: func() float64 { return 1000 }, Log: zerolog.Nop(),
 		Take: func(s *core.Scan) { d.took <- s }, Left: func(s *core.Scan) { d.left <- s },
 		Site: terms.Site{Shards: 12, Types: []terms.TableType{{Name: "board"}, {Name: "fix", Keyed: true}},
 			TypeIndex: map[string]int{"board": 0, "fix": 1}}}
@@ -289,6 +289,30 @@
 	_ = fourth
 }
 
+// Beyond what is ample, an answer gives its connection's place back, and who says nothing goes soon; others stay.
+func TestAmple(t *testing.T) {
+	d := open(t, 10)
+	d.f.mu.Lock()
+	d.f.Ample = 2
+	d.f.mu.Unlock()
+	health := "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+	kept := d.dial().say(health)
+	_, _, res := kept.hear()
+	assert.False(t, res.Close)
+	silent := d.dial()
+	require.Eventually(t, func() bool { return d.f.Conns() == 2 }, patience, time.Millisecond)
+	third := d.dial().say(health)
+	_, _, res = third.hear()
+	assert.True(t, res.Close, "three are more than ample")
+	assert.True(t, third.over())
+	require.Eventually(t, func() bool {
+		d.dial().say(health).hear() // who comes takes the place
+		silent.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+		return silent.over()
+	}, patience, 20*time.Millisecond)
+	kept.say(health).hear()
+}
+
 // Stopping: for Linger clients are served as before on the connections they have, new ones too, though /healthz says
 // 503. Then what was taken is answered, all is closed, and who comes too late is turned away.
 func TestStop(t *testing.T) {
@@ -349,7 +373,7 @@
 func TestCannotAccept(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	f := &Front{Most: 10, ReadWithin: patience, Now: func() float64 { return 0 }, Log: zerolog.Nop()}
+	f := &Front{Most: 10, Ample: 10, ReadWithin: patience, Now: func() float64 { return 0 }, Log: zerolog.Nop()}
 	f.Ready()
 	ended := make(chan error, 1)
 	go func() { ended <- f.Serve(&flaky{ln, 3}) }()
