--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -24,9 +24,9 @@
 )
 
 const (
-	watchFor    = 20 * time.Second       // how long the agent may hold a watch open
+	watchFor    = 3 * time.Second        // how long the agent may hold a watch open
 	connectFor  = 500 * time.Millisecond // the agent is on this machine
-	grace       = 2 * time.Second        // after which an agent that says nothing is taken for dead
+	grace       = 500 * time.Millisecond // an answer that is due comes within it, or the call has failed
 	retryFirst  = 100 * time.Millisecond // wait after a failed call; doubled up to retryMost
 	retryMost   = 1600 * time.Millisecond
 	answerMost  = 4 << 20
@@ -224,6 +224,7 @@
 
 func (w *Watch) failed(err error) {
 	w.hangUp()
+	w.whole = true // what the broken call had to tell may be lost
 	w.log.Warn().Err(err).Msg("the list could not be followed")
 	w.retry.Reset(w.wait)
 	w.wait = min(2*w.wait, retryMost)
@@ -252,7 +253,13 @@
 	if w.whole {
 		query = ""
 	}
-	w.conn.SetDeadline(time.Now().Add(watchFor + grace))
+	// An agent that hangs, or whose answer stops coming, looks like a list in which nothing changes: short watches find
+	// out, and the whole list, which is answered at once, finds out soonest.
+	patience := watchFor + grace
+	if w.whole {
+		patience = grace
+	}
+	w.conn.SetDeadline(time.Now().Add(patience))
 	_, err := fmt.Fprintf(w.conn, "GET /v1/servers%s HTTP/1.1\r\nHost: %s\r\n\r\n", query, w.addr)
 	if err != nil && !w.used { // else its reader tells how it ended
 		w.failed(fmt.Errorf("asking discovery: %w", err))
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -87,7 +87,7 @@
 const line = `{"host":"s-1","dial":"127.0.0.1:8000","site":"a","class":"m2","block":3,"health":"%s","share":1.5,"born_ms":7}`
 
 func TestWatch(t *testing.T) {
-	since := func(seq int) string { return fmt.Sprintf("/v1/servers?since=%d&timeout_ms=20000", seq) }
+	since := func(seq int) string { return fmt.Sprintf("/v1/servers?since=%d&timeout_ms=3000", seq) }
 	a := watch(t, 41, false)
 	assert.Equal(t, since(41), next(t, a.asked))
 	a.reply <- body(`{"seq":43,"whole":false,"hosts":[` + fmt.Sprintf(line, "DRAINING") + `]}`)
@@ -101,6 +101,9 @@
 	assert.Equal(t, since(44), next(t, a.asked), "nothing new, nothing told")
 	a.reply <- "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 34\r\n\r\n" + `{"seq":45,"whole":false,"hosts":[]}`[:34]
 	assert.Equal(t, logic.ListFailed, next(t, a.told).Kind, "a body that is no JSON")
+	assert.Equal(t, "/v1/servers", next(t, a.asked), "what it had to tell may be lost")
+	a.reply <- body(`{"seq":44,"whole":true,"hosts":[]}`)
+	assert.Equal(t, logic.ListWhole, next(t, a.told).Kind)
 	assert.Equal(t, since(44), next(t, a.asked))
 	a.reply <- body(`{"seq":40,"whole":false,"hosts":[` + fmt.Sprintf(line, "SERVING") + `]}`)
 	assert.Equal(t, "/v1/servers", next(t, a.asked), "a version that goes backwards: the whole list is asked for")
@@ -117,10 +120,14 @@
 		"no HTTP":              "hello\r\n\r\n",
 		"a list of wrong type": body(`{"seq":"x"}`),
 	} {
-		assert.Equal(t, since(40), next(t, a.asked), name)
+		assert.Equal(t, "/v1/servers", next(t, a.asked), name)
 		a.reply <- reply
 		assert.Equal(t, logic.ListFailed, next(t, a.told).Kind, name)
 	}
+	assert.Equal(t, "/v1/servers", next(t, a.asked))
+	begun := time.Now() // the agent says nothing
+	assert.Equal(t, logic.ListFailed, next(t, a.told).Kind)
+	assert.Less(t, time.Since(begun), 2*time.Second, "a whole list is due at once")
 }
 
 // Where the list has to be asked for, the module's first word begins the watch and no later one adds a call.
