--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,7 +33,7 @@
 	lateTail    = 0.3      // past its target time this weight may be asked again, times the benefit left
 	spareShare  = 0.1      // second dispatches of late parts for each first; one that comes first is free
 	spareMost   = 20.0     // and so many saved up at most
-	goodEnough  = 4        // successes among a node's last eight outcomes that let it work as usual
+	goodEnough  = 2        // successes among a node's last eight outcomes that let it work as usual
 	restTime    = 1000.0   // how long a node rests that does poorly; then it is tried
 	callShare   = 0.13     // most work of a call, as a share of the target time
 	trimSlack   = 0.05     // weight kept beyond the least share when parts are spared
@@ -211,7 +211,7 @@
 				next = min(next, d.silent)
 			} else if next = min(next, b.now+lookAgain); gone && !d.lostSeen {
 				if d.lostSeen = true; b.judge(n, false) && b.now-b.heard[n] > recent {
-					b.history[n] = 6 // long unheard, one silence is enough: poor, and sound after two good trials
+					b.history[n] = 2 // long unheard, one silence is enough: poor, and sound after a good trial
 				}
 			} else if !gone && !d.slowSeen {
 				d.slowSeen = true
