--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -537,14 +537,18 @@
 		wait    float64 // until they are sent
 		answer  bool    // the others are answered
 		recalls int
+		good    int // successes among the last eight outcomes that its node is left with
 	}{
-		{"a later one came", pair[:1], 1, 750, true, 2},
-		{"one sent soon after came", pair[:1], 1, 10, true, 0},
-		{"silent, but nobody else to ask", pair[:1], 0, 10, false, 0},
-		{"silent", pair, 0, 10, false, 2},
-		{"a jam", pair, -11, 0, false, 0},
+		{"a later one came", pair[:1], 1, 750, true, 2, 7},
+		{"one sent soon after came", pair[:1], 1, 10, true, 0, 8},
+		{"silent, but nobody else to ask", pair[:1], 0, 10, false, 0, 5},
+		{"silent", pair, 0, 10, false, 2, 5},
+		{"a jam", pair, -11, 0, false, 0, 8},
 	} {
 		r := play(t, map[string]any{"limit.secondCopies": false, "layout.reach": 1.0}, c.list)
+		for n := range r.b.heard {
+			r.b.heard[n] = r.now // else one silence is enough
+		}
 		for i := range -c.others {
 			r.step(0, scanOf(int64(2+i), 0, 6000, 0)...)
 		}
@@ -557,6 +561,11 @@
 		}
 		recalls := kinds(r.step(50000+1300-r.now, timer(1)), Recall)
 		require.Len(t, recalls, c.recalls, c.name)
+		least := 8
+		for _, h := range r.b.history {
+			least = min(least, bits.OnesCount8(h))
+		}
+		assert.Equal(t, c.good, least, c.name)
 		for _, a := range recalls {
 			again := kinds(r.step(5, r.ended(a.ID, a.Dispatch, Recalled, 1300)), Dispatch)
 			assert.Len(t, again, 1, c.name)
