--- a/logic/logic.go
+++ b/logic/logic.go
@@ -210,9 +210,9 @@
 			} else if !b.due(d.silent) {
 				next = min(next, d.silent)
 			} else if next = min(next, b.now+lookAgain); gone && !d.lostSeen {
-				// Silence of the node itself weighs three failures, and of one long unheard a single one is enough.
+				// Silence of the node itself weighs two failures, and of one long unheard a single one is enough.
 				if d.lostSeen = true; b.judge(n, false) && !passed {
-					if b.history[n] <<= 2; b.now-b.heard[n] > recent {
+					if b.history[n] <<= 1; b.now-b.heard[n] > recent {
 						b.history[n] = 2
 					}
 				}
