--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,19 +43,13 @@
 	ties        = 0.02     // chance among nodes whose load is about alike, or all brokers take the same
 	throttleAt  = 0.8      // predicted share of the target time at which throttling begins,
 	throttleAll = 1.5      // and at which a scan of mean value is turned away for sure
+	slowLinks   = 0.25     // share of new connections refused that tells of the network, not of a node
 	fullWeighs  = 4.0      // what nodes without room add to the prediction, for all of them
-	fewBrokers  = 4.0      // among so many, what one sees of a node's load tells of the others' too
 	lookAgain   = 100.0    // wait before looking again at a part that has no holder to go to
 	coldSafety  = 0.8      // part of the cold allowance that is used
 	golden      = 0.618034 // its multiples spread evenly
-	noteWork    = 16.0     // work told to other brokers is counted in so many ms;
-	noteMost    = 250      // above so many of them a byte is an outcome:
-	noteGood    = 251
-	noteBad     = 252
-	noteNobody  = 253
-	noteRecord  = 3       // bytes: two of the node, one of the work sent or the outcome seen
-	noteBytes   = 256     // of one message
-	askList     = 1 << 62 // the timer to ask for the list again
+	lateWeighs  = 4.0      // load of a node that has kept a call waiting and said nothing since, times this
+	askList     = 1 << 62  // the timer to ask for the list again
 	longAgo     = -1e15
 )
 
@@ -85,17 +79,15 @@
 	latAt, heard, restEnd, failAt         []float64 // latency seen, answer heard, rest ends, it failed
 	passed, listed                        []float64 // sending of the newest dispatch answered; not gone then
 	allowed, allowAt                      []float64 // work that may go to it while it is cold; as of
-	used                                  []float64 // a connection to it carried an answer
+	lateAt, used                          []float64 // late, nothing heard since; a connection carried an answer
 	others, othersAt                      []float64 // work that other brokers told of sending, fading; as of
 	inCell                                [][]int   // the holder table: ready nodes by cell
 	meanLat, meanUnder, meanValue, valued float64
-	typTarget                             float64
-	full                                  float64            // share of answers that said: no room
-	kinds                                 map[int][2]float64 // latency and under how much work, by kind of machine
-	connecting, refusing                  float64            // by target time, what a new connection adds; share refused
+	kinds                                 map[int][2]float64 // latency, and under how much work, by kind
+	typTarget, full                       float64            // mean target; share of dispatches without room
+	connecting, refusing                  float64            // what a new connection adds, by target; refused
 	startAt, answers, longest             float64            // answers: how many since; the longest timeout
 	spare                                 float64            // second dispatches that late parts may have now
-	silent                                float64            // share of late dispatches that proved silent
 	meanWork, done, doneAt, allUnits      float64            // work completed, fading; units of all ready nodes
 	extras, taken                         [][2]float64       // for a stated budget
 	shareLeft, shareAt                    []float64          // by tenant
@@ -136,7 +128,9 @@
 		b.changed[i].dirty = false
 		b.review(b.changed[i])
 	}
-	b.tell()
+	if b.flag("limit.peers") {
+		b.tell()
+	}
 	if b.fault != "" {
 		b.out = []Action{{Kind: Fatal, Text: b.fault}}
 	}
@@ -214,7 +208,7 @@
 	}
 	typ := &b.types[s.typ]
 	quiet := s.heard + typ.mean*(1+quietMeans/open)
-	if b.flag("limit.secondCopies") { // the last moment from which a copy can make the target time; a recall is dearer
+	if b.flag("limit.secondCopies") { // the last moment for a copy in time; a recall is dearer
 		quiet = min(quiet, s.targetAt-typ.mean-typ.dev)
 	}
 	for _, p := range s.parts {
@@ -230,7 +224,16 @@
 			passedBy = passedBy || passed && d.open
 			if !d.open || p.done {
 				continue
-			} else if at := max(d.late, quiet); !b.due(at) && !passed {
+			}
+			if !b.due(d.late) {
+				next = min(next, d.late)
+			} else if !d.lateSeen && b.flag("limit.peers") { // a first sign, for all
+				d.lateSeen = true
+				if b.heard[n] < d.at {
+					b.lateAt[n], b.news = b.now, report(b.news, b.nodeID[n], noteLate)
+				}
+			}
+			if at := max(d.late, quiet); !b.due(at) && !passed {
 				late, next = false, min(next, at)
 			} else if !b.due(d.silent) {
 				next = min(next, d.silent)
@@ -424,21 +427,16 @@
 }
 
 // predict says at what share of its target time enough of the scan for an answer will be in: each node
-// answers in its recent latency, stretched by what is outstanding there now against what was then, or
-// where brokers are many and each sees little of it, with the difference added.
+// answers in its recent latency, and what is outstanding there now beyond what was then is added.
 func (b *Broker) predict(s *scan, asks []*part, node []int) (worst float64) {
-	added, lats, alike := map[int]float64{}, [][2]float64{}, min(1, fewBrokers/b.num("brokers"))
-	if b.flag("limit.peers") {
-		alike = 1 // the others' share is known
-	}
+	added, lats := map[int]float64{}, [][2]float64{}
 	for i, n := range node {
 		added[n] += asks[i].work
 	}
 	for i, n := range node {
 		lat, under := b.lat(n)
 		now := (b.load(n) + b.num("layout.callWork") + added[n]) / b.types[s.typ].target
-		lat += alike*lat*(now/under-1) + (1-alike)*(now-under)
-		lats = append(lats, [2]float64{lat, asks[i].weight})
+		lats = append(lats, [2]float64{lat + now - under, asks[i].weight})
 	}
 	slices.SortFunc(lats, func(x, y [2]float64) int { return cmp.Compare(x[0], y[0]) })
 	for i, got := 0, 0.0; i < len(lats) && got < b.least(s)-0.00005; i++ {
@@ -451,26 +449,34 @@
 }
 
 // weigh is the node's recent latency over the mean one; a failing node's work counts as done again. One that
-// has had its rest is tried by the next call: whoever has another holder would never learn that it is well. Not
-// where a node is heard less often than it rests: there every call would be a trial, and silence costs a scan.
+// has had its rest is tried by the next call: who has another holder would never learn that it is well. Not
+// where a node is heard less often than it rests: every call would be a trial, and silence costs a scan.
 func (b *Broker) weigh(n int) float64 {
 	if b.poor(n) && b.gap() < restTime {
 		return 0.2
 	}
 	lat, _ := b.lat(n)
+	if b.now-b.lateAt[n] < recent {
+		lat *= lateWeighs
+	}
 	return min(max(lat/b.meanLat, 0.2), 8) * 8 / max(1, float64(bits.OnesCount8(b.history[n])))
 }
 
-// lat is the node's recent latency against its target, and the work it was under; without one it is the average of
-// its kind of machine: kinds differ in speed, and a way that is slow may be slow to one kind alone.
+// lat is the node's recent latency against its target, and the work it was under; without one it is the
+// average of its kind: kinds differ in speed, and a way may be slow to one kind alone.
 func (b *Broker) lat(n int) (lat, under float64) {
 	if b.now-b.latAt[n] < max(recent, latGaps*b.gap()) {
 		return b.latency[n], b.under[n]
 	}
-	if k := b.kinds[b.kind[n]]; k[1] > 0 {
-		return k[0], k[1]
+	k := b.ofKind(n)
+	return k[0], k[1]
+}
+
+func (b *Broker) ofKind(n int) [2]float64 {
+	if k, seen := b.kinds[b.kind[n]]; seen {
+		return k
 	}
-	return b.meanLat, b.meanUnder
+	return [2]float64{b.meanLat, b.meanUnder}
 }
 
 // gap is the time between two answers of one node, as seen by this broker: what it knows ages by that.
@@ -506,8 +512,8 @@
 	}
 	lat, under := b.lat(n)
 	wait := max(silent-b.now, silentLoads*b.load(n)*lat/max(under, 0.001))
-	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, silent: silent, wait: wait, fresh: !b.linked(n),
-		load: b.load(n), open: true, ran: true})
+	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, silent: silent, wait: wait,
+		fresh: !b.linked(n), load: b.load(n), open: true, ran: true})
 	p.open++
 	b.do(Action{Kind: Dispatch, ID: p.id, Node: b.nodeID[n], After: limit - b.now})
 	return late
@@ -535,13 +541,10 @@
 	} else if d.fresh && e.Outcome == ConnRefused {
 		b.refusing += typShare * (1 - b.refusing)
 	}
-	if e.Outcome == Completed || e.Outcome == Saturated {
-		b.full += typShare * (map[bool]float64{e.Outcome == Saturated: 1}[true] - b.full)
-	}
 	switch e.Outcome {
 	case Completed:
-		b.used[n] = b.now
-		b.heard[n], b.passed[n] = b.now, max(b.passed[n], d.at)
+		b.used[n], b.heard[n], b.passed[n] = b.now, b.now, max(b.passed[n], d.at)
+		b.full -= typShare * b.full
 		b.answers++
 		b.sawLatency(d, s, took, false)
 		typ.dev += typShare * (math.Abs(e.Elapsed-typ.mean) - typ.dev)
@@ -561,15 +564,15 @@
 		b.judge(n, false)
 	case ConnRefused: // nobody is there: no need for more proof
 		b.used[n] = longAgo
-		if d.fresh && b.refusing > 0.25 {
-			break // connecting is slow everywhere: it tells nothing of this node
-		}
 		b.history[n] = 6
-		if b.judge(n, false) && b.flag("limit.peers") {
+		if d.fresh && b.refusing > slowLinks { // connecting is slow everywhere: it holds for this broker alone
+			b.note(n, false)
+		} else if b.judge(n, false) {
 			b.news[len(b.news)-1] = noteNobody
 		}
 	case Saturated: // full, not ill: it counts as slow
 		b.heard[n] = b.now
+		b.full += typShare * (1 - b.full)
 		b.sawLatency(d, s, typ.target, true)
 	}
 	d.ran = e.Outcome != Saturated && e.Outcome != ConnRefused && e.Outcome != Superseded // else it never ran
@@ -589,12 +592,8 @@
 	b.latency[n] = lat + latShare*(elapsed/target-lat)
 	b.under[n] = under + latShare*(d.load/target-under)
 	b.latAt[n] = b.now
-	k := b.kinds[b.kind[n]]
-	if k[1] == 0 {
-		k = [2]float64{b.meanLat, b.meanUnder}
-	}
-	k[0], k[1] = k[0]+typShare*(elapsed/target-k[0]), k[1]+typShare*(d.load/target-k[1])
-	b.kinds[b.kind[n]] = k
+	k := b.ofKind(n)
+	b.kinds[b.kind[n]] = [2]float64{k[0] + typShare*(elapsed/target-k[0]), k[1] + typShare*(d.load/target-k[1])}
 	b.meanLat += typShare * (elapsed/target - b.meanLat)
 	b.meanUnder += typShare * (d.load/target - b.meanUnder)
 }
@@ -606,13 +605,18 @@
 	if !good && b.failAt[n] == b.now {
 		return false
 	}
-	if b.flag("limit.peers") && (!good || b.history[n] != 0xff) { // what is well and stays so is no news
-		b.news = append(b.record(n), map[bool]byte{true: noteGood, false: noteBad}[good])
+	if !good {
+		b.news = report(b.news, b.nodeID[n], noteBad)
+	} else if b.history[n] != 0xff || b.lateAt[n] > longAgo { // what is well and stays so is no news
+		b.news = report(b.news, b.nodeID[n], noteGood)
 	}
 	return b.note(n, good)
 }
 
 func (b *Broker) note(n int, good bool) bool {
+	if good {
+		b.lateAt[n] = longAgo
+	}
 	poor := b.poor(n)
 	b.history[n] <<= 1
 	if good {
@@ -626,8 +630,8 @@
 	return true
 }
 
-// poor says whether a node rests, or is on trial. Where eight outcomes come within a rest they tell of a moment, and the
-// next eight come soon: there it takes more to rest a node, since the others of its set carry what it leaves.
+// poor says whether a node rests, or is on trial. Where eight outcomes come within a rest they tell of a
+// moment, and the next eight come soon: it takes more to rest a node, since others carry what it leaves.
 func (b *Broker) poor(n int) bool {
 	good := bits.OnesCount8(b.history[n])
 	return good < goodFast || good < goodEnough && 8*b.gap() > restTime
@@ -751,8 +755,9 @@
 		return
 	}
 	typ, turn := &b.types[e.TableType], b.num("turn")
-	s := &scan{id: e.ID, num: e.Scan, typ: e.TableType, step: 1, look: longAgo, factor: 1, permitted: e.Permitted,
-		endAt: b.now + e.Budget - 2*turn, targetAt: b.now + min(typ.target, e.Budget) - 2*turn}
+	s := &scan{id: e.ID, num: e.Scan, typ: e.TableType, step: 1, look: longAgo, factor: 1,
+		permitted: e.Permitted, endAt: b.now + e.Budget - 2*turn,
+		targetAt: b.now + min(typ.target, e.Budget) - 2*turn}
 	if t := e.Tenant; t >= 0 && t < len(b.shareLeft) {
 		rate := b.num(fmt.Sprintf("tenant.%d.perSecond", t)) / 1000 / b.num("brokers")
 		b.shareLeft[t] = min(max(1, 2000*rate), b.shareLeft[t]+rate*(b.now-b.shareAt[t]))
@@ -804,12 +809,13 @@
 				delete(b.index, b.nodeID[n])
 			} else {
 				b.nodeID, b.state, b.history = append(b.nodeID, 0), append(b.state, Gone), append(b.history, 0)
-				b.cell, b.zone, b.outCalls = append(b.cell, 0), append(b.zone, 0), append(b.outCalls, 0)
-				b.kind = append(b.kind, 0)
+				b.cell, b.zone, b.kind = append(b.cell, 0), append(b.zone, 0), append(b.kind, 0)
+				b.outCalls = append(b.outCalls, 0)
 			}
 			b.index[en.Node], b.nodeID[n], b.history[n] = n, en.Node, 0xff
 			for i, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.allowed, &b.allowAt, &b.latency,
-				&b.under, &b.others, &b.othersAt, &b.latAt, &b.heard, &b.restEnd, &b.passed, &b.used, &b.failAt, &b.listed} {
+				&b.under, &b.others, &b.othersAt, &b.latAt, &b.heard, &b.restEnd, &b.passed, &b.used,
+				&b.lateAt, &b.failAt, &b.listed} {
 				*col = append(*col, 0)[:len(b.nodeID)]
 				(*col)[n] = longAgo * float64(min(1, i/9))
 			}
@@ -836,8 +842,9 @@
 
 func (b *Broker) start(e *Event) {
 	*b = Broker{now: b.now, terms: terms{stated: e.Terms}, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
-		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*call{}, byCode: map[uint16]int{}, kinds: map[int][2]float64{},
-		pcg: seeded(e.Seed), spare: spareMost, startAt: b.now}
+		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*call{}, byCode: map[uint16]int{},
+		kinds: map[int][2]float64{},
+		pcg:   seeded(e.Seed), spare: spareMost, startAt: b.now}
 	for i, name := range []string{"turn", "rules.cold", "rules.fall", "rules.fallMultiple",
 		"rules.startCapacity", "layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers",
 		"limit.dispatches", "tableType.count"} {
@@ -878,8 +885,7 @@
 
 // linked says whether a connection to node n is likely to be open.
 func (b *Broker) linked(n int) bool {
-	idle, stated := b.stated["limit.connIdle"].(float64)
-	return !stated || b.now-b.used[n] < idle
+	return b.now-b.used[n] < cmp.Or(b.num("limit.connIdle"), math.Inf(1))
 }
 
 // load is the work outstanding at node n as far as it is known: this broker's own, and what others told of.
@@ -890,28 +896,17 @@
 
 // tell lets the other brokers know which work went where this turn, and which nodes failed or recovered.
 func (b *Broker) tell() {
-	if !b.flag("limit.peers") {
-		return
-	}
 	for _, c := range b.calls {
-		b.news = append(b.record(c.node), byte(min(noteMost, math.Round(c.work/noteWork))))
+		b.news = report(b.news, b.nodeID[c.node], worded(c.work))
 	}
-	for news := range slices.Chunk(b.news, noteBytes/noteRecord*noteRecord) {
-		b.do(Action{Kind: Tell, Note: news})
+	for note := range slices.Chunk(b.news, noteMost) {
+		b.do(Action{Kind: Tell, Note: note})
 	}
 }
 
-func (b *Broker) record(n int) []byte {
-	c := code(b.nodeID[n])
-	return append(b.news, byte(c>>8), byte(c))
-}
-
-// code is two bytes for a node, alike at all brokers.
-func code(id int64) uint16 { return uint16(uint64(id) * 0x9e3779b97f4a7c15 >> 48) }
-
 // takeNote takes up what another broker told. Notes may be lost, late or spoilt: nothing rests on one alone.
 func (b *Broker) takeNote(note []byte) {
-	if len(note) == 0 || len(note)%noteRecord != 0 || len(note) > noteBytes {
+	if !readable(note) {
 		b.do(Action{Kind: Note, Text: "another broker's note could not be read"})
 		return
 	}
@@ -921,12 +916,14 @@
 			continue
 		}
 		switch {
-		case r[2] <= noteMost:
+		case r[2] <= noteFull:
 			b.others[n], b.othersAt[n] = b.load(n)-b.outWork[n]+float64(r[2])*noteWork, b.now
 			b.answers++
 			if b.poor(n) { // it is being tried
 				b.restEnd[n] = max(b.restEnd[n], b.now+restTime)
 			}
+		case r[2] == noteLate:
+			b.lateAt[n] = b.now
 		case r[2] == noteGood:
 			b.heard[n] = b.now
 			b.note(n, true)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -383,7 +383,7 @@
 				spared++
 			}
 			for _, a := range sent { // what goes out keeps the jam as it is
-				r.step(0, r.ended(a.ID, 0, Completed, 1500))
+				r.step(0, r.ended(a.ID, 0, Completed, 1700))
 			}
 		}
 		return
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -17,8 +17,7 @@
 }
 
 func recordOf(node int64, what byte) []byte {
-	c := code(node)
-	return []byte{byte(c >> 8), byte(c), what}
+	return report(nil, node, what)
 }
 
 var peers = map[string]any{"limit.peers": true}
@@ -84,14 +83,18 @@
 	assert.Empty(t, r.step(1, Event{Kind: PeerNote, Note: recordOf(7777, noteNobody)}), "a node of no list")
 }
 
-// Slow connecting (caruaru-precos big-2) is refused at nodes that are well: it counts against one only where
-// connecting works elsewhere. The holder with an open connection is taken then.
+// Slow connecting (caruaru-precos big-2) is refused at nodes that are well: others are told that nobody is there
+// only where connecting works elsewhere. The holder with an open connection is taken then.
 func TestSlowConnecting(t *testing.T) {
-	r := play(t, map[string]any{"limit.connIdle": 30000.0}, ring(4))
+	r := play(t, map[string]any{"limit.connIdle": 30000.0, "limit.peers": true}, ring(4))
 	r.b.refusing = 0.5
 	at := kinds(r.step(1, scanOf(1, 0, 6000, 0)...), Dispatch)[0]
-	r.step(250, r.ended(at.ID, 0, ConnRefused, 250))
-	assert.EqualValues(t, 0xff, r.b.history[r.b.index[at.Node]], "it tells nothing of the node")
+	acts := r.step(250, r.ended(at.ID, 0, ConnRefused, 250))
+	assert.NotContains(t, told(acts), recordOf(at.Node, noteNobody), "it holds for this broker's way alone")
+	r = play(t, map[string]any{"limit.connIdle": 30000.0, "limit.peers": true}, ring(4))
+	at = kinds(r.step(1, scanOf(1, 0, 6000, 0)...), Dispatch)[0]
+	acts = r.step(250, r.ended(at.ID, 0, ConnRefused, 250))
+	assert.Contains(t, told(acts), recordOf(at.Node, noteNobody), "connecting works elsewhere: nobody is there")
 	for _, open := range []int64{100, 101} {
 		r = play(t, map[string]any{"limit.connIdle": 30000.0}, ring(4))
 		r.b.used[r.b.index[open]] = r.b.now
@@ -147,3 +150,21 @@
 	assert.Len(t, copied, 1)
 	assert.Less(t, r.now, 50000+1700.0)
 }
+
+// A node that has kept a call waiting and said nothing since is left to others at the first sign, by all brokers
+// that are told (caruaru-precos big-1: three silences had to pass at each before).
+func TestLateSign(t *testing.T) {
+	r := play(t, peers, ring(4))
+	at := kinds(r.step(1, scanOf(1, 0, 6000, 0)...), Dispatch)[0].Node
+	acts := r.step(800, timer(1))
+	assert.Contains(t, told(acts), recordOf(at, noteLate))
+	assert.NotContains(t, told(r.step(50, timer(1))), recordOf(at, noteLate), "once a dispatch")
+
+	o := play(t, peers, ring(4))
+	n := o.b.index[at]
+	before := o.b.weigh(n)
+	o.step(1, Event{Kind: PeerNote, Note: recordOf(at, noteLate)})
+	assert.Greater(t, o.b.weigh(n), 2*before)
+	o.step(1, Event{Kind: PeerNote, Note: recordOf(at, noteGood)})
+	assert.Equal(t, before, o.b.weigh(n))
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -127,13 +127,13 @@
 // What the module keeps of a scan, its parts and their dispatches, and of a table type.
 
 type dispatch struct {
-	node               int
-	call               *call
-	at, late, silent   float64 // when it is late, when silent
-	wait               float64 // for how long its node may say nothing
-	load               float64 // work outstanding at the node with it
-	open, ran, fresh   bool    // ran: it may have run
-	slowSeen, lostSeen bool    // its node has been held slow, or failing, for it
+	node                         int
+	call                         *call
+	at, late, silent             float64 // when it is late, when silent
+	wait                         float64 // for how long its node may say nothing
+	load                         float64 // work outstanding at the node with it
+	open, ran, fresh             bool    // ran: it may have run
+	slowSeen, lostSeen, lateSeen bool    // its node has been held slow, or failing, for it
 }
 
 // call is what goes to one node in one turn: its parts, and those that are still out.
