Discovery that refuses is asked again later each time, spread over brokers

Where the list comes only when asked (discovery: subscribe) followList asked again after 1 s exactly, all brokers at once. Waits now double up to 4 s, spread by chance, and stay under half of askWithin, after which a broker counts as told. Averages by kind begin when the list first names the kind.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -49,6 +49,7 @@
 	coldSafety  = 0.8      // part of the cold allowance that is used
 	golden      = 0.618034 // its multiples spread evenly
 	lateWeighs  = 4.0      // load of a node that has kept a call waiting and said nothing since, times this
+	askMost     = 4000.0   // longest wait before a list that could not be had is asked for again
 	askList     = 1 << 62  // the timer to ask for the list again
 	longAgo     = -1e15
 )
@@ -86,7 +87,7 @@
 	kinds                                 map[int][2]float64 // latency, and under how much work, by kind
 	typTarget, full                       float64            // mean target; share of dispatches without room
 	connecting, refusing                  float64            // what a new connection adds, by target; refused
-	startAt, answers, longest             float64            // answers: how many since; the longest timeout
+	startAt, answers, longest, askWait    float64            // answers: how many since; the longest timeout
 	spare                                 float64            // second dispatches that late parts may have now
 	meanWork, done, doneAt, allUnits      float64            // work completed, fading; units of all ready nodes
 	extras, taken                         [][2]float64       // for a stated budget
@@ -128,9 +129,7 @@
 		b.changed[i].dirty = false
 		b.review(b.changed[i])
 	}
-	if b.flag("limit.peers") {
-		b.tell()
-	}
+	b.tell()
 	if b.fault != "" {
 		b.out = []Action{{Kind: Fatal, Text: b.fault}}
 	}
@@ -468,17 +467,10 @@
 	if b.now-b.latAt[n] < max(recent, latGaps*b.gap()) {
 		return b.latency[n], b.under[n]
 	}
-	k := b.ofKind(n)
+	k := b.kinds[b.kind[n]]
 	return k[0], k[1]
 }
 
-func (b *Broker) ofKind(n int) [2]float64 {
-	if k, seen := b.kinds[b.kind[n]]; seen {
-		return k
-	}
-	return [2]float64{b.meanLat, b.meanUnder}
-}
-
 // gap is the time between two answers of one node, as seen by this broker: what it knows ages by that.
 func (b *Broker) gap() float64 {
 	return (b.now - b.startAt) * float64(len(b.nodeID)) / max(1, b.answers)
@@ -592,7 +584,7 @@
 	b.latency[n] = lat + latShare*(elapsed/target-lat)
 	b.under[n] = under + latShare*(d.load/target-under)
 	b.latAt[n] = b.now
-	k := b.ofKind(n)
+	k := b.kinds[b.kind[n]]
 	b.kinds[b.kind[n]] = [2]float64{k[0] + typShare*(elapsed/target-k[0]), k[1] + typShare*(d.load/target-k[1])}
 	b.meanLat += typShare * (elapsed/target - b.meanLat)
 	b.meanUnder += typShare * (d.load/target - b.meanUnder)
@@ -788,9 +780,12 @@
 // named stays known, and only nodes that are called ready get work.
 func (b *Broker) followList(e *Event) {
 	if e.List == ListFailed {
-		b.do(Action{Kind: SetTimer, Timer: askList, After: restTime})
+		// All brokers are refused at once where discovery is short: they come back later each time, and spread.
+		b.askWait = min(max(restTime, 2*b.askWait), askMost, cmp.Or(b.num("rules.askWithin"), 1e9)/2)
+		b.do(Action{Kind: SetTimer, Timer: askList, After: b.askWait * (0.5 + b.float()/2)})
 		return
 	}
+	b.askWait = 0
 	for n := range b.state {
 		if b.state[n] != Gone {
 			b.listed[n] = b.now
@@ -821,6 +816,9 @@
 			}
 		}
 		b.cell[n], b.zone[n], b.kind[n], b.state[n] = en.Cell, en.Zone, en.Kind, en.Readiness
+		if _, seen := b.kinds[en.Kind]; !seen {
+			b.kinds[en.Kind] = [2]float64{b.meanLat, b.meanUnder}
+		}
 		if en.Born > b.born[n] { // a new process: what an old one did says nothing
 			b.history[n], b.restEnd[n], b.latAt[n] = 0xff, longAgo, longAgo
 			turn := b.num("ordinal")/b.num("brokers") + golden*float64(en.Node%1000)
@@ -899,8 +897,8 @@
 	for _, c := range b.calls {
 		b.news = report(b.news, b.nodeID[c.node], worded(c.work))
 	}
-	for note := range slices.Chunk(b.news, noteMost) {
-		b.do(Action{Kind: Tell, Note: note})
+	for i := 0; i < len(b.news) && b.flag("limit.peers"); i += noteMost {
+		b.do(Action{Kind: Tell, Note: b.news[i:min(i+noteMost, len(b.news))]})
 	}
 }
 
@@ -911,11 +909,8 @@
 		return
 	}
 	for r := range slices.Chunk(note, noteRecord) {
-		n, known := b.byCode[uint16(r[0])<<8|uint16(r[1])]
-		if !known {
-			continue
-		}
-		switch {
+		switch n, known := b.byCode[uint16(r[0])<<8|uint16(r[1])]; {
+		case !known: // a node that this broker has not been told of
 		case r[2] <= noteFull:
 			b.others[n], b.othersAt[n] = b.load(n)-b.outWork[n]+float64(r[2])*noteWork, b.now
 			b.answers++
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -168,3 +169,29 @@
 	o.step(1, Event{Kind: PeerNote, Note: recordOf(at, noteGood)})
 	assert.Equal(t, before, o.b.weigh(n))
 }
+
+// A list that cannot be had is asked for again, later each time and not by all brokers at once; never so late that
+// the broker counts as told of what it could not hear.
+func TestAskingAgain(t *testing.T) {
+	waits := func(seed uint64, changes map[string]any) (all []float64) {
+		r := &rig{now: 50000}
+		changes["discovery"] = "subscribe"
+		acts := r.step(0, Event{Kind: Started, Seed: seed, Terms: site(changes)})
+		assert.Len(t, kinds(acts, Subscribe), 1, "asked at start")
+		for range 8 {
+			acts := kinds(r.step(1, Event{Kind: ListArrived, List: ListFailed}), SetTimer)
+			assert.Len(t, acts, 1)
+			all = append(all, acts[0].After)
+			assert.Len(t, kinds(r.step(acts[0].After, timer(askList)), Subscribe), 1)
+		}
+		r.step(1, Event{Kind: ListArrived, List: ListWhole, Entries: ring(4)})
+		again := kinds(r.step(1, Event{Kind: ListArrived, List: ListFailed}), SetTimer)
+		assert.LessOrEqual(t, again[0].After, restTime, "after a list the waits begin anew")
+		return all
+	}
+	one, other := waits(1, map[string]any{}), waits(2, map[string]any{})
+	assert.Greater(t, one[4], 1.5*one[0])
+	assert.LessOrEqual(t, slices.Max(one), askMost)
+	assert.NotEqual(t, one, other)
+	assert.LessOrEqual(t, slices.Max(waits(1, map[string]any{"rules.askWithin": 3000.0})), 1500.0)
+}
