--- a/logic/logic.go
+++ b/logic/logic.go
@@ -91,7 +91,6 @@
 	spare                                 float64            // second dispatches that late parts may have now
 	meanWork, done, doneAt, allUnits      float64            // work completed, fading; units of all ready nodes
 	extras, taken                         [][2]float64       // for a stated budget
-	shareLeft, shareAt                    []float64          // by tenant
 }
 
 // Step takes what happened to this broker at one moment and returns what is to be done.
@@ -656,14 +655,7 @@
 
 // turnedAway throttles by chance when the scan's nodes are predicted to miss its target time.
 func (b *Broker) turnedAway(s *scan, worst float64) bool {
-	typ, work := &b.types[s.typ], 0.0
-	value := typ.benefit * s.factor
-	for _, p := range s.parts {
-		work += p.work
-	}
-	if b.stated["countedBy"] != "work" {
-		value /= max(1, work)
-	}
+	value := b.types[s.typ].benefit // of a scan's work, all sites count by that
 	b.valued++
 	b.meanValue += (value - b.meanValue) / min(b.valued, 50)
 	ramp := min(1, max(0, (worst+fullWeighs*b.full-throttleAt)/(throttleAll-throttleAt)))
@@ -747,17 +739,9 @@
 		return
 	}
 	typ, turn := &b.types[e.TableType], b.num("turn")
-	s := &scan{id: e.ID, num: e.Scan, typ: e.TableType, step: 1, look: longAgo, factor: 1,
+	s := &scan{id: e.ID, num: e.Scan, typ: e.TableType, step: 1, look: longAgo,
 		permitted: e.Permitted, endAt: b.now + e.Budget - 2*turn,
 		targetAt: b.now + min(typ.target, e.Budget) - 2*turn}
-	if t := e.Tenant; t >= 0 && t < len(b.shareLeft) {
-		rate := b.num(fmt.Sprintf("tenant.%d.perSecond", t)) / 1000 / b.num("brokers")
-		b.shareLeft[t] = min(max(1, 2000*rate), b.shareLeft[t]+rate*(b.now-b.shareAt[t]))
-		b.shareAt[t] = b.now
-		if b.shareLeft[t]--; b.shareLeft[t] < 0 {
-			b.shareLeft[t], s.factor = b.shareLeft[t]+1, b.num("overShareBenefit")
-		}
-	}
 	b.scans[s.id], b.byNum[s.num] = s, s
 	b.taken = append(b.taken, [2]float64{b.now})
 	b.touch(s)
@@ -862,8 +846,6 @@
 		b.meanLat, b.meanUnder = t.mean/t.target, t.mean/t.target // until something is seen
 	}
 	b.inCell = make([][]int, int(min(b.num("layout.cells"), 1e6)))
-	b.shareLeft = make([]float64, int(b.num("tenant.count")))
-	b.shareAt = make([]float64, len(b.shareLeft))
 	if b.stated["discovery"] == "subscribe" {
 		b.do(Action{Kind: Subscribe})
 	}
--- a/logic/types.go
+++ b/logic/types.go
@@ -158,7 +158,6 @@
 	parts                        []*part // of the present step
 	got, heard                   float64 // their weight that has completed; when the last of them did
 	placed, ended, dirty, spared bool
-	factor                       float64 // on its benefit: over its tenant's share, late from the start
 	targetAt, endAt              float64 // the answer must leave by then: for the whole benefit, at all
 	look                         float64 // the timer set for it
 	permitted                    map[int64]bool
