Watching before the switch: the module's gates asked under other settings, differences counted

Before operators move, they want to see what the settings of the new shape would change. A watch block of the features document names them (copies, recalls, dispatches, budget, effects, notes); the module asks its own gates again under them, where something is sent or given up, and counts by kind. Settings that the module reads are checked at the start by key (budget, asking, handshake price, yes and no); ceilings.peers is off with a warning, since this program passes no notes.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -112,6 +112,9 @@
 			}
 		}
 	}()
+	for _, why := range t.Off {
+		log.Warn().Msg(why)
+	}
 	log.Info().Str("name", t.Name).Str("listen", ln.Addr().String()).Str("discovery", t.Discovery).
 		Int("known", len(known)).Int64("seq", t.Known.Seq).Int("memory_mb", t.MemoryMB).Int("sockets", t.Sockets).
 		Float64("cores", t.Cores).Int("open_cap", t.Site.OpenCap).Float64("turn_ms", t.Site.Turn).
@@ -279,7 +282,11 @@
 			ends.Int(core.End(e).String(), n)
 		}
 	}
-	b.log.Info().Int("scans", c.Scans).Int("answered", c.Answered).Int("whole", c.Whole).Int("throttled", c.Throttled).
+	line := b.log.Info()
+	if c.Differs != nil {
+		line.Interface("watched", c.Differs)
+	}
+	line.Int("scans", c.Scans).Int("answered", c.Answered).Int("whole", c.Whole).Int("throttled", c.Throttled).
 		Int("full", c.Full).Int("confined", c.Confined).Int("abandoned", c.Abandoned).Int("left", c.Left).Int("open", b.core.Open()).
 		Int("dispatches", c.Dispatches).Int("late", c.Late).Dict("ends", ends).
 		Int("clients", b.front.Conns()).Int64("requests", fr.Requests.Load()).Int64("malformed", fr.Malformed.Load()).
--- a/internal/broker/features.go
+++ b/internal/broker/features.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,13 @@
 	if k := b.features.Cells; k != nil {
 		b.confine(k)
 	}
+	if w := b.features.Watch; w != nil {
+		watched, err := watched(b.told.Flat, b.told.Site.TypeIndex, w)
+		if err != nil {
+			return err
+		}
+		b.core.Watch(watched)
+	}
 	if c := b.features.Control; c != nil {
 		pages := map[string]func() (any, bool){}
 		if b.features.Cells != nil {
@@ -90,6 +98,32 @@
 	b.core.Confine(plan, limits, num("rules.cold"), num("limit.maxRetryAfter"), chance.Float64)
 }
 
+// watched is what the module is told with the watched settings in place of the present ones.
+func watched(flat map[string]any, types map[string]int, w *features.Watch) (map[string]any, error) {
+	other := maps.Clone(flat)
+	for name, on := range map[string]*bool{"limit.secondCopies": w.SecondCopies, "limit.cancelling": w.Cancelling, "limit.peers": w.Notes} {
+		if on != nil {
+			other[name] = *on
+		}
+	}
+	if w.Dispatches != nil {
+		other["limit.dispatches"] = *w.Dispatches
+	}
+	if u := w.Budget; u != nil {
+		other["rules.spareDispatches"], other["rules.spareShare"] = u.Free, u.Share
+		other["rules.budgetWindow"] = float64(u.Window) / 1e6
+	}
+	for _, t := range w.Types {
+		i, known := types[t.Name]
+		if !known {
+			return nil, fmt.Errorf("%s: the start file has no such table type", t.Where)
+		}
+		other[fmt.Sprintf("tableType.%d.effect", i)] = t.Effect
+		other[fmt.Sprintf("tableType.%d.repeatWindow", i)] = float64(t.RepeatWindow) / 1e6
+	}
+	return other, nil
+}
+
 // cells asks the module's actor, which alone may look at the core.
 func (b *Broker) cells() (any, bool) {
 	reply := make(chan []core.CellView, 1)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,8 @@
 	Flat                    map[string]any // the start settings in the module's words
 	Site                    terms.Site
 
+	Off []string // what the settings allow and this program cannot do: it is off, and why
+
 	filed string // discovery as the file states it, if it does
 }
 
@@ -122,6 +124,10 @@
 		func() error { return object(tree, "settings", true, &settings) },
 		func() (err error) {
 			t.Flat = terms.Flatten(settings)
+			if t.Flat["limit.peers"] == true { // nothing carries them: the module would tell nobody and rely on it
+				t.Flat["limit.peers"] = false
+				t.Off = append(t.Off, "settings: ceilings.peers: this program passes no notes between brokers; they are off")
+			}
 			if t.Site, err = terms.Read(t.Flat); err != nil {
 				return fmt.Errorf("settings: %w", err)
 			}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -77,6 +78,11 @@
 		"no table types":       {[]string{"settings", "classes"}, nil, "tableType.count"},
 		"no shards":            {[]string{"settings", "familyInfo", "slices"}, 0, "layout.shards"},
 		"turn of wrong type":   {[]string{"settings", "granularity"}, "5", "turn"},
+		"a budget below zero":  {[]string{"settings", "rules"}, map[string]any{"extraPerRequest": -0.1}, "rules.spareShare"},
+		"a budget of text":     {[]string{"settings", "rules"}, map[string]any{"budgetWindow": "5s"}, "rules.budgetWindow"},
+		"asking below zero":    {[]string{"settings", "rules"}, map[string]any{"askWithin": -1}, "rules.askWithin"},
+		"peers no yes or no":   {[]string{"settings", "ceilings", "peers"}, "yes", "limit.peers"},
+		"copies no yes or no":  {[]string{"settings", "ceilings", "parallelTries"}, 1, "limit.secondCopies"},
 		"unknown keys":         {[]string{"settings", "unheardOf"}, map[string]any{"a": []any{nil}}, ""},
 	} {
 		var tree map[string]any
@@ -105,3 +111,16 @@
 	_, err = Read(func(string) string { return "testdata/none.json" })
 	assert.ErrorContains(t, err, "GW_CONFIG")
 }
+
+// What the settings allow and this program cannot do is off, and said: the module would rely on notes that nobody carries.
+func TestNotesAreOff(t *testing.T) {
+	nobody := func(string) string { return "" }
+	for was, off := range map[string]int{`"peers": false`: 0, `"peers": true`: 1} {
+		told, err := Parse([]byte(strings.Replace(string(startFile(t)), `"peers": false`, was, 1)), nobody)
+		require.NoError(t, err)
+		assert.Equal(t, false, told.Flat["limit.peers"])
+		if assert.Len(t, told.Off, off, was); off > 0 {
+			assert.Contains(t, told.Off[0], "ceilings.peers")
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,6 +24,7 @@
 	Confined                                                 int // throttled by their cell
 	Dispatches, Late                                         int // Late: ends of dispatches that had ended
 	Ends                                                     [NeverSent + 1]int
+	Differs                                                  map[string]int // by kind, where watched settings decide otherwise; nil: none are
 }
 
 type scan struct {
@@ -145,6 +146,13 @@
 	return c
 }
 
+// Watch has the module compare its decisions with what it would decide under other settings; the differences are
+// counted by kind and nothing else comes of it. It is called before the first Step.
+func (c *Core) Watch(flat map[string]any) {
+	c.Counts.Differs = map[string]int{}
+	c.events[0].Watched, c.events[0].Differs = flat, c.Counts.Differs
+}
+
 // Due is the moment at which Step is wanted next though nothing comes in; +Inf when there is none.
 func (c *Core) Due() float64 {
 	if len(c.events) > 0 || len(c.second) > 0 {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -22,12 +22,20 @@
 	scans int
 	t     *testing.T
 	c     *core.Core
+	flat  map[string]any
 	now   float64
 	all   []core.Output
 }
 
 // play starts a core with the start file's settings, those in changes replaced.
 func play(t *testing.T, changes ...map[string]any) *rig {
+	r := fresh(t, changes...)
+	r.step(0)
+	return r
+}
+
+// fresh is a core before its first step.
+func fresh(t *testing.T, changes ...map[string]any) *rig {
 	text, err := os.ReadFile("../config/testdata/start.json")
 	require.NoError(t, err)
 	told, err := config.Parse(text, func(string) string { return "" })
@@ -36,9 +44,7 @@
 	for _, c := range changes {
 		maps.Copy(told.Flat, c)
 	}
-	r := &rig{t: t, c: core.New(told.Site, told.Flat, told.Seed, known), now: 1e12}
-	r.step(0)
-	return r
+	return &rig{t: t, c: core.New(told.Site, told.Flat, told.Seed, known), now: 1e12, flat: told.Flat}
 }
 
 // step lets wait pass and goes on as long as the core wants to, as its actor would.
@@ -364,3 +370,27 @@
 	assert.Equal(t, a.c.Number("s-x"), b.c.Number("s-x"))
 	assert.NotZero(t, a.c.Number("s-x"))
 }
+
+// Watching: the same outputs, and what the watched settings would have done otherwise is counted.
+func TestWatched(t *testing.T) {
+	run := func(watch bool) *rig {
+		r := fresh(t)
+		if watch {
+			other := maps.Clone(r.flat)
+			other["tableType.1.effect"], other["limit.dispatches"] = "non-replayable", 1.0
+			r.c.Watch(other)
+		}
+		r.step(0)
+		out := r.step(10, r.scan(1, 3000, 0))
+		p := parts(out)
+		require.Len(t, p, 1)
+		again := r.step(30, core.Ended{Ref: p[0].Ref, How: core.PeerClosed, At: r.now})
+		again = append(again, r.until(r.now+500)...)
+		require.Len(t, parts(again), 1, "sent again")
+		return r
+	}
+	plain, watched := run(false), run(true)
+	assert.Equal(t, plain.all, watched.all)
+	assert.Nil(t, plain.c.Counts.Differs)
+	assert.Equal(t, map[string]int{"effect": 1}, watched.c.Counts.Differs)
+}
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -26,6 +26,27 @@
 	Sharing *Sharing
 	Control *Control
 	Cells   *Cells
+	Watch   *Watch
+}
+
+// Watch is what a broker compares its decisions with, and does not follow. A pointer at nil stays as it is now.
+type Watch struct {
+	SecondCopies, Cancelling, Notes *bool
+	Dispatches                      *float64
+	Budget                          *Budget
+	Types                           []WatchedType
+}
+
+// Budget of further dispatches: so many, and a share of the scans and parts taken within the window.
+type Budget struct {
+	Free, Share float64
+	Window      time.Duration
+}
+
+// WatchedType is one table type; Where names its place in the document, since only the start file knows all names.
+type WatchedType struct {
+	Name, Effect, Where string
+	RepeatWindow        time.Duration
 }
 
 // Sharing is for installations whose brokers may talk to each other.
@@ -81,6 +102,28 @@
 	Sharing *sharing `hcl:"sharing,block"`
 	Control *control `hcl:"control,block"`
 	Cells   *cellMap `hcl:"cells,block"`
+	Watch   *watch   `hcl:"watch,block"`
+}
+
+type watch struct {
+	SecondCopies *bool         `hcl:"second_copies,optional"`
+	Cancelling   *bool         `hcl:"recalls,optional"`
+	Notes        *bool         `hcl:"notes,optional"`
+	Dispatches   *float64      `hcl:"dispatches,optional"`
+	Budget       *budget       `hcl:"budget,block"`
+	Types        []watchedType `hcl:"table_type,block"`
+}
+
+type budget struct {
+	Free   float64 `hcl:"free"`
+	Share  float64 `hcl:"share"`
+	Window string  `hcl:"window"`
+}
+
+type watchedType struct {
+	Name   string `hcl:"name,label"`
+	Effect string `hcl:"effect"`
+	Window string `hcl:"repeat_window,optional"`
 }
 
 type cellMap struct {
@@ -161,9 +204,55 @@
 	if raw.Cells != nil {
 		doc.Cells = c.cells(raw.Cells)
 	}
+	if raw.Watch != nil {
+		doc.Watch = c.watch(raw.Watch)
+	}
 	return doc, c.err
 }
 
+var effects = []string{"replayable", "keyed", "non-replayable"}
+
+func (c *check) watch(raw *watch) *Watch {
+	at := []string{"watch"}
+	w := &Watch{SecondCopies: raw.SecondCopies, Cancelling: raw.Cancelling, Notes: raw.Notes, Dispatches: raw.Dispatches}
+	if c.between(at, "dispatches", raw.Dispatches, 1, 100, 1); raw.Dispatches != nil && *raw.Dispatches != float64(int(*raw.Dispatches)) {
+		c.fault(at, "dispatches", "%v is no whole number", *raw.Dispatches)
+	}
+	if b := raw.Budget; b != nil {
+		in := []string{"watch", "budget"}
+		w.Budget = &Budget{Free: c.between(in, "free", &b.Free, 0, 1e6, 0), Share: c.between(in, "share", &b.Share, 0, 10, 0),
+			Window: c.period(in, "window", b.Window, 100*time.Millisecond, time.Hour)}
+	}
+	for i, t := range raw.Types {
+		in := []string{"watch", "table_type", t.Name}
+		v := WatchedType{Name: t.Name, Effect: t.Effect, Where: c.where(in, "")}
+		if slices.ContainsFunc(raw.Types[:i], func(o watchedType) bool { return o.Name == t.Name }) {
+			c.fault(in, "", "this table type is there twice")
+		}
+		if !slices.Contains(effects, t.Effect) {
+			c.fault(in, "effect", "%q is none of %s", t.Effect, strings.Join(effects, ", "))
+		}
+		if (t.Effect == "keyed") != (t.Window != "") {
+			c.fault(in, "repeat_window", "it goes with the effect keyed, and only with that")
+		} else if t.Window != "" {
+			v.RepeatWindow = c.period(in, "repeat_window", t.Window, time.Millisecond, time.Hour)
+		}
+		w.Types = append(w.Types, v)
+	}
+	if reflect.DeepEqual(*w, Watch{}) {
+		c.fault(at, "", "nothing is named to be watched")
+	}
+	return w
+}
+
+func (c *check) period(path []string, key, text string, least, most time.Duration) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil || d < least || d > most {
+		c.fault(path, key, "%q is no time from %v to %v", text, least, most)
+	}
+	return d
+}
+
 const cellsMost = 256
 
 func (c *check) cells(raw *cellMap) *Cells {
@@ -223,9 +312,13 @@
 
 // fault notes what is wrong with a key. Path names the blocks round it, with their labels.
 func (c *check) fault(path []string, key, format string, args ...any) {
-	if c.err != nil {
-		return
+	if c.err == nil {
+		c.err = fmt.Errorf("%s: %s", c.where(path, key), fmt.Sprintf(format, args...))
 	}
+}
+
+// where names a key's place: file, line, and the blocks round it.
+func (c *check) where(path []string, key string) string {
 	body, line := c.body, 1
 	for i := 0; i < len(path); i++ {
 		for _, b := range body.Blocks {
@@ -244,7 +337,7 @@
 	if key != "" {
 		where += "." + key
 	}
-	c.err = fmt.Errorf("%s:%d: %s: %s", c.name, line, where, fmt.Sprintf(format, args...))
+	return fmt.Sprintf("%s:%d: %s", c.name, line, where)
 }
 
 func (c *check) address(path []string, key, addr string) {
@@ -369,6 +462,9 @@
 	if !reflect.DeepEqual(d.Control, other.Control) {
 		names = append(names, "control")
 	}
+	if !reflect.DeepEqual(d.Watch, other.Watch) {
+		names = append(names, "watch")
+	}
 	if !reflect.DeepEqual(d.Cells, other.Cells) {
 		names = append(names, "cells")
 	}
--- a/internal/terms/site.go
+++ b/internal/terms/site.go
@@ -58,6 +58,20 @@
 		PerConn: int(num("limit.multiplex", 1, 1e6, 1)), Dispatches: int(num("limit.dispatches", 1, 1e6, -1)),
 		OpenCap: int(num("limit.openCap", 0, 1e9, 0)), Turn: num("turn", 0, 1e4, -1),
 		ConnIdle: num("limit.connIdle", 1, 1e9, 15000), ConnectTimeout: num("limit.connectTimeout", 1, 1e6, 250)}
+	// What only the module reads is checked here too: a fault stops the start and not a scan.
+	for _, name := range []string{"rules.budgetWindow", "rules.spareDispatches", "rules.spareShare", "rules.askWithin",
+		"rules.stopSendingWithin", "prices.handshake", "limit.maxRetryAfter"} {
+		if v, there := flat[name]; there && fault == nil {
+			if x, ok := v.(float64); !ok || !(x >= 0 && x <= 1e9) {
+				fault = fmt.Errorf("start setting %s is no number from 0 to 1e9: %v", name, v)
+			}
+		}
+	}
+	for _, name := range []string{"limit.peers", "limit.secondCopies", "limit.cancelling", "limit.retryAfter"} {
+		if v, there := flat[name]; there && v != true && v != false && fault == nil {
+			fault = fmt.Errorf("start setting %s is neither true nor false: %v", name, v)
+		}
+	}
 	s.RetryAfterAllowed, _ = flat["limit.retryAfter"].(bool)
 	s.AskList = flat["discovery"] == "subscribe"
 	for i := range int(num("tableType.count", 1, 1e5, -1)) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -56,8 +56,10 @@
 
 // Broker is one instance of the module; it waits for its Started event.
 type Broker struct {
-	terms        // what the site states at start
-	pcg          // chance
+	terms                       // what the site states at start
+	watch        terms          // and what is watched beside it: it decides nothing
+	differs      map[string]int // where that would have decided otherwise, by kind
+	pcg                         // chance
 	now          float64
 	out          []Action
 	types        []tableType
@@ -253,6 +255,7 @@
 		if !b.mayDispatch(p) {
 			if p.open == 0 {
 				lost += p.weight
+				b.compare(p, false)
 			}
 			continue
 		}
@@ -262,15 +265,16 @@
 		failed := len(p.nodes) > 0 && b.tried(p, p.nodes[0]) && b.now < p.tries[len(p.tries)-1].at+lookAgain
 		if p.open == 0 && (len(p.nodes) == 0 || failed) { // nobody, or it has just failed there
 			held, next = held+p.weight, min(next, b.now+lookAgain)
-		} else if p.open == 0 || again && b.flag("limit.secondCopies") {
+		} else if p.open == 0 || again && b.allows(p, "limit.secondCopies") {
 			asks = append(asks, p)
 			if p.open > 0 {
 				b.spare -= 1 / open // the more are silent together, the surer it is
 			}
 			if len(p.tries) > 0 { // counted here, so that one scan's parts cannot pass the budget together
+				b.compare(p, true)
 				b.extras = append(b.extras, [2]float64{b.now})
 			}
-		} else if again && b.flag("limit.cancelling") && b.due(p.tries[len(p.tries)-1].silent) {
+		} else if again && b.due(p.tries[len(p.tries)-1].silent) && b.allows(p, "limit.cancelling") {
 			b.recall(p)
 			b.spare = max(0, b.spare-1/open)
 		}
@@ -281,19 +285,32 @@
 // mayDispatch is the one gate for every dispatch: it guards the rules on effects, dispatches for a part and
 // the budget. Past its target time a scan asks again for a little only: the rest would feed a jam.
 func (b *Broker) mayDispatch(p *part) bool {
-	typ := &b.types[p.scan.typ]
-	first, keyed := p.firstRun(), typ.effect == "keyed" && b.now <= p.firstRun()+typ.repeatWindow-4*b.num("turn")
-	if len(p.tries) == 0 {
+	if typ := &b.types[p.scan.typ]; len(p.tries) == 0 {
 		return true
-	}
-	if b.due(p.scan.targetAt) && 1-p.scan.got > lateTail*typ.lateBenefit ||
-		first >= 0 && typ.effect != "replayable" && !keyed {
+	} else if b.due(p.scan.targetAt) && 1-p.scan.got > lateTail*typ.lateBenefit {
 		return false
 	}
-	window, stated := b.stated["rules.budgetWindow"].(float64)
-	b.extras, b.taken = within(b.extras, b.now-window), within(b.taken, b.now-window)
-	most := b.num("rules.spareDispatches") + b.num("rules.spareShare")*float64(len(b.taken))
-	return len(p.tries) < int(b.num("limit.dispatches")) && (!stated || float64(len(b.extras))+1 <= most)
+	return b.barred(p, &b.terms) == ""
+}
+
+// barred names the rule that keeps p from a further dispatch under some terms, if there is one.
+func (b *Broker) barred(p *part, t *terms) string {
+	at := fmt.Sprintf("tableType.%d.", p.scan.typ)
+	first, window := p.firstRun(), t.num("rules.budgetWindow")
+	keyed := t.stated[at+"effect"] == "keyed" && b.now <= first+t.num(at+"repeatWindow")-4*b.num("turn")
+	if first >= 0 && t.stated[at+"effect"] != "replayable" && !keyed {
+		return "effect"
+	} else if len(p.tries) >= int(t.num("limit.dispatches")) {
+		return "dispatches"
+	}
+	longest := b.now - max(b.num("rules.budgetWindow"), b.watch.num("rules.budgetWindow"))
+	b.extras, b.taken = within(b.extras, longest), within(b.taken, longest)
+	extras, taken := within(b.extras, b.now-window), within(b.taken, b.now-window)
+	most := t.num("rules.spareDispatches") + t.num("rules.spareShare")*float64(len(taken))
+	if window > 0 && float64(len(extras))+1 > most {
+		return "budget"
+	}
+	return ""
 }
 
 // firstRun says when the first dispatch that may have run was sent; below 0: none may have.
@@ -823,7 +840,8 @@
 }
 
 func (b *Broker) start(e *Event) {
-	*b = Broker{now: b.now, terms: terms{stated: e.Terms}, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
+	*b = Broker{now: b.now, terms: terms{stated: e.Terms}, watch: terms{stated: e.Watched},
+		differs: e.Differs, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
 		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*call{}, byCode: map[uint16]int{},
 		kinds: map[int][2]float64{},
 		pcg:   seeded(e.Seed), spare: spareMost, startAt: b.now}
@@ -879,6 +897,7 @@
 	for _, c := range b.calls {
 		b.news = report(b.news, b.nodeID[c.node], worded(c.work))
 	}
+	b.compareNotes()
 	for i := 0; i < len(b.news) && b.flag("limit.peers"); i += noteMost {
 		b.do(Action{Kind: Tell, Note: b.news[i:min(i+noteMost, len(b.news))]})
 	}
--- a/logic/types.go
+++ b/logic/types.go
@@ -23,6 +23,11 @@
 	Seed  uint64
 	Terms map[string]any // what the site states at start: names to values, times in milliseconds
 
+	// Watched are the same names under other settings, whole; nil: nothing is watched. They decide nothing: where they would
+	// have decided otherwise, Differs is counted up by kind during Step.
+	Watched map[string]any
+	Differs map[string]int
+
 	List    ListKind
 	Entries []Entry
 
@@ -149,6 +154,7 @@
 	nodes        []int // holders that it may go to now
 	weight, work float64
 	done         bool
+	differs      []string // kinds of difference to the watched terms that have been counted for it
 	tries        []dispatch
 }
 
