--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,7 +42,7 @@
 	overCap     = 1e9      // cost of a call past its cap: only where nothing else can be
 	ties        = 0.02     // chance among nodes whose load is about alike, or all brokers take the same
 	throttleAt  = 0.8      // predicted share of the target time at which throttling begins,
-	throttleAll = 1.5      // and at which a scan of mean value is turned away for sure
+	throttleAll = 1.2      // and at which a scan of mean value is turned away for sure
 	slowLinks   = 0.25     // share of new connections refused that tells of the network, not of a node
 	fullWeighs  = 4.0      // what nodes without room add to the prediction, for all of them
 	lookAgain   = 100.0    // wait before looking again at a part that has no holder to go to
