--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,6 +45,7 @@
 	throttleAll = 1.2      // and at which a scan of mean value is turned away for sure
 	slowLinks   = 0.25     // share of new connections refused that tells of the network, not of a node
 	fullWeighs  = 4.0      // what nodes without room add to the prediction, for all of them
+	fewBrokers  = 4.0      // among so many, what one sees of a node's load tells of the others' too
 	lookAgain   = 100.0    // wait before looking again at a part that has no holder to go to
 	coldSafety  = 0.8      // part of the cold allowance that is used
 	golden      = 0.618034 // its multiples spread evenly
@@ -200,13 +201,12 @@
 // longer come, and when to look again. A part that is late at a node gone silent gets a second copy or, where
 // the site allows none, a recall; one that is just slow keeps its place: asking again would feed the jam.
 func (b *Broker) missing(s *scan) (asks []*part, lost, held, at float64) {
-	open, next := 0.0, s.endAt
+	typ, open, next := &b.types[s.typ], 0.0, s.endAt
 	for _, p := range s.parts {
 		if p.open > 0 && !p.done {
 			open++
 		}
 	}
-	typ := &b.types[s.typ]
 	quiet := s.heard + typ.mean*(1+quietMeans/open)
 	if b.flag("limit.secondCopies") { // the last moment for a copy in time; a recall is dearer
 		quiet = min(quiet, s.targetAt-typ.mean-typ.dev)
@@ -442,16 +442,18 @@
 }
 
 // predict says at what share of its target time enough of the scan for an answer will be in: each node
-// answers in its recent latency, and what is outstanding there now beyond what was then is added.
+// answers in its recent latency, stretched by what is outstanding there now against what was then, or where
+// brokers are many, with the difference added.
 func (b *Broker) predict(s *scan, asks []*part, node []int) (worst float64) {
-	added, lats := map[int]float64{}, [][2]float64{}
+	added, lats, alike := map[int]float64{}, [][2]float64{}, min(1, fewBrokers/b.num("brokers"))
 	for i, n := range node {
 		added[n] += asks[i].work
 	}
 	for i, n := range node {
 		lat, under := b.lat(n)
 		now := (b.load(n) + b.num("layout.callWork") + added[n]) / b.types[s.typ].target
-		lats = append(lats, [2]float64{lat + now - under, asks[i].weight})
+		lat += alike*lat*(now/under-1) + (1-alike)*(now-under)
+		lats = append(lats, [2]float64{lat, asks[i].weight})
 	}
 	slices.SortFunc(lats, func(x, y [2]float64) int { return cmp.Compare(x[0], y[0]) })
 	for i, got := 0, 0.0; i < len(lats) && got < b.least(s)-0.00005; i++ {
