--- a/logic/logic.go
+++ b/logic/logic.go
@@ -888,10 +888,10 @@
 	return b.now-b.used[n] < cmp.Or(b.num("limit.connIdle"), math.Inf(1))
 }
 
-// load is the work outstanding at node n as far as it is known: this broker's own, and what others told of.
+// load is the known work outstanding at n: its own, and what others told of, fading in half the latency.
 func (b *Broker) load(n int) float64 {
 	lat, _ := b.lat(n)
-	return b.outWork[n] + b.others[n]*math.Exp((b.othersAt[n]-b.now)/max(1, lat*b.typTarget))
+	return b.outWork[n] + b.others[n]*math.Exp(2*(b.othersAt[n]-b.now)/max(1, lat*b.typTarget))
 }
 
 // tell lets the other brokers know which work went where this turn, and which nodes failed or recovered.
