A prediction fades where nothing has been heard for a while

Each broker sees one scan in 3 s; who turns it away hears nothing and goes on by what it heard in the jam (turnedAway).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,6 +44,7 @@
 	throttleAt  = 0.8      // predicted share of the target time at which throttling begins,
 	throttleAll = 1.2      // and at which a scan of mean value is turned away for sure
 	slowLinks   = 0.25     // share of new connections refused that tells of the network, not of a node
+	quietSpell  = 1500.0   // nothing heard for longer: what was heard fades, or throttling would keep itself up
 	fullWeighs  = 4.0      // what nodes without room add to the prediction, for all of them
 	fewBrokers  = 4.0      // among so many, what one sees of a node's load tells of the others' too
 	lookAgain   = 100.0    // wait before looking again at a part that has no holder to go to
@@ -91,7 +92,7 @@
 	typTarget, full                       float64            // mean target; share of dispatches without room
 	connecting, refusing                  float64            // what a new connection adds, by target; refused
 	startAt, answers, longest, askWait    float64            // answers: how many since; the longest timeout
-	spare                                 float64            // second dispatches that late parts may have now
+	spare, newsAt                         float64            // second dispatches late parts may have; heard last
 	meanWork, done, doneAt, allUnits      float64            // work completed, fading; units of all ready nodes
 	extras, taken                         [][2]float64       // for a stated budget
 }
@@ -555,7 +556,7 @@
 	case Completed:
 		b.used[n], b.heard[n], b.passed[n] = b.now, b.now, max(b.passed[n], d.at)
 		b.full -= typShare * b.full
-		b.answers++
+		b.answers, b.newsAt = b.answers+1, b.now
 		b.sawLatency(d, s, took, false)
 		typ.dev += typShare * (math.Abs(e.Elapsed-typ.mean) - typ.dev)
 		typ.mean += typShare * (e.Elapsed - typ.mean)
@@ -573,16 +574,14 @@
 	case Errored, Severed:
 		b.judge(n, false)
 	case ConnRefused: // nobody is there: no need for more proof
-		b.used[n] = longAgo
-		b.history[n] = 6
+		b.used[n], b.history[n] = longAgo, 6
 		if d.fresh && b.refusing > slowLinks { // connecting is slow everywhere: it holds for this broker alone
 			b.note(n, false)
 		} else if b.judge(n, false) {
 			b.news[len(b.news)-1] = noteNobody
 		}
 	case Saturated: // full, not ill: it counts as slow
-		b.heard[n] = b.now
-		b.full += typShare * (1 - b.full)
+		b.heard[n], b.full = b.now, b.full+typShare*(1-b.full)
 		b.sawLatency(d, s, typ.target, true)
 	}
 	d.ran = e.Outcome != Saturated && e.Outcome != ConnRefused && e.Outcome != Superseded // else it never ran
@@ -677,6 +676,7 @@
 	value := b.types[s.typ].benefit // of a scan's work, all sites count by that
 	b.valued++
 	b.meanValue += (value - b.meanValue) / min(b.valued, 50)
+	worst *= math.Exp(min(0, b.newsAt+quietSpell-b.now) / quietSpell) // who hears nothing knows of no jam
 	ramp := min(1, max(0, (worst+fullWeighs*b.full-throttleAt)/(throttleAll-throttleAt)))
 	return ramp > 0 && b.float() < math.Pow(ramp, value/b.meanValue)
 }
@@ -916,7 +916,7 @@
 		case !known: // a node that this broker has not been told of
 		case r[2] <= noteFull:
 			b.others[n], b.othersAt[n] = b.load(n)-b.outWork[n]+float64(r[2])*noteWork, b.now
-			b.answers++
+			b.answers, b.newsAt = b.answers+1, b.now
 			if b.poor(n) { // it is being tried
 				b.restEnd[n] = max(b.restEnd[n], b.now+restTime)
 			}
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -195,3 +195,22 @@
 	assert.NotEqual(t, one, other)
 	assert.LessOrEqual(t, slices.Max(waits(1, map[string]any{"rules.askWithin": 3000.0})), 1500.0)
 }
+
+// Who turns scans away hears little, and would go on for ever by what it heard in a jam that is over (the standing
+// test's calm+mass, dender-scores-later big-1): a prediction fades once nothing has been heard for a while.
+func TestPredictionFades(t *testing.T) {
+	for _, c := range []struct {
+		quiet float64
+		note  bool // another broker tells of its work meanwhile
+		away  bool
+	}{{100, false, true}, {10000, false, false}, {10000, true, true}} {
+		r := play(t, peers, ring(4))
+		r.b.kinds[0], r.b.newsAt = [2]float64{3, 0.05}, r.now
+		r.now += c.quiet
+		if c.note {
+			r.step(0, Event{Kind: PeerNote, Note: recordOf(103, 1)})
+		}
+		r.step(1, scanOf(1, 0, 6000, 0)...)
+		assert.Equal(t, c.away, len(kinds(r.acts, Throttle)) > 0, "%v", c)
+	}
+}
