--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,6 +1,6 @@
 // Package logic decides for one broker: which nodes get the parts of a scan, when to ask again, when to
 // answer, what to turn away. It is called through Broker.Step alone: what happened goes in, what is to be
-// done comes out; events, actions and outcomes are in types.go. It reads no clock, shares nothing with
+// done comes out; events, actions and outcomes are in types.go. It reads no clock, shares no state with
 // other brokers, and the same events give the same actions. Times are milliseconds, as is work.
 //
 // The design (docs/design.md): a scan's parts go to a smallest or near-smallest set of nodes that together
