Notes that cannot be read are counted, and logged at powers of two

The issue asks for spoilt notes to be dropped and counted; they were logged one by one and counted nowhere, so that one peer could fill the log (takeNote). notebook.spoilt counts them, unreadable says so at the first, second, fourth and so on; TestSpoiltNotes has nine of them.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -71,7 +71,7 @@
 	turn         map[int]*call // this turn's call to each node
 	calls        []*call       // all of this turn's, in order
 	news         []byte        // outcomes to tell other brokers
-	byCode       map[uint16]int
+	notebook                   // what reading notes takes
 
 	// Nodes: parallel arrays under a dense index.
 	index                                 map[int64]int
@@ -844,8 +844,8 @@
 func (b *Broker) start(e *Event) {
 	*b = Broker{now: b.now, terms: terms{stated: e.Terms}, watch: terms{stated: e.Watched},
 		differs: e.Differs, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
-		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*call{}, byCode: map[uint16]int{},
-		kinds: map[int][2]float64{},
+		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*call{},
+		notebook: notebook{byCode: map[uint16]int{}}, kinds: map[int][2]float64{},
 		pcg:   seeded(e.Seed), spare: spareMost, startAt: b.now}
 	for i, name := range []string{"turn", "rules.cold", "rules.fall", "rules.fallMultiple",
 		"rules.startCapacity", "layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers",
@@ -908,7 +908,7 @@
 // takeNote takes up what another broker told. Notes may be lost, late or spoilt: nothing rests on one alone.
 func (b *Broker) takeNote(note []byte) {
 	if !readable(note) {
-		b.do(Action{Kind: Note, Text: "another broker's note could not be read"})
+		b.unreadable()
 		return
 	}
 	for r := range slices.Chunk(note, noteRecord) {
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -81,6 +81,13 @@
 		assert.Zero(t, r.b.answers)
 	}
 	r := play(t, peers, ring(4))
+	var said []string
+	for range 9 {
+		for _, a := range kinds(r.step(1, Event{Kind: PeerNote, Note: []byte{1}}), Note) {
+			said = append(said, a.Text[len(a.Text)-2:])
+		}
+	}
+	assert.Equal(t, []string{" 1", " 2", " 4", " 8"}, said, "all are counted, few are logged")
 	assert.Empty(t, r.step(1, Event{Kind: PeerNote, Note: recordOf(7777, noteNobody)}), "a node of no list")
 }
 
