--- a/logic/logic.go
+++ b/logic/logic.go
@@ -846,7 +846,7 @@
 		differs: e.Differs, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
 		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*call{},
 		notebook: notebook{byCode: map[uint16]int{}}, kinds: map[int][2]float64{},
-		pcg:   seeded(e.Seed), spare: spareMost, startAt: b.now}
+		pcg: seeded(e.Seed), spare: spareMost, startAt: b.now}
 	for i, name := range []string{"turn", "rules.cold", "rules.fall", "rules.fallMultiple",
 		"rules.startCapacity", "layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers",
 		"limit.dispatches", "tableType.count"} {
