--- a/internal/cells/moves_test.go
+++ b/internal/cells/moves_test.go
@@ -1,6 +1,7 @@
 package cells
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"testing"
@@ -19,6 +20,8 @@
 	refused []Refused
 	hold    bool // writes wait
 	held    []Write
+	warm    map[string]bool // as last told
+	cold    []string        // moves that were decided to switch to a cell that was not warm
 }
 
 func newBench(t require.TestingT) *bench {
@@ -30,15 +33,25 @@
 func (b *bench) restart(t require.TestingT) {
 	v, err := NewMoves(plan(4, 2), stores(2, 6), 2, nil, b.lasting)
 	require.NoError(t, err)
-	b.v, b.held = v, nil
+	b.v, b.held, b.warm = v, nil, map[string]bool{}
 	b.maps = append(b.maps, v.Map)
 }
 
 func (b *bench) step(in ...Input) {
 	b.now++
+	for _, x := range in {
+		if w, told := x.(Warm); told {
+			b.warm[w.Cell] = w.OK
+		}
+	}
 	for _, o := range b.v.Step(b.now, in) {
 		switch x := o.(type) {
 		case Write:
+			// Here it is decided; when the record lasts the cell may have gone cold again, or a crash be long past.
+			var r record
+			if json.Unmarshal(x.Record, &r) == nil && r.Move.State == Switched && !r.Move.Back && r.Map > 0 && !b.warm[r.Move.To] {
+				b.cold = append(b.cold, r.Move.ID)
+			}
 			b.held = append(b.held, x)
 		case Use:
 			b.maps = append(b.maps, x.Map)
@@ -128,6 +141,27 @@
 	}
 }
 
+// A switch that was decided while the cell was warm lasts, if its record does, though the crash that followed made all cells cold.
+// A history's oracle once took that for a switch to a cold cell, since it looked at the cell when the record was read again.
+func TestSwitchOutlastsACrash(t *testing.T) {
+	b := newBench(t)
+	to := "cell-0"
+	if b.v.Map.Of("t1") == to {
+		to = "cell-1"
+	}
+	b.step(Begin{ID: "m", To: to, Tenants: []string{"t1"}})
+	b.hold = true
+	b.step(Warm{to, true})
+	require.Len(t, b.held, 1, "the switch is being written")
+	assert.Equal(t, Warming, b.state("m"))
+	b.step(Warm{to, false})
+	b.lasting, b.hold = append(b.lasting, b.held[0].Record), false
+	b.restart(t)
+	assert.Equal(t, Switched, b.state("m"))
+	assert.Equal(t, to, b.v.Map.Of("t1"))
+	assert.Empty(t, b.cold)
+}
+
 func TestWithoutALog(t *testing.T) {
 	b := newBench(t)
 	b.step(LogLost{errors.New("no disk that lasts")}, Begin{ID: "m", To: "cell-1", Tenants: []string{"t1"}})
@@ -152,7 +186,6 @@
 	rapid.Check(t, func(t *rapid.T) {
 		b := newBench(t)
 		var open []uint64
-		warm := map[string]bool{}
 		check := func() {
 			for i := 1; i < len(b.maps); i++ {
 				if b.maps[i].Version < b.maps[i-1].Version {
@@ -184,8 +217,7 @@
 				b.step(Back{id})
 			case "warm":
 				cell := fmt.Sprint("cell-", rapid.IntRange(0, 3).Draw(t, "cell"))
-				warm[cell] = rapid.Bool().Draw(t, "ok")
-				b.step(Warm{cell, warm[cell]})
+				b.step(Warm{cell, rapid.Bool().Draw(t, "ok")})
 			case "scan":
 				open = append(open, b.v.Map.Version)
 				b.step(ScanBegun{b.v.Map.Version})
@@ -206,7 +238,7 @@
 				for _, w := range b.held[:rapid.IntRange(0, len(b.held)).Draw(t, "lasts")] {
 					b.lasting = append(b.lasting, w.Record)
 				}
-				open, warm, b.hold = nil, map[string]bool{}, false
+				open, b.hold = nil, false
 				b.restart(t)
 			}
 			if rapid.IntRange(0, 9).Draw(t, "snapshot") == 0 && len(b.held) == 0 {
@@ -228,9 +260,9 @@
 						}
 					}
 				}
-				if before[m.ID] == Warming && m.State == Switched && !warm[m.To] && !b.hold {
-					t.Fatalf("%s switched to a cell that is cold", m.ID)
-				}
+			}
+			if len(b.cold) > 0 {
+				t.Fatalf("%v switched to a cell that is cold", b.cold)
 			}
 			check()
 		}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -161,7 +161,8 @@
 	assert.Contains(t, k2.frame(), "q.")
 	k.say("Yq.1 OK 1 -\nv")
 	assert.Equal(t, core.Answered, next(t, ends).How)
-	k.conn.Close()
+	// Calls that went by the first meanwhile lie unread there: a full close over them would be a reset, by chance.
+	require.NoError(t, k.conn.(*net.TCPConn).CloseWrite())
 	assert.Equal(t, core.PeerClosed, next(t, ends).How)
 	f.Call(call("a", n.addr(), ref))
 	assert.Contains(t, k2.frame(), "q.", "what comes later goes there")
