--- /dev/null
+++ b/internal/fence/fence_test.go
@@ -0,0 +1,50 @@
+package fence
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestPass(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "fence")
+	for _, c := range []struct {
+		number uint64
+		lower  bool
+	}{{7, false}, {7, false}, {6, true}, {1 << 60, false}, {7, true}} {
+		done := false
+		err := At(path).Pass(c.number, func() error { done = true; return nil })
+		assert.Equal(t, c.lower, errors.Is(err, ErrLower), "%d: %v", c.number, err)
+		assert.Equal(t, !c.lower, done, "%d", c.number)
+	}
+	assert.EqualError(t, At(path).Pass(1<<60, func() error { return os.ErrClosed }), os.ErrClosed.Error())
+	require.NoError(t, os.WriteFile(path, []byte("seven"), 0o600))
+	assert.ErrorContains(t, At(path).Pass(1<<61, nil), "holds no number", "what is spoilt lets nothing pass")
+	assert.Error(t, At(filepath.Join(path, "x")).Pass(1, nil))
+}
+
+// Many at once: what is done under a number is done before anybody passes with a higher one, and never after.
+func TestPassTogether(t *testing.T) {
+	g := At(filepath.Join(t.TempDir(), "fence"))
+	var mu sync.Mutex // the lock is a file's, which the race detector does not know of
+	var done []uint64
+	var wg sync.WaitGroup
+	for n := range uint64(40) {
+		wg.Go(func() {
+			g.Pass(n+1, func() error {
+				mu.Lock()
+				defer mu.Unlock()
+				done = append(done, n+1)
+				return nil
+			})
+		})
+	}
+	wg.Wait()
+	assert.IsNonDecreasing(t, done)
+	assert.Equal(t, uint64(40), done[len(done)-1])
+}
