--- /dev/null
+++ b/internal/shares/shares_test.go
@@ -0,0 +1,424 @@
+package shares
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// crew are members whose messages arrive at once, but for those who are cut off.
+type crew struct {
+	t     *testing.T
+	now   float64
+	cores map[string]*Core
+	lost  map[string]bool
+	last  map[string]Message // to a member
+}
+
+func half() float64 { return 0.5 }
+
+func newCrew(t *testing.T, loans bool, limits ...Limit) *crew {
+	k := &crew{t: t, now: 1000, cores: map[string]*Core{}, lost: map[string]bool{}, last: map[string]Message{}}
+	for i, name := range []string{"a", "b", "c"} {
+		k.start(name, uint64(i+1), loans, limits...)
+	}
+	return k
+}
+
+func (k *crew) start(name string, boot uint64, loans bool, limits ...Limit) {
+	k.cores[name] = New(Rules{Self: name, Boot: boot, Roster: []string{"a", "b", "c"}, Drift: 0.01, Most: 100, After: 2000, Loans: loans}, limits, half)
+	k.cores[name].Step(k.now, nil)
+}
+
+func (k *crew) step(name string, in ...Input) {
+	for _, s := range k.cores[name].Step(k.now, in) {
+		for _, m := range s.Messages {
+			if !k.lost[name] && !k.lost[s.To] {
+				k.last[s.To] = m
+				k.step(s.To, Received{name, m})
+			}
+		}
+	}
+}
+
+// run has a member asked so often in a second, and returns how many were taken.
+func (k *crew) run(forMs float64, name string, perSecond float64, use Use) (taken int) {
+	for end, next := k.now+forMs, k.now; k.now < end; k.now++ {
+		for ; perSecond > 0 && next <= k.now; next += 1000 / perSecond {
+			v := k.cores[name].Take(k.now, []Use{use}, 10)
+			if v.Wait > 0 {
+				k.step(name) // its ask goes out, and is answered at once
+				v = k.cores[name].Again(k.now, []Use{use}, 10)
+			}
+			if v.Taken {
+				taken++
+				defer k.cores[name].Done(k.now, []Use{use})
+			}
+		}
+		for _, n := range []string{"a", "b", "c"} {
+			if k.cores[n].Due() <= k.now {
+				k.step(n)
+			}
+		}
+	}
+	return taken
+}
+
+func (k *crew) seen(name string) Seen {
+	all := Busiest(k.cores[name].Seen(k.now), 10)
+	require.NotEmpty(k.t, all)
+	return all[0]
+}
+
+var rate = Limit{Name: "r", Kind: Rate, Size: 90, Burst: 9, Term: 1000}
+
+func TestIdleSharesAreLent(t *testing.T) {
+	k := newCrew(t, true, rate)
+	assert.Zero(t, k.run(900, "a", 200, Use{Cost: 1}), "an earlier process may have lent what is a's, and so it is with the others")
+	k.run(1500, "a", 200, Use{Cost: 1})
+	n := k.run(2000, "a", 200, Use{Cost: 1})
+	assert.InDelta(t, 180/1.01, n, 5, "all of the limit, by a clock that may be fast")
+	s := k.seen("a")
+	assert.InDelta(t, 2.0/3, s.Borrowed, 0.01)
+	assert.Less(t, s.Age, 400.0)
+	assert.Zero(t, s.Over)
+	assert.InDelta(t, 1.0/3, k.seen("b").Lent, 0.01)
+	// b's own demand has its home share back soon.
+	n = k.run(1000, "b", 200, Use{Cost: 1})
+	assert.Greater(t, n, 25)
+	// Cut off, a goes by its home share alone once the loans have run out, and says that it is cut off.
+	k.lost["a"] = true
+	k.run(1100, "a", 200, Use{Cost: 1})
+	n = k.run(3000, "a", 200, Use{Cost: 1})
+	assert.InDelta(t, 90/1.01, n, 3)
+	assert.True(t, k.seen("a").Cut)
+	assert.Zero(t, k.seen("b").Lent)
+}
+
+// A burst of less than a token for each member is somebody's whole tokens: what is free is used though all ask, or any one of them.
+func TestSmallBursts(t *testing.T) {
+	for _, burst := range []float64{1, 2, 2.5, 4} {
+		l := rate
+		l.Burst = burst
+		k := newCrew(t, true, l)
+		k.run(2500, "a", 200, Use{Cost: 1})
+		assert.Greater(t, k.run(2000, "a", 200, Use{Cost: 1}), 120, "one asks, burst %v", burst)
+		all := func(forMs float64) (n int) {
+			for end := k.now + forMs; k.now < end; {
+				for _, name := range []string{"a", "b", "c"} {
+					n += k.run(5, name, 200, Use{Cost: 1})
+				}
+			}
+			return n
+		}
+		all(2500)
+		// With one token one member has it, and the others nothing: a third of what is asked, here.
+		assert.Greater(t, all(2000), 110-50*int(1/burst), "all ask, burst %v", burst)
+	}
+	sum := Part{}
+	for i := range 7 {
+		sum = sum.add(home(Limit{Burst: 9.5}, i, 7))
+	}
+	assert.LessOrEqual(t, sum[flow], int64(Whole))
+	assert.LessOrEqual(t, sum[depth], int64(Whole))
+	assert.Greater(t, sum[depth], int64(Whole-10))
+}
+
+func TestFixedShares(t *testing.T) {
+	k := newCrew(t, false, rate)
+	k.run(1000, "a", 200, Use{Cost: 1})
+	assert.InDelta(t, 30/1.01, k.run(1000, "a", 200, Use{Cost: 1}), 1)
+}
+
+// Every member counts a loan by its own clock, whatever comes late, twice or from another process.
+func TestLoansOutOfTime(t *testing.T) {
+	rate := rate
+	rate.Burst = 10
+	lender := New(Rules{Self: "a", Boot: 1, Roster: []string{"a", "b"}, Drift: 0.01, Most: 9, Loans: true}, []Limit{rate}, half)
+	ask := func(now float64, boot, seq uint64, have, want int64) (m Message, answered bool) {
+		out := lender.Step(now, []Input{Received{"b", Message{Kind: Ask, Limit: "r", Boot: boot, Seq: seq, Have: Part{have, have}, Share: Part{want, want}}}})
+		for _, s := range out {
+			for _, m := range s.Messages {
+				if m.Kind == Loan {
+					return m, true
+				}
+			}
+		}
+		return m, false
+	}
+	const home = Whole / 2
+	lender.Step(0, nil)
+	_, answered := ask(1000, 7, 1, 0, home)
+	assert.False(t, answered, "in its quiet time nothing is lent")
+	m, _ := ask(1100, 7, 2, 0, home)
+	require.Equal(t, Part{home, home}, m.Share)
+	_, answered = ask(1101, 7, 2, 0, home)
+	assert.False(t, answered, "twice")
+	_, answered = ask(1101, 7, 1, 0, home)
+	assert.False(t, answered, "late")
+	m, _ = ask(1200, 8, 1, 0, home)
+	assert.Equal(t, Part{}, m.Share, "an earlier process may use it still")
+	assert.False(t, lender.Take(2110, []Use{{Cost: 1}}, 0).Taken, "the borrower's clock may be slow")
+	m, _ = ask(2150, 8, 2, 0, home)
+	assert.Less(t, m.Share[flow], int64(home), "its own demand goes before")
+	assert.Positive(t, m.Share[flow])
+
+	borrower := New(Rules{Self: "b", Boot: 7, Roster: []string{"a", "b"}, Drift: 0.01, Most: 9, After: 100, Loans: true}, []Limit{rate}, half)
+	borrower.Step(0, nil)
+	borrower.Take(2000, []Use{{Cost: 1}}, 0)
+	for range 40 {
+		borrower.Take(2000, []Use{{Cost: 1}}, 0)
+	}
+	out := borrower.Step(2001, nil)
+	var asked Message
+	for _, s := range out {
+		for _, m := range s.Messages {
+			if m.Kind == Ask {
+				asked = m
+			}
+		}
+	}
+	require.NotZero(t, asked.Seq)
+	loan := Message{Kind: Loan, Limit: "r", Boot: 7, Seq: asked.Seq, Share: asked.Share, Tokens: 3}
+	late := loan
+	late.Boot = 6
+	borrower.Step(2002, []Input{Received{"a", late}})
+	assert.Zero(t, borrower.Seen(2002)[0].Borrowed, "an answer to another process")
+	borrower.Step(2010, []Input{Received{"a", loan}, Received{"a", loan}})
+	assert.Positive(t, borrower.Seen(2010)[0].Borrowed)
+	assert.Equal(t, 1, borrower.Counts.Late, "the second one")
+	assert.Zero(t, borrower.Seen(2001 + 1000)[0].Borrowed, "counted from the ask")
+	borrower.Step(4000, []Input{Received{"a", loan}, Received{"z", loan}, Received{"a", Message{Kind: 9, Limit: "r"}}, Received{"a", Message{Kind: Ask, Limit: "none"}},
+		Received{"a", Message{Kind: Ask, Limit: "r", Share: Part{-1, 0}}}})
+	assert.Equal(t, 4, borrower.Counts.Odd)
+}
+
+// What is open under a loan is over when the loan is.
+func TestStock(t *testing.T) {
+	k := newCrew(t, true, Limit{Name: "s", Kind: Stock, Size: 9, Term: 1000})
+	k.now += 2000
+	use := []Use{{Cost: 1}}
+	a := k.cores["a"]
+	for range 3 {
+		require.True(t, a.Take(k.now, use, 100).Taken)
+	}
+	require.False(t, a.Take(k.now, use, 100).Taken, "its home share")
+	k.run(300, "a", 0, Use{})
+	require.True(t, a.Take(k.now, use, 100).Taken, "on a loan")
+	assert.False(t, a.Take(k.now, use, 5000).Taken, "it might outlast the loan")
+	k.lost["a"] = true
+	k.run(1200, "a", 0, Use{})
+	a.Done(k.now, use)
+	assert.False(t, a.Take(k.now, use, 10).Taken, "three are open")
+	a.Done(k.now, use)
+	assert.True(t, a.Take(k.now, use, 10).Taken)
+}
+
+// An owner lends nothing that its open scans will rest on once a loan of its own has run out, though its own need leaves room for now: another
+// borrower has not given back yet what it was called to.
+func TestOpenScansOutlastABorrowedShare(t *testing.T) {
+	c := New(Rules{Self: "a", Boot: 1, Roster: []string{"a", "b", "c", "d"}, Most: 9, Loans: true}, []Limit{{Name: "s", Kind: Stock, Size: 12, Term: 1000}}, half)
+	c.Step(0, nil)
+	const unit = Whole / 12
+	require.True(t, c.Take(5000, []Use{{Cost: 1}}, 600).Taken) // open up to 5600
+	a := c.accounts[id{0, ""}]
+	require.InDelta(t, 3*unit, a.home[flow], 10)
+	for i := range a.loans {
+		if l := &a.loans[i]; l.from == "b" {
+			l.share, l.end = Part{flow: unit}, 5200
+		}
+	}
+	two := Part{flow: 2 * unit}
+	a.debts = []debt{{to: "c", boot: 3, seq: 1, lo: two, loUntil: 9000, hiUntil: never, want: two, wantAt: 5000}}
+	c.recount(a, 5000)
+	c.Step(5010, []Input{Received{"d", Message{Kind: Ask, Limit: "s", Boot: 5, Seq: 1, Share: Part{flow: unit}}}})
+	assert.InDelta(t, 2*unit, a.lent(5020)[flow], 10, "one is open up to 5600, and rests on what is not lent")
+	c.settle(a, 5300)
+	assert.GreaterOrEqual(t, float64(a.share[flow]), 0.999*unit, "b's loan is over, the scan is not")
+}
+
+// Tokens come back with the room that they were lent with, and no others.
+func TestTokensWithoutTheirRoom(t *testing.T) {
+	for _, c := range []struct {
+		have int64
+		want int // scans
+	}{{Whole / 4, 0}, {0, 2}} {
+		a := New(Rules{Self: "a", Boot: 1, Roster: []string{"a", "b"}, Most: 9, Loans: true}, []Limit{{Name: "r", Size: 0.001, Burst: 8, Term: 1000}}, half)
+		a.Step(0, nil)
+		ask := func(now float64, seq uint64, have, want int64, tokens float64) {
+			a.Step(now, []Input{Received{"b", Message{Kind: Ask, Limit: "r", Boot: 5, Seq: seq, Have: Part{have, have}, Share: Part{want, want}, Tokens: tokens}}})
+		}
+		a.Take(9e9, []Use{{Cost: 9}}, 0) // never taken: it makes the account, which has been full for long
+		ask(9e9+1e6, 1, 0, Whole/4, 0)   // two tokens go along
+		for a.Take(9e9+1e6, []Use{{Cost: 1}}, 0).Taken {
+		}
+		ask(9e9+1e6+10, 2, c.have, c.have, 4)
+		n := 0
+		for range 20 {
+			if a.Take(9e9+1e6+20, []Use{{Cost: 1}}, 0).Taken {
+				n++
+			}
+		}
+		assert.Equal(t, c.want, n)
+	}
+}
+
+// An account that is not full is not forgotten, however long nobody asks: it would come back with a second burst.
+func TestNotForgottenBeforeItIsFull(t *testing.T) {
+	c := New(Rules{Self: "a", Boot: 1, Roster: []string{"a"}, Most: 9, Loans: true}, []Limit{{Name: "r", Size: 0.1, Burst: 4, Term: 200}}, half)
+	c.Step(0, nil)
+	use, n := []Use{{Key: "k", Cost: 1}}, 0
+	for now := 60000.0; now <= 85000; now += 500 {
+		c.Step(now, nil)
+		if (now == 60000 || now == 85000) && c.Accounts() <= 1 {
+			for range 9 {
+				if c.Take(now, use, 0).Taken {
+					n++
+				}
+			}
+		}
+	}
+	assert.Equal(t, 4+2, n, "its burst, and what 25 s bring")
+	c.Step(200000, nil)
+	assert.Zero(t, c.Accounts(), "it is full again")
+}
+
+// An Available limit's side has a stated share at least, and a borrowed share goes on for a stated time: over by no more than the formula.
+func TestAvailable(t *testing.T) {
+	l := rate
+	l.Available, l.Alone, l.Linger = true, 0.5, 2000
+	k := newCrew(t, true, l)
+	k.run(500, "a", 0, Use{})
+	require.Positive(t, k.run(1500, "a", 200, Use{Cost: 1}), "no quiet time")
+	k.lost["a"] = true
+	n := k.run(2000, "a", 200, Use{Cost: 1})
+	assert.Greater(t, n, 150, "as before")
+	assert.Positive(t, k.seen("a").Over)
+	k.run(1500, "a", 200, Use{Cost: 1})
+	assert.InDelta(t, 30, k.run(1000, "a", 200, Use{Cost: 1}), 3, "the home share")
+	k.step("a", View{Living: []string{"a"}})
+	assert.InDelta(t, 45, k.run(1000, "a", 200, Use{Cost: 1}), 3, "alone")
+	assert.InDelta(t, 1.0, k.seen("a").Over, 1e-9, "two others may each be a side")
+}
+
+// Keys come and go: so many are kept, the idle ones are forgotten, and who comes back has no second burst.
+func TestKeys(t *testing.T) {
+	c := New(Rules{Self: "a", Boot: 1, Roster: []string{"a", "b"}, Drift: 0.01, Most: 50, After: 100, Loans: true}, []Limit{{Name: "r", Size: 2, Burst: 4, Term: 1000}}, half)
+	c.Step(0, nil)
+	now, burst := 20_000.0, 0
+	for range 10 {
+		if c.Take(now, []Use{{Key: "back", Cost: 1}}, 0).Taken {
+			burst++
+		}
+	}
+	assert.Equal(t, 2, burst)
+	for i := range 200 {
+		c.Take(now, []Use{{Key: fmt.Sprint(i), Cost: 1}}, 0)
+		assert.LessOrEqual(t, c.Accounts(), 50)
+	}
+	assert.Positive(t, c.Counts.Crowded)
+	assert.False(t, c.Take(now, []Use{{Key: "back", Cost: 1}}, 0).Taken)
+	for now < 60_000 {
+		now += 100
+		c.Step(now, nil)
+	}
+	assert.Zero(t, c.Accounts())
+	assert.True(t, c.Take(now, []Use{{Key: "back", Cost: 1}}, 0).Taken)
+}
+
+// Those who are turned away together come back one after the other, as the fleet's tokens do.
+func TestTimesToComeBack(t *testing.T) {
+	c := New(Rules{Self: "a", Boot: 1, Roster: []string{"a"}, Most: 9, After: 1000}, []Limit{{Name: "r", Size: 100, Burst: 1}}, rand.New(rand.NewPCG(29, 1)).Float64)
+	c.Step(0, nil)
+	require.True(t, c.Take(10, []Use{{Cost: 1}}, 0).Taken)
+	slots := map[int]int{}
+	for range 50 {
+		v := c.Take(10, []Use{{Cost: 1}}, 0)
+		require.False(t, v.Taken)
+		require.LessOrEqual(t, v.After, 1000.0)
+		slots[int(v.After/100)]++
+	}
+	for _, n := range slots {
+		assert.LessOrEqual(t, n, 12)
+	}
+	assert.GreaterOrEqual(t, len(slots), 5)
+}
+
+// An order has another size for a while: at once everywhere, at its end back by itself, also at a member that was cut off; of two the later one counts
+// everywhere; and a larger one only when all know it.
+func TestOrders(t *testing.T) {
+	k := newCrew(t, true, rate)
+	k.run(1500, "a", 200, Use{Cost: 1})
+	sizes := func() (all []float64) {
+		for _, n := range []string{"a", "b", "c"} {
+			all = append(all, k.cores[n].limits[0].Size)
+		}
+		return all
+	}
+	k.step("a", Set{Limit: "r", Size: 9, Burst: 1, For: 5000})
+	assert.Equal(t, []float64{9, 9, 9}, sizes())
+	k.run(1000, "a", 200, Use{Cost: 1})
+	assert.InDelta(t, 18, k.run(2000, "a", 200, Use{Cost: 1}), 3)
+	assert.Equal(t, "a", k.seen("a").Order)
+	assert.Equal(t, 2, k.seen("a").Told)
+	k.lost["c"] = true
+	k.run(1900, "a", 0, Use{})
+	assert.Equal(t, []float64{9, 9, 9}, sizes())
+	k.run(400, "a", 0, Use{})
+	assert.Equal(t, []float64{90, 90, 90}, sizes(), "it is over for c as well")
+	// Two sides, one order each.
+	k.step("c", Set{Limit: "r", Size: 5, Burst: 2, For: 60_000})
+	k.now++
+	k.step("a", Set{Limit: "r", Size: 180, Burst: 18, For: 60_000})
+	assert.Equal(t, []float64{90, 90, 5}, sizes(), "c may not know of more")
+	k.lost["c"] = false
+	k.run(4000, "a", 0, Use{})
+	assert.Equal(t, []float64{180, 180, 180}, sizes(), "the later one, once all know it")
+	k.step("b", Set{Limit: "r"})
+	assert.Equal(t, []float64{90, 90, 90}, sizes(), "taken back")
+	// One document is lowered, then the others.
+	k.step("a", Document{Limit: "r", Size: 30, Burst: 3})
+	assert.Equal(t, []float64{30, 30, 30}, sizes())
+	k.step("b", Document{Limit: "r", Size: 300, Burst: 30})
+	assert.Equal(t, []float64{30, 30, 30}, sizes())
+	k.step("a", Document{Limit: "r", Size: 300, Burst: 30})
+	k.step("c", Document{Limit: "r", Size: 300, Burst: 30})
+	assert.Equal(t, []float64{300, 300, 300}, sizes())
+	// One that starts hears of an order from the others.
+	k.step("a", Set{Limit: "r", Size: 9, Burst: 1, For: 60_000})
+	k.start("b", 9, true, rate)
+	assert.Equal(t, 90.0, sizes()[1])
+	k.run(2500, "a", 0, Use{})
+	assert.Equal(t, 9.0, sizes()[1])
+	// One that stood still takes nothing under an order that has run out.
+	k.step("a", Set{Limit: "r", Size: 900, Burst: 90, For: 1000})
+	k.run(100, "a", 0, Use{})
+	require.Equal(t, 900.0, sizes()[0])
+	k.now += 30_000
+	for range 100 {
+		k.cores["a"].Take(k.now, []Use{{Cost: 1}}, 0)
+	}
+	assert.Less(t, sizes()[0], 900.0)
+	k.step("a", Received{"b", Message{Kind: Told, Limit: "r"}}, Received{"b", Message{Kind: Told, Limit: "r", Word: &Word{Size: -1, Burst: 1}}})
+	assert.Equal(t, 2, k.cores["a"].Counts.Odd)
+}
+
+func BenchmarkTake(b *testing.B) {
+	for _, limits := range [][]Limit{{{Name: "r", Size: 1e9, Burst: 1e9, Term: 1000}}, {{Name: "r", Size: 1e9, Burst: 1e9, Term: 1000}, {Name: "s", Kind: Stock, Size: 1e9, Term: 1000}}} {
+		b.Run(fmt.Sprint(len(limits)), func(b *testing.B) {
+			c := New(Rules{Self: "a", Boot: 1, Roster: []string{"a", "b"}, Most: 9, After: 1000, Loans: true}, limits, half)
+			c.Step(0, nil)
+			uses := []Use{{0, "tenant", 1}, {1, "tenant", 1}}[:len(limits)]
+			now := 10_000.0
+			b.ReportAllocs()
+			for b.Loop() {
+				now += 0.01
+				c.Take(now, uses, 100)
+				c.Done(now, uses)
+			}
+		})
+	}
+}
