--- /dev/null
+++ b/cmd/gullstair/json_test.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"gullstair/internal/broker"
+	"gullstair/internal/core"
+	"gullstair/internal/emulator"
+	"gullstair/internal/sharer"
+)
+
+var snakeCase = regexp.MustCompile(`^[a-z][a-z0-9]*(_[a-z0-9]+)*$`)
+
+// keys calls seen with the key of every field that a type's JSON has, at all depths; maps' keys are names.
+func keys(t reflect.Type, seen func(where, key string), met map[reflect.Type]bool) {
+	switch t.Kind() {
+	case reflect.Pointer, reflect.Slice, reflect.Array, reflect.Map:
+		keys(t.Elem(), seen, met)
+	case reflect.Struct:
+		if met[t] {
+			return
+		}
+		met[t] = true
+		for i := range t.NumField() {
+			f := t.Field(i)
+			key, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+			if !f.IsExported() || key == "-" {
+				continue
+			}
+			if !f.Anonymous {
+				seen(t.String()+"."+f.Name, key)
+			}
+			keys(f.Type, seen, met)
+		}
+	}
+}
+
+// What the commands write has one spelling of keys, at all depths: scripts read it.
+func TestJSONKeys(t *testing.T) {
+	n := 0
+	for _, v := range []any{sharer.State{}, core.CellView{}, emulator.Figures{}, broker.LimitsSeen{}} {
+		keys(reflect.TypeOf(v), func(where, key string) {
+			n++
+			assert.Regexp(t, snakeCase, key, where)
+		}, map[reflect.Type]bool{})
+	}
+	assert.Greater(t, n, 100)
+}
--- a/cmd/gullstair/main.go
+++ b/cmd/gullstair/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"gullstair/internal/config"
+	"gullstair/internal/tasks"
 )
 
 // commands is the whole command line; kong reads it from these tags.
@@ -23,6 +25,10 @@
 	Members     membersCmd  `cmd:"" help:"Who a running broker sees, and how."`
 	Duties      dutiesCmd   `cmd:"" help:"Which broker does what, when it was last done, and who holds which lease, as a running broker sees it."`
 	Cells       cellsCmd    `cmd:"" help:"A running broker's cells: what is open in each, what was turned away and why, which refuse."`
+	Limits      limitsCmd   `cmd:"" help:"Limits that hold for the whole fleet: this broker's share of each, lent, borrowed, used, how old that is and how far over it can be."`
+	Verdict     verdictCmd  `cmd:"" help:"What the brokers together hold of each store, why, and an operator's word on one."`
+	Lease       leaseCmd    `cmd:"" help:"Leases that hold for the whole fleet: scheduled tasks, and commands run under a lease."`
+	Guard       guardCmd    `cmd:"" hidden:"" help:"Run a command that may not outlive a deadline; brokers start it."`
 	Rehearse    rehearseCmd `cmd:"" help:"Play a scenario of failures against emulated stores and judge what the brokers do."`
 	Version     versionCmd  `cmd:"" help:"Print the version."`
 }
@@ -35,6 +41,9 @@
 
 func main() {
 	if err := run(os.Args[1:], os.Stdout); err != nil {
+		if code := exitCode(0); errors.As(err, &code) {
+			os.Exit(int(code))
+		}
 		fmt.Fprintln(os.Stderr, "gullstair:", err)
 		os.Exit(1)
 	}
@@ -68,6 +77,10 @@
 		}
 		return err
 	}
+	for do, order := range map[tasks.Do]*leaseOrderCmd{tasks.Release: &c.Lease.Release, tasks.Pause: &c.Lease.Pause, tasks.Resume: &c.Lease.Resume,
+		tasks.Trigger: &c.Lease.Trigger} {
+		order.do = do
+	}
 	ctx.BindTo(out, (*io.Writer)(nil))
 	return ctx.Run()
 }
@@ -87,6 +100,9 @@
 func oldStyle(args, names []string) []string {
 	args = slices.Clone(args)
 	for i, a := range args {
+		if a == "--" {
+			break // what follows is another program's
+		}
 		name, _, _ := strings.Cut(strings.TrimPrefix(a, "-"), "=")
 		if len(name) > 1 && strings.HasPrefix(a, "-") && !strings.HasPrefix(a, "--") && slices.Contains(names, name) {
 			args[i] = "-" + a
@@ -115,6 +131,15 @@
 	if f.Cells != nil {
 		fmt.Fprintf(out, "cells: %d, %d holders of each set, %d pins\n", len(f.Cells.Cells), f.Cells.Holders, len(f.Cells.Pins))
 	}
+	if f.Lease != nil {
+		fmt.Fprintf(out, "lease: by hand up to %v, votes stored in %q\n", f.Lease.Longest, f.Lease.Dir)
+	}
+	for _, t := range f.Tasks {
+		fmt.Fprintf(out, "task %s: %s\n", t.Name, strings.Join(t.Run, " "))
+	}
+	for _, l := range f.Limits {
+		fmt.Fprintf(out, "limit %s: for each %s\n", l.Name, l.For)
+	}
 	if f.Control != nil {
 		fmt.Fprintf(out, "control: %s\n", f.Control.Socket)
 	}
--- a/cmd/gullstair/serve.go
+++ b/cmd/gullstair/serve.go
@@ -9,6 +9,7 @@
 	"gullstair/internal/broker"
 	"gullstair/internal/config"
 	"gullstair/internal/features"
+	"gullstair/internal/guard"
 )
 
 type serveCmd struct {
@@ -17,6 +18,9 @@
 	Features string        `help:"A document of features beyond the platform, such as deploy/features.hcl; none are on without it." type:"path"`
 }
 
+// clocks are the machine's.
+var clocks = broker.MachineClocks
+
 // readFeatures reads the document at a path; none where there is no path.
 func readFeatures(path, self string) (*features.Document, error) {
 	if path == "" {
@@ -46,7 +50,12 @@
 	if err != nil {
 		return err
 	}
-	b, err := broker.Start(told, f, log)
+	if f != nil && len(f.Tasks) > 0 {
+		if err := guard.Adopt(); err != nil {
+			return err
+		}
+	}
+	b, err := broker.StartBy(clocks(), told, f, log)
 	if err != nil {
 		return err
 	}
--- a/cmd/gullstair/sharing.go
+++ b/cmd/gullstair/sharing.go
@@ -94,10 +94,9 @@
 		}
 	}
 	if len(s.Leases) > 0 {
-		fmt.Fprintln(w, "\nLEASE\tHOLDER\tFENCE\tFOR\tRUNNING\tLAST BEGUN\tVOTERS")
+		fmt.Fprintln(w, "\nLEASE\tHOLDER\tFENCE\tFOR\tVOTERS")
 		for _, l := range s.Leases {
-			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%v\t%s\t%d of %d\n", l.Lease, l.Holder, l.Epoch, ago(l.Until-s.Now), l.Running,
-				ago(s.Now-l.RanAt), l.Majority, l.Voters)
+			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d of %d\n", l.Lease, l.Holder, l.Epoch, ago(l.Until-s.Now), l.Majority, l.Voters)
 		}
 	}
 	return w.Flush()
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -21,6 +21,9 @@
 type commands struct {
 	Members   membersCmd   `cmd:"" help:"Detection, false suspicions and traffic of membership, by members and loss, in virtual time."`
 	Scenarios scenariosCmd `cmd:"" help:"Every scenario that comes with the program in virtual time: the broker beside the plain rules."`
+	Leases    leasesCmd    `cmd:"" help:"Takeover of a lease after a kill and an orderly leave, the gap after a restart of all, and messages by leases, in virtual time."`
+	Limits    limitsCmd    `cmd:"" help:"Ways to share a limit among members on the same days: used, over, followed, messages, in virtual time."`
+	Verdicts  verdictsCmd  `cmd:"" help:"Scenarios of verdicts with brokers that tell each other nothing, notes, verdicts and both, over seeds, in virtual time."`
 	Duties    dutiesCmd    `cmd:"" help:"Probes saved, items moved, takeover and traffic of shared probing, in virtual time."`
 }
 
@@ -45,6 +48,90 @@
 	return nil
 }
 
+type leasesCmd struct {
+	Tries int    `default:"200" help:"Holders ended at each number of voters and term."`
+	Seed  uint64 `default:"1" help:"For chance."`
+}
+
+func (c *leasesCmd) Run(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "VOTERS\tTERM s\tKILLED p50 s\tp99 s\tBOUND s\tORDERLY p50 s\tp99 s\tMISSED\tALL RESTARTED, DISKS s\tNO DISKS s")
+	for _, n := range []int{3, 5, 9} {
+		for _, term := range []float64{1000, 3000, 10000} {
+			k, o := trial.Takeover(c.Seed, n, term, c.Tries, false), trial.Takeover(c.Seed, n, term, c.Tries, true)
+			fmt.Fprintf(w, "%d\t%.0f\t%.2f\t%.2f\t%.2f\t%.3f\t%.3f\t%d of %d\t%.2f\t%.2f\n", n, term/1000, k.P50/1000, k.P99/1000, k.Bound/1000, o.P50/1000, o.P99/1000,
+				k.Missed+o.Missed, 2*c.Tries, trial.Gap(c.Seed, n, term, true)/1000, trial.Gap(c.Seed, n, term, false)/1000)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintln(w, "\nLEASES OF ONE HOLDER, 5 VOTERS, TERM 10 s\tMESSAGES /s\tDATAGRAMS /s")
+	for _, n := range []int{1, 100, 1000} {
+		m, d := trial.Traffic(c.Seed, n, 10000)
+		fmt.Fprintf(w, "%d\t%.1f\t%.1f\n", n, m, d)
+	}
+	return w.Flush()
+}
+
+type limitsCmd struct {
+	Seeds   int    `default:"3" help:"Plays of each day."`
+	Members []int  `default:"5,60" help:"Members of the fleets."`
+	Tenants bool   `help:"Instead: what 1,000 and 10,000 keys of one limit cost."`
+	Plot    string `help:"Instead: draw a split with loans out under each way into this SVG file." placeholder:"FILE"`
+}
+
+func (c *limitsCmd) Run(out io.Writer) error {
+	if c.Plot != "" {
+		for _, d := range trial.Days(c.Members[0], 200) {
+			if d.Name == "split, loans out" {
+				return plotLimits(c.Plot, d, []trial.Way{trial.Escrow, trial.Fixed, trial.Leader, trial.Gossip})
+			}
+		}
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	if c.Tenants {
+		fmt.Fprintln(w, "MEMBERS\tKEYS\tTAKEN\tOVER scans\tACCOUNTS\tLEFT A MINUTE LATER\tDATAGRAMS /member/s\tBYTES /member/s\tMEMORY bytes/account\tAT ONCE WHEN BACK\tBURST")
+		for _, n := range c.Members {
+			for _, keys := range []int{1000, 10000} {
+				x := trial.Tenants(1, n, keys)
+				fmt.Fprintf(w, "%d\t%d\t%d of %d\t%.1f\t%d\t%d\t%.0f\t%.0f\t%.0f\t%d\t%d\n", n, keys, x.Taken, x.Asked, x.Over, x.Most, x.Left, x.Datagrams, x.Bytes, x.BytesPerAccount,
+					x.Again, x.AgainMost)
+			}
+		}
+		return w.Flush()
+	}
+	fmt.Fprintln(w, "MEMBERS\tDAY\tWAY\tUSED\tWORST 500 ms\tOVER scans\tSIDES, OF THEIR MEMBERS' SHARE\tFOLLOWS AFTER ms\tMESSAGES /member/s")
+	for _, n := range c.Members {
+		for _, d := range trial.Days(n, 200) {
+			for _, way := range []trial.Way{trial.Fixed, trial.Escrow, trial.Leader, trial.Gossip, trial.Alone} {
+				var sum trial.Played
+				for seed := range c.Seeds {
+					p := trial.Play(uint64(seed+1), d, way)
+					k := float64(c.Seeds)
+					sum.Used, sum.Worst, sum.Messages = sum.Used+p.Used/k, sum.Worst+p.Worst/k, sum.Messages+p.Messages/k
+					sum.Over, sum.Follow = max(sum.Over, p.Over), max(sum.Follow, p.Follow)
+					if sum.Sides == nil {
+						sum.Sides = make([]float64, len(p.Sides))
+					}
+					for i, s := range p.Sides {
+						sum.Sides[i] += s / k
+					}
+				}
+				sides := "-"
+				if len(sum.Sides) == 2 {
+					sides = fmt.Sprintf("%.2f, %.2f", sum.Sides[0], sum.Sides[1])
+				}
+				fmt.Fprintf(w, "%d\t%s\t%s\t%.3f\t%.2f\t%.1f\t%s\t%.0f\t%.1f\n", n, d.Name, way, sum.Used, sum.Worst, sum.Over, sides, sum.Follow, sum.Messages)
+			}
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 type dutiesCmd struct {
 	Seed uint64 `default:"1" help:"For chance."`
 }
--- /dev/null
+++ b/cmd/measure/plot.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"fmt"
+	"image/color"
+	"os"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"gullstair/internal/trial"
+)
+
+const (
+	plotWide, plotHigh = 26 * vg.Centimeter, 9 * vg.Centimeter
+	smooth             = 5 // steps of a series that one point is the mean of
+)
+
+// line is a series as points: seconds, and the mean of some steps.
+func line(series []float64) (pts plotter.XYs) {
+	for i := smooth; i <= len(series); i++ {
+		sum := 0.0
+		for _, x := range series[i-smooth : i] {
+			sum += x
+		}
+		pts = append(pts, plotter.XY{X: float64(i) * trial.SeriesStep / 1000, Y: sum / smooth})
+	}
+	return pts
+}
+
+// plotLimits draws a day under each way: what the fleet used over time, beside what it was allowed, and the sides of a split.
+func plotLimits(path string, d trial.Day, ways []trial.Way) error {
+	all := make([]*plot.Plot, 0, len(ways))
+	for _, way := range ways {
+		played := trial.Play(1, d, way)
+		p := plot.New()
+		p.Title.Text = fmt.Sprintf("%s: %s, %d members, 200 scans a second", d.Name, way, d.Members)
+		p.X.Label.Text, p.Y.Label.Text = "s", "scans a second"
+		p.Y.Min, p.Y.Max = 0, 2.5*d.Size
+		p.Legend.Top = true
+		allowed := plotter.NewFunction(func(float64) float64 { return d.Size })
+		allowed.Color, allowed.Dashes = color.Gray{100}, plotutil.Dashes(1)
+		p.Add(allowed, plotter.NewGrid())
+		p.Legend.Add("allowed", allowed)
+		for i, s := range append([][]float64{played.Taken}, played.By...) {
+			l, err := plotter.NewLine(line(s))
+			if err != nil {
+				return fmt.Errorf("the plot: %w", err)
+			}
+			l.Color, l.Width = plotutil.Color(i), vg.Points(1.2)
+			p.Add(l)
+			p.Legend.Add([]string{"used by all", "by the larger side's members", "by the smaller side's members"}[min(i, 2)], l)
+		}
+		all = append(all, p)
+	}
+	return stacked(path, all)
+}
+
+// stacked writes plots one below the other as SVG.
+func stacked(path string, all []*plot.Plot) error {
+	canvas := vgsvg.New(plotWide, plotHigh*vg.Length(len(all)))
+	rows := make([][]*plot.Plot, len(all))
+	for i, p := range all {
+		rows[i] = []*plot.Plot{p}
+	}
+	tiles := draw.Tiles{Rows: len(rows), Cols: 1, PadY: vg.Centimeter / 2}
+	for i, row := range plot.Align(rows, tiles, draw.New(canvas)) {
+		rows[i][0].Draw(row[0])
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("the plot: %w", err)
+	}
+	if _, err := canvas.WriteTo(f); err != nil {
+		f.Close()
+		return fmt.Errorf("the plot: %w", err)
+	}
+	return f.Close()
+}
--- a/deploy/features.hcl
+++ b/deploy/features.hcl
@@ -27,3 +27,16 @@
 control {
   socket = "/tmp/gullstair-n1.sock"
 }
+
+# Leases that operators hold by hand (gullstair lease run), and votes that outlive a restart.
+lease {
+  dir = "votes-n1" # beside this file; another one for each broker
+}
+
+# A command that one broker of the fleet runs at a time, rather never than twice.
+task "compact" {
+  at      = "30 3 * * *" # UTC
+  run     = ["/usr/local/bin/compact", "--all"]
+  term    = "10s"
+  timeout = "1h"
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net"
 	"runtime"
@@ -22,6 +23,7 @@
 	"gullstair/internal/ending"
 	"gullstair/internal/features"
 	"gullstair/internal/front"
+	"gullstair/internal/guard"
 	"gullstair/internal/node"
 )
 
@@ -35,6 +37,15 @@
 	spareFiles  = 24 // descriptors for the listener, discovery, standard streams and the runtime
 )
 
+// Clocks are a machine's: ns since some moment, suspended or not, and the wall clock.
+type Clocks struct {
+	Elapsed func() int64
+	Wall    func() time.Time
+}
+
+// MachineClocks are those of this machine.
+func MachineClocks() Clocks { return Clocks{guard.Now, time.Now} }
+
 // Clock is one clock for all of a broker: Unix milliseconds at its start and monotonic time since.
 type Clock struct {
 	base  float64
@@ -68,6 +79,7 @@
 
 	listed bool // the actor's: the module has a list with nodes
 
+	clocks   Clocks // of what brokers share; scans go by clock
 	features *features.Document
 	shared   *shared         // nil: nothing is shared
 	control  *control.Server // nil: no socket
@@ -76,6 +88,11 @@
 // Start brings a broker up: it listens, has told the module its start and its cached list, and follows
 // the list. Features are what the installation has beyond the platform; nil is none.
 func Start(t *config.Told, f *features.Document, log zerolog.Logger) (*Broker, error) {
+	return StartBy(MachineClocks(), t, f, log)
+}
+
+// StartBy is Start with other clocks for what brokers share.
+func StartBy(clocks Clocks, t *config.Told, f *features.Document, log zerolog.Logger) (*Broker, error) {
 	if f == nil {
 		f = &features.Document{}
 	}
@@ -86,7 +103,7 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	b := &Broker{told: t, clock: NewClock(), turn: t.Site.Turn, mail: make(chan core.Input, mailboxSize),
-		stop: make(chan struct{}), ln: ln, log: log, fatal: make(chan error, 1), features: f}
+		stop: make(chan struct{}), ln: ln, log: log, fatal: make(chan error, 1), features: f, clocks: clocks}
 	nodeConns := t.Sockets / 4
 	b.fleet = node.NewFleet(node.Reach{PerConn: t.Site.PerConn, MaxConns: nodeConns,
 		ConnectTimeout: ms(t.Site.ConnectTimeout), Idle: ms(t.Site.ConnIdle)}, b.clock.Now,
@@ -96,7 +113,11 @@
 		ReadWithin: readWithin, Log: log}
 	odd := func(host, why string) { log.Warn().Str("node", host).Msg(why) }
 	known := t.Known.Nodes(odd)
-	b.core = core.New(t.Site, t.Flat, t.Seed, known)
+	flat := maps.Clone(t.Flat)
+	if s := f.Sharing; s != nil { // what the module is told of what brokers share
+		flat["limit.peers"], flat["share.verdicts"] = s.Notes, s.Verdicts != nil
+	}
+	b.core = core.New(t.Site, flat, t.Seed, known)
 	b.listed = len(known) > 0
 	if err := b.startFeatures(); err != nil {
 		ln.Close()
@@ -222,6 +243,10 @@
 			b.shared.probed(v)
 		case core.Listed:
 			b.shared.listed(v)
+		case core.Tell:
+			b.shared.tell(v.Note)
+		case core.Judged:
+			b.shared.judged(v)
 		case core.Watch:
 			b.watch.Ask()
 		case core.Log:
@@ -287,7 +312,7 @@
 		line.Interface("watched", c.Differs)
 	}
 	line.Int("scans", c.Scans).Int("answered", c.Answered).Int("whole", c.Whole).Int("throttled", c.Throttled).
-		Int("full", c.Full).Int("confined", c.Confined).Int("abandoned", c.Abandoned).Int("left", c.Left).Int("open", b.core.Open()).
+		Int("full", c.Full).Int("confined", c.Confined).Int("limited", c.Limited).Int("short", c.Short).Int("abandoned", c.Abandoned).Int("left", c.Left).Int("open", b.core.Open()).
 		Int("dispatches", c.Dispatches).Int("late", c.Late).Dict("ends", ends).
 		Int("clients", b.front.Conns()).Int64("requests", fr.Requests.Load()).Int64("malformed", fr.Malformed.Load()).
 		Int64("crowded", fr.Crowded.Load()).Int64("accepts_failed", fr.Failed.Load()).
--- a/internal/broker/features.go
+++ b/internal/broker/features.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/url"
+	"slices"
+	"sync"
 	"sync/atomic"
-	"time"
 
 	"gullstair/internal/cells"
 	"gullstair/internal/control"
@@ -17,6 +19,8 @@
 	"gullstair/internal/quota"
 	"gullstair/internal/sharer"
 	"gullstair/internal/sharing"
+	"gullstair/internal/verdicts"
+	"gullstair/internal/votes"
 )
 
 // probing is the duty of asking the stores for their load.
@@ -31,6 +35,13 @@
 	lists  chan core.Listed
 	lost   atomic.Int64 // ends that found no room: those turns count as over after a period
 	done   chan struct{}
+
+	now   func() float64 // the clock of leases
+	votes *votes.Dir     // nil: votes are not stored
+	mu    sync.Mutex
+	runs  map[under]*run
+
+	limits *limiter // nil: none are shared
 }
 
 // report is what a probe found, as it travels between brokers.
@@ -61,18 +72,29 @@
 		b.core.Watch(watched)
 	}
 	if c := b.features.Control; c != nil {
-		pages := map[string]func() (any, bool){}
+		served := control.Served{Pages: map[string]func() (any, bool){}}
 		if b.features.Cells != nil {
-			pages["cells"] = b.cells
+			served.Pages["cells"] = b.cells
 		}
 		if b.shared != nil {
-			pages["sharing"] = func() (any, bool) {
+			served.Pages["sharing"] = func() (any, bool) {
 				v, running := b.shared.actor.State()
 				return v, running
 			}
+			if l := b.shared.limits; l != nil {
+				served.Orders = map[string]func(url.Values) error{"limits": l.set}
+				served.Pages["limits"] = func() (any, bool) { return l.seen(), true }
+			}
+			if b.features.Sharing.Verdicts != nil {
+				if served.Orders == nil {
+					served.Orders = map[string]func(url.Values) error{}
+				}
+				served.Orders["verdict"] = b.shared.setVerdict
+			}
+			b.shared.serve(&served)
 		}
 		var err error
-		if b.control, err = control.Listen(c.Socket, pages); err != nil {
+		if b.control, err = control.Listen(c.Socket, served); err != nil {
 			b.stopFeatures()
 			return err
 		}
@@ -143,21 +165,43 @@
 	if err != nil {
 		return fmt.Errorf("features: sharing: %w", err)
 	}
-	wall := func() float64 { return float64(time.Now().UnixNano()) / 1e6 }
+	wall := func() float64 { return float64(b.clocks.Wall().UnixNano()) / 1e6 }
 	carrier, err := gossip.Listen(s.Listen, sealer, wall)
 	if err != nil {
 		return fmt.Errorf("features: sharing: %w", err)
 	}
-	plan := sharing.Plan{Name: b.told.Name, Addr: s.Listen, Boot: boot, Incarnation: uint64(wall()), Weight: s.Weight,
+	begun, base := b.clocks.Elapsed(), wall()
+	now := func() float64 { return base + float64(b.clocks.Elapsed()-begun)/1e6 }
+	plan := sharing.Plan{Name: b.told.Name, Addr: s.Advertise, Boot: boot, Incarnation: uint64(wall()), Weight: s.Weight,
 		Roster: s.Members, Seeds: s.Join, Timing: membership.Standard().Scaled(s.Pace), Drift: s.ClockDrift,
 		Floor: uint64(wall()), Seed: b.told.Seed}
 	for _, d := range s.Duties {
 		plan.Duties = append(plan.Duties, duties.Duty{Name: d.Name, Period: float64(d.Period) / 1e6})
 	}
-	sh := &shared{b: b, sealer: sealer, ends: make(chan core.Probed, endsMost), lists: make(chan core.Listed, 1), done: make(chan struct{})}
+	work := sharer.Work{Wall: wall}
+	dir, err := b.leases(&plan, &work)
+	if err != nil {
+		carrier.Close()
+		return err
+	}
+	limits := b.limits(&plan, boot, now)
+	sh := &shared{b: b, now: now, runs: map[under]*run{}, votes: dir, sealer: sealer, ends: make(chan core.Probed, endsMost), lists: make(chan core.Listed, 1), done: make(chan struct{})}
 	sh.lists <- b.core.Share()
-	sh.actor = sharer.Start(plan, carrier, b.clock.Now, sharer.Work{Turn: sh.turn, Heard: sh.heard}, b.log)
+	if s.Verdicts != nil {
+		zone := fmt.Sprint(b.told.Flat["zone"])
+		plan.Verdicts = &verdicts.Rules{Self: plan.Name, Zone: zone, Run: plan.Incarnation, Fresh: ms64(s.Verdicts.Fresh), Quorum: s.Verdicts.Quorum, Widest: s.Verdicts.Widest,
+			Roster: slices.Sorted(maps.Keys(s.Members))}
+		b.core.Judge()
+	}
+	plan.Notes = s.Notes
+	work.Verdict, work.Note = sh.verdict, func(note []byte) { b.put(core.Told{Note: note}) }
+	work.Turn, work.Heard, work.Begin, work.Extend, work.Cancel = sh.turn, sh.heard, sh.begin, sh.extend, sh.cancel
+	sh.actor = sharer.Start(plan, carrier, now, work, b.log)
 	b.shared = sh
+	if sh.limits = limits; limits != nil {
+		limits.poke = sh.actor.Poke
+		b.core.Limit(limits)
+	}
 	go sh.pass()
 	return nil
 }
@@ -218,6 +262,9 @@
 			s.actor.Finished(probing, p.Host, data)
 		case l := <-s.lists:
 			s.actor.Items(probing, l.Hosts)
+			if s.b.features.Sharing.Verdicts != nil {
+				s.actor.Give(stores(l.Nodes))
+			}
 		case <-s.done:
 			return
 		}
@@ -232,6 +279,9 @@
 			return fmt.Errorf("features: sharing: %w", err)
 		}
 	}
+	if b.shared != nil && b.shared.limits != nil {
+		b.shared.limits.renew(f.Limits)
+	}
 	b.log.Info().Strs("at_next_start", later).Msg("features read again")
 	return nil
 }
@@ -250,6 +300,9 @@
 		defer close(over)
 		b.shared.actor.Stop()
 		close(b.shared.done)
+		if b.shared.votes != nil {
+			b.shared.votes.Close()
+		}
 	}()
 	return over
 }
--- /dev/null
+++ b/internal/broker/leases.go
@@ -0,0 +1,247 @@
+package broker
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/url"
+	"os"
+	"os/exec"
+	"strconv"
+	"time"
+
+	"gullstair/internal/control"
+	"gullstair/internal/guard"
+	"gullstair/internal/sharer"
+	"gullstair/internal/sharing"
+	"gullstair/internal/tasks"
+	"gullstair/internal/votes"
+)
+
+// run is an occurrence of a task that this broker has begun.
+type run struct {
+	task   tasks.Begin
+	guard  *guard.Remote
+	grace  time.Duration
+	until  float64
+	cancel string // before its guard was there
+}
+
+// Warning is how long before a lease's end what goes on under it is told to end, and how long before it is killed, for a term.
+func Warning(term time.Duration) (grace, lead time.Duration) {
+	lead = max(50*time.Millisecond, term/10)
+	return lead + term*3/20, lead
+}
+
+// leases puts tasks and the directory of votes into a plan.
+func (b *Broker) leases(plan *sharing.Plan, work *sharer.Work) (*votes.Dir, error) {
+	for _, t := range b.features.Tasks {
+		plan.Tasks = append(plan.Tasks, tasks.Task{Name: t.Name, Every: ms64(t.Every), At: t.Schedule, Term: ms64(t.Term), Holders: t.Holders,
+			Once: t.Once, Timeout: ms64(t.Timeout), Prefer: t.Prefer})
+	}
+	l := b.features.Lease
+	if l == nil {
+		return nil, nil
+	}
+	plan.Longest, plan.LeasesMost = ms64(l.Longest), l.Most
+	if l.Dir == "" {
+		return nil, nil
+	}
+	dir, found, err := votes.Open(l.Dir)
+	if err != nil {
+		return nil, fmt.Errorf("features: lease: %w", err)
+	}
+	if found.Sound {
+		b.log.Info().Str("dir", l.Dir).Int("votes", len(found.Records)).Msg("votes on leases are as they were stored")
+	} else {
+		b.log.Warn().Str("dir", l.Dir).Str("because", found.Why).Msg("votes on leases may be missing: nothing is granted for a term")
+	}
+	plan.Votes = &sharing.Votes{Records: found.Records, Sound: found.Sound}
+	work.Store, work.Snapshot = dir.Store, dir.Snapshot
+	return dir, nil
+}
+
+func ms64(d time.Duration) float64 { return float64(d) / 1e6 }
+
+// deadline puts a moment of the leases' clock on the machine's. That one is read first: what comes between makes it earlier, never later.
+func (s *shared) deadline(until float64) int64 {
+	at := guard.Now()
+	return at + int64((until-s.now())*1e6)
+}
+
+// begin starts an occurrence under a guard of its own. It is the sharing actor's call and does not wait.
+func (s *shared) begin(t tasks.Begin) {
+	r := &run{task: t, until: t.Until}
+	s.mu.Lock()
+	s.runs[under{t.Lease, t.Fence}] = r
+	s.mu.Unlock()
+	go func() {
+		result := s.guarded(r)
+		s.mu.Lock()
+		delete(s.runs, under{t.Lease, t.Fence})
+		s.mu.Unlock()
+		s.b.log.Info().Str("task", t.Task).Int("slot", t.Slot).Uint64("fence", t.Fence).Int("code", result.Code).Str("why", result.Why).
+			Msg("a task has ended")
+		s.actor.Ended(tasks.Ended{Lease: t.Lease, Fence: t.Fence, Code: result.Code, Why: result.Why})
+	}()
+}
+
+func (s *shared) guarded(r *run) guard.Result {
+	t := r.task
+	var argv []string
+	var term time.Duration
+	for _, x := range s.b.features.Tasks {
+		if x.Name == t.Task {
+			argv, term = x.Run, x.Term
+		}
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return guard.Result{Code: -1, Why: err.Error()}
+	}
+	spec := guard.Spec{Argv: argv, Timeout: time.Duration(t.Timeout * 1e6)}
+	spec.Grace, spec.Lead = Warning(term)
+	s.mu.Lock()
+	spec.Until = s.deadline(r.until)
+	s.mu.Unlock()
+	args := []string{"guard", "--until", strconv.FormatInt(spec.Until, 10), "--grace", spec.Grace.String(), "--lead", spec.Lead.String(),
+		"--timeout", spec.Timeout.String(), "--"}
+	cmd := exec.Command(self, append(args, argv...)...)
+	spec.Mark = mark(t.Lease, t.Fence)
+	cmd.Env = append(os.Environ(), Environment(t.Lease, t.Slot, t.Fence, t.Until)...)
+	cmd.Env = append(cmd.Env, fmt.Sprintf("GULLSTAIR_DUE_MS=%.0f", t.Due))
+	cmd.Stderr = os.Stderr
+	g, err := guard.Start(cmd, spec)
+	if err != nil {
+		return guard.Result{Code: -1, Why: err.Error()}
+	}
+	s.b.log.Info().Str("task", t.Task).Int("slot", t.Slot).Uint64("fence", t.Fence).Int("guard", cmd.Process.Pid).Msg("a task begins")
+	s.mu.Lock()
+	r.guard, r.grace = g, spec.Grace
+	if r.cancel != "" {
+		g.Cancel(r.cancel, r.grace)
+	} else {
+		g.Extend(s.deadline(r.until))
+	}
+	s.mu.Unlock()
+	return g.Wait()
+}
+
+// Environment is what a command under a lease is told: the lease, its slot, its fencing number, and up to when it may go on, in Unix ms, unless the lease
+// is renewed.
+func Environment(name string, slot int, fence uint64, untilMS float64) []string {
+	return []string{"GULLSTAIR_LEASE=" + name, "GULLSTAIR_SLOT=" + strconv.Itoa(slot), "GULLSTAIR_FENCE=" + strconv.FormatUint(fence, 10),
+		fmt.Sprintf("GULLSTAIR_UNTIL_MS=%.0f", untilMS), mark(name, fence)}
+}
+
+// mark is what no other run has in its environment: leases count their fencing numbers each by itself.
+func mark(name string, fence uint64) string { return fmt.Sprintf("GULLSTAIR_RUN=%s#%d", name, fence) }
+
+// under names a run.
+type under struct {
+	lease string
+	fence uint64
+}
+
+func (s *shared) extend(e tasks.Extend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.runs[under{e.Lease, e.Fence}]; r != nil {
+		r.until = max(r.until, e.Until)
+		if r.guard != nil {
+			go r.guard.Extend(s.deadline(r.until))
+		}
+	}
+}
+
+func (s *shared) cancel(c tasks.Cancel) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.runs[under{c.Lease, c.Fence}]; r != nil {
+		if r.cancel = c.Why; r.guard != nil {
+			go r.guard.Cancel(c.Why, r.grace)
+		}
+	}
+}
+
+// serve adds what operators may ask and order of leases.
+func (s *shared) serve(c *control.Served) {
+	if s.b.features.Lease == nil && len(s.b.features.Tasks) == 0 {
+		return
+	}
+	if c.Orders == nil {
+		c.Orders = map[string]func(url.Values) error{}
+	}
+	c.Orders["lease"] = func(q url.Values) error {
+		a := s.actor.Order(q.Get("lease"), tasks.Do(q.Get("do")))
+		if !a.Done {
+			return errors.New(a.Why)
+		}
+		return nil
+	}
+	if s.b.features.Lease != nil {
+		c.Streams = map[string]func(url.Values, io.ReadWriteCloser){"hold": s.hold}
+	}
+}
+
+// HoldEvent is what somebody who holds a lease by hand is told; moments are by guard.Now.
+type HoldEvent struct {
+	Lease   string  `json:"lease,omitempty"`
+	Slot    int     `json:"slot,omitempty"`
+	Fence   uint64  `json:"fence,omitempty"`
+	Until   int64   `json:"until,omitempty"`
+	UntilMS float64 `json:"until_ms,omitempty"` // Unix ms
+	Revoked string  `json:"revoked,omitempty"`
+}
+
+// HoldDone is what they tell: nothing goes on under it any more.
+type HoldDone struct {
+	Done bool `json:"done"`
+}
+
+const holdEvents = 16
+
+// hold serves one lease that is held by hand, for as long as whoever holds it stays.
+func (s *shared) hold(q url.Values, conn io.ReadWriteCloser) {
+	out := json.NewEncoder(conn)
+	holders, err := strconv.Atoi(q.Get("holders"))
+	term, termErr := time.ParseDuration(q.Get("term"))
+	if name := q.Get("name"); err != nil || termErr != nil || name == "" || len(name) > 80 || holders < 1 || holders > 100 || term > s.b.features.Lease.Longest {
+		out.Encode(HoldEvent{Revoked: fmt.Sprintf("a name of 1 to 80 bytes, from 1 to 100 holders and a term of at most %v are needed", s.b.features.Lease.Longest)})
+		return
+	}
+	h := tasks.Hold{ID: rand.Uint64(), Name: q.Get("name"), Holders: holders, Term: ms64(term), By: q.Get("by")}
+	events := make(chan any, holdEvents)
+	s.actor.Hold(h, events)
+	clean := make(chan bool, 1)
+	go func() {
+		var d HoldDone
+		err := json.NewDecoder(conn).Decode(&d)
+		clean <- err == nil && d.Done // else the command may still go on
+	}()
+	for {
+		var event HoldEvent
+		select {
+		case done := <-clean:
+			s.actor.Close(h.ID, done)
+			return
+		case <-s.done:
+			return // it runs out
+		case e := <-events:
+			switch v := e.(type) {
+			case tasks.Granted:
+				event = HoldEvent{Lease: v.Lease, Slot: v.Slot, Fence: v.Fence, Until: s.deadline(v.Until), UntilMS: v.Until}
+			case tasks.Extended:
+				event = HoldEvent{Until: s.deadline(v.Until), UntilMS: v.Until}
+			case tasks.Revoked:
+				event = HoldEvent{Revoked: v.Why}
+			}
+		}
+		if out.Encode(event) != nil {
+			s.actor.Close(h.ID, <-clean)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/broker/verdicts.go
@@ -0,0 +1,70 @@
+package broker
+
+import (
+	"fmt"
+	"net/url"
+	"slices"
+	"time"
+
+	"gullstair/internal/core"
+	"gullstair/internal/sharing"
+	"gullstair/internal/verdicts"
+	"gullstair/logic"
+)
+
+// stores puts the list into the words of verdicts.
+func stores(nodes []core.Node) (s verdicts.Stores) {
+	for _, n := range nodes {
+		s.All = append(s.All, verdicts.Store{Name: n.Host, Set: n.Cell, Born: n.Born, Ready: n.Readiness == logic.Ready})
+	}
+	return s
+}
+
+// judged passes on what the module counts for or against a store. It is the module's actor's call and never waits.
+func (s *shared) judged(j core.Judged) {
+	if s != nil {
+		s.actor.Offer(verdicts.Saw{Store: j.Host, Kind: kinds[j.Outcome]})
+	}
+}
+
+var kinds = map[logic.Outcome]verdicts.Kind{logic.Completed: verdicts.Well, logic.Errored: verdicts.Fails, logic.Saturated: verdicts.Full}
+
+// tell passes the module's note on. It is the module's actor's call and never waits.
+func (s *shared) tell(note []byte) {
+	if s != nil {
+		s.actor.Offer(sharing.Note{Data: slices.Clone(note)})
+	}
+}
+
+// verdict brings what the fleet holds of a store to the module. It is the sharing actor's call.
+func (s *shared) verdict(v verdicts.Verdict) {
+	how := logic.Errored
+	switch v.Kind {
+	case verdicts.Well:
+		how = logic.Completed
+	case verdicts.Full, verdicts.Slow:
+		how = logic.Saturated
+	}
+	s.b.put(core.Held{Host: v.Store, Outcome: how, Age: v.Age, Drained: v.Drain})
+}
+
+// setVerdict is an operator's order.
+func (s *shared) setVerdict(q url.Values) error {
+	v := verdicts.Set{Store: q.Get("store"), Reason: q.Get("reason"), Do: verdicts.Do(q.Get("do"))}
+	if v.Store == "" || len(v.Store) > 120 {
+		return fmt.Errorf("a store's name of 1 to 120 bytes is needed")
+	}
+	if !slices.Contains([]verdicts.Do{verdicts.Drain, verdicts.Rest, verdicts.Clear}, v.Do) {
+		return fmt.Errorf("%q is not drain, rest or clear", v.Do)
+	}
+	span, err := time.ParseDuration(q.Get("for"))
+	if err != nil || span < 0 || span > 30*24*time.Hour {
+		return fmt.Errorf("for %q is no time from 0s to 720h", q.Get("for"))
+	}
+	if len(v.Reason) > 200 {
+		return fmt.Errorf("a reason of 200 bytes at most, please")
+	}
+	v.For = ms64(span)
+	s.actor.Give(v)
+	return nil
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -22,6 +22,8 @@
 type Counts struct {
 	Scans, Answered, Whole, Throttled, Abandoned, Left, Full int
 	Confined                                                 int // throttled by their cell
+	Limited                                                  int // throttled by limits that brokers share
+	Short                                                    int // further dispatches barred by the fleet's budget
 	Dispatches, Late                                         int // Late: ends of dispatches that had ended
 	Ends                                                     [NeverSent + 1]int
 	Differs                                                  map[string]int // by kind, where watched settings decide otherwise; nil: none are
@@ -66,13 +68,14 @@
 // due is a moment at which something is to happen: a timer of the module, a dispatch's time-out, or the end
 // of a client's time.
 type due struct {
-	at    float64
-	seq   int64
-	timer int64
-	probe int64
-	d     *dispatch
-	s     *scan
-	told  *logic.Event
+	at     float64
+	seq    int64
+	timer  int64
+	probe  int64
+	d      *dispatch
+	s      *scan
+	told   *logic.Event
+	waited bool // scans that wait for shared limits are looked at
 }
 
 // crossing is how long a part that was given up at one node is kept from the others. Word of it goes over another
@@ -99,8 +102,12 @@
 type Core struct {
 	Counts Counts
 
-	sharing bool // the list is told on: brokers share the probing of nodes
+	sharing bool            // the list is told on: brokers share the probing of nodes, or what they hold of them
+	judges  bool            // outcomes are told on
+	drained map[string]bool // by an operator's order
 	guard   *guard
+	limiter Limiter
+	waits   []waiting // scans that the shared limits may still take
 
 	site    terms.Site
 	brk     logic.Broker
@@ -131,6 +138,7 @@
 	host, addr string
 	gone       bool
 	ready      bool // neither gone nor draining
+	node       Node // as the list has it
 	zone       string
 	cell       int
 	born       float64
@@ -182,8 +190,12 @@
 		switch v := x.(type) {
 		case *Scan:
 			c.take(v)
+		case LimitsMoved:
+			c.lookWaiting(true)
 		case Left:
-			if s := c.scans[v.Scan.num]; s != nil && s.Scan == v.Scan {
+			if c.forgetWaiting(v.Scan) {
+				c.Counts.Left++
+			} else if s := c.scans[v.Scan.num]; s != nil && s.Scan == v.Scan {
 				c.Counts.Left++
 				c.events = append(c.events, logic.Event{Kind: logic.ClientLeft, ID: s.num})
 				c.close(s)
@@ -196,9 +208,18 @@
 			c.probeFor(v.Host)
 		case ProbeHeard:
 			c.probeHeard(v)
+		case Told:
+			c.events = append(c.events, logic.Event{Kind: logic.PeerNote, Note: v.Note})
+		case Held:
+			c.held(v)
 		case AskCells:
 			v.Reply <- c.Cells()
 		case Closing:
+			for len(c.waits) > 0 {
+				w := c.waits[0]
+				c.waits = c.waits[1:]
+				c.refuse(w.scan, w.Ruling)
+			}
 			for _, num := range slices.Sorted(maps.Keys(c.scans)) {
 				c.abandon(c.scans[num], "stopping")
 			}
@@ -212,6 +233,7 @@
 			c.fire(d)
 		}
 	}
+	c.budgeted()
 	events := c.events
 	c.events = nil
 	for _, d := range over {
@@ -237,7 +259,9 @@
 }
 
 func (c *Core) fire(d due) {
-	if d.told != nil {
+	if d.waited {
+		c.lookWaiting(false)
+	} else if d.told != nil {
 		c.events = append(c.events, *d.told)
 	} else if d.probe != 0 {
 		c.probed(Ended{Ref: d.probe, How: OutOfTime, At: c.now})
@@ -281,9 +305,14 @@
 	for _, p := range r.Parts {
 		r.work += p.Work
 	}
-	if !c.confined(r) {
+	if !c.confined(r) || !c.limited(r, left) {
 		return
 	}
+	c.admit(r, left)
+}
+
+// admit gives a scan that is taken its number, and tells the module.
+func (c *Core) admit(r *Scan, left float64) {
 	s := &scan{Scan: r, num: c.number(), step: 1, endAt: c.now + left}
 	r.num, r.began = s.num, c.now
 	c.scans[s.num], c.ids[r.ID] = s, s
@@ -361,6 +390,9 @@
 	if o := e.How.Outcome(); p.ranAt == 0 && o != logic.Saturated && o != logic.ConnRefused && o != logic.Superseded {
 		p.ranAt = d.at
 	}
+	if c.judges && e.How == TurnedAway {
+		c.do(Judged{Host: d.host, Outcome: logic.Saturated})
+	}
 	open := c.parts[p.id] == p
 	told := logic.Event{Kind: logic.DispatchEnded, ID: p.id, Dispatch: d.n, Node: d.node,
 		Outcome: e.How.Outcome(), Elapsed: max(0, e.At-d.at), Closed: p.in || !open, Load: e.Load}
@@ -397,6 +429,21 @@
 			c.do(Watch{})
 		case logic.Probe:
 			c.probe(a.Node, false)
+		case logic.Short:
+			if c.limiter != nil {
+				c.Counts.Short++
+				c.limiter.Further() // refused, or it is left unused: that much more is wanted here
+			}
+		case logic.Tell:
+			c.do(Tell{Note: a.Note})
+		case logic.Judged:
+			if at := c.hosts[a.Node]; at != nil {
+				how := logic.Errored
+				if a.Whole {
+					how = logic.Completed
+				}
+				c.do(Judged{Host: at.host, Outcome: how})
+			}
 		case logic.Note:
 			c.do(Log{Text: a.Text})
 		case logic.Fatal:
@@ -416,7 +463,7 @@
 	p.outstanding = append(p.outstanding, d)
 	c.flights[d.ref] = d
 	switch {
-	case p.tries > c.site.Dispatches || s.endAt <= c.now:
+	case p.tries > c.site.Dispatches || s.endAt <= c.now || d.n > 0 && c.limiter != nil && !c.limiter.Further():
 		c.finish(d, Ended{How: NeverSent, At: c.now})
 		return
 	case at == nil || at.addr == "":
@@ -595,6 +642,7 @@
 	delete(c.ids, s.ID)
 	c.open--
 	c.guard.ended(c.now, s.Scan)
+	c.unlimit(s.Scan)
 }
 
 func (c *Core) dropParts(s *scan) {
@@ -615,6 +663,10 @@
 	e := logic.Event{Kind: logic.ListArrived, List: l.Kind}
 	named := map[int64]bool{}
 	for _, n := range l.Nodes {
+		listed := n
+		if c.drained[n.Host] && n.Readiness == logic.Ready {
+			n.Readiness = logic.Draining
+		}
 		num, known := c.nodes[n.Host]
 		if !known {
 			h := fnv.New32a()
@@ -624,7 +676,7 @@
 			c.nodes[n.Host], c.hosts[num] = num, &place{host: n.Host}
 		}
 		named[num] = true
-		c.hosts[num].ready = n.Readiness == logic.Ready
+		c.hosts[num].ready, c.hosts[num].node = n.Readiness == logic.Ready, listed
 		c.hosts[num].zone, c.hosts[num].cell, c.hosts[num].born = n.Zone, n.Cell, n.Born
 		at, gone := c.hosts[num], n.Readiness == logic.Gone
 		if at.addr != n.Addr && n.Addr != "" || at.gone != gone {
@@ -653,15 +705,40 @@
 // listed names the nodes that may be probed, in order.
 func (c *Core) listed() Listed {
 	var l Listed
-	for host, num := range c.nodes {
-		if c.hosts[num].ready {
+	for _, host := range slices.Sorted(maps.Keys(c.nodes)) {
+		at := c.hosts[c.nodes[host]]
+		if at.ready {
 			l.Hosts = append(l.Hosts, host)
 		}
+		if !at.gone {
+			l.Nodes = append(l.Nodes, at.node)
+		}
 	}
-	slices.Sort(l.Hosts)
 	return l
 }
 
+// held tells the module of a verdict. What an operator has drained is to it as if the list said so: nothing new goes there, and what is out may end.
+func (c *Core) held(v Held) {
+	num, known := c.nodes[v.Host]
+	if was := c.drained[v.Host]; was != v.Drained {
+		if delete(c.drained, v.Host); v.Drained {
+			if c.drained == nil {
+				c.drained = map[string]bool{}
+			}
+			c.drained[v.Host] = true
+		}
+		if known && !c.hosts[num].gone {
+			c.list(List{Kind: logic.ListChanges, Nodes: []Node{c.hosts[num].node}})
+		}
+	}
+	if known && !c.hosts[num].gone {
+		c.events = append(c.events, logic.Event{Kind: logic.VerdictHeard, Node: num, Outcome: v.Outcome, Age: v.Age})
+	}
+}
+
+// Judge begins to tell outcomes on.
+func (c *Core) Judge() { c.judges = true }
+
 // Share begins to tell the list on, and says what it is.
 func (c *Core) Share() Listed {
 	c.sharing = true
--- a/internal/core/guard.go
+++ b/internal/core/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"gullstair/internal/cells"
@@ -47,9 +48,9 @@
 // CellView is what is seen of a cell.
 type CellView struct {
 	quota.View
-	Lost    bool
-	Stores  int
-	Version uint64
+	Lost    bool   `json:"lost"`
+	Stores  int    `json:"stores"`
+	Version uint64 `json:"version"`
 }
 
 func (r *Scan) ask() quota.Ask { return quota.Ask{Work: r.work, Size: 1 + len(r.Parts)} }
@@ -78,6 +79,122 @@
 	return false
 }
 
+// Limiter decides on limits that this broker shares with others, and is told when a scan that it took is over. It decides at once. Cell is "" where
+// there are none; lasts is for how long, in ms, the scan is open at most.
+type Limiter interface {
+	Take(account, cell string, work, lasts float64) Ruling
+	// Again is asked for a scan that was to wait, when LimitsMoved has come.
+	Again(account, cell string, work, lasts float64) Ruling
+	Done(account, cell string, work float64)
+	// Left is how many dispatches beyond each part's first may be sent now; +Inf: any number. Further asks for one; also for one that was not sent since there was no
+	// room, so that room comes to where it is wanted.
+	Left() float64
+	Further() bool
+}
+
+// Ruling is a limiter's word on a scan. One that was not taken may wait for so many ms, for another broker to give it what it needs; no scan waits twice.
+type Ruling struct {
+	Taken       bool
+	Why         string
+	After, Wait float64
+}
+
+// waiting is a scan that its limits may still take.
+type waiting struct {
+	scan  *Scan
+	until float64
+	Ruling
+}
+
+const waitingMost = 256
+
+// Limit has scans taken only within shared limits from now on.
+func (c *Core) Limit(l Limiter) { c.limiter = l }
+
+// limited says whether the shared limits take a scan; if not it has been throttled, at once, and its cell has back what it held.
+func (c *Core) limited(r *Scan, left float64) bool {
+	if c.limiter == nil {
+		return true
+	}
+	v := c.limiter.Take(r.Account, r.held.Cell, r.work, left)
+	if v.Taken {
+		r.fleet = true
+		return true
+	}
+	if wait := min(v.Wait, left/10); wait > 0 && len(c.waits) < waitingMost {
+		c.waits = append(c.waits, waiting{r, c.now + wait, v})
+		c.plan(due{at: c.now + wait, waited: true})
+		return false
+	}
+	c.refuse(r, v)
+	return false
+}
+
+// lookWaiting asks again for the scans that wait, and turns away those that have waited long enough: at once, since nothing more is to be had for them.
+func (c *Core) lookWaiting(moved bool) {
+	waits := c.waits
+	c.waits = nil
+	for i, w := range waits {
+		over := c.now >= w.until
+		if !moved && !over {
+			c.waits = append(c.waits, waits[i])
+			continue
+		}
+		left := w.scan.TimeLeft - max(0, c.now-w.scan.At)
+		v := c.limiter.Again(w.scan.Account, w.scan.held.Cell, w.scan.work, left)
+		switch {
+		case v.Taken && left > 0 && c.ids[w.scan.ID] == nil:
+			w.scan.fleet = true
+			c.admit(w.scan, left)
+		case over:
+			c.refuse(w.scan, w.Ruling)
+		default:
+			c.waits = append(c.waits, waits[i])
+		}
+	}
+}
+
+// forgetWaiting drops a scan that waits, since its client has gone; it gives back its cell's place.
+func (c *Core) forgetWaiting(r *Scan) bool {
+	i := slices.IndexFunc(c.waits, func(w waiting) bool { return w.scan == r })
+	if i < 0 {
+		return false
+	}
+	c.waits = slices.Delete(c.waits, i, i+1)
+	c.guard.ended(c.now, r)
+	return true
+}
+
+// refuse throttles a scan that the shared limits don't take.
+func (c *Core) refuse(r *Scan, v Ruling) {
+	c.guard.ended(c.now, r)
+	r.held.Taken = false
+	c.Counts.Limited++
+	c.Counts.Throttled++
+	reply := Reply{Scan: r, Kind: logic.Throttle, Why: v.Why}
+	if c.site.RetryAfterAllowed {
+		reply.RetryAfter = v.After
+	}
+	c.do(reply)
+}
+
+// budgeted tells the module what the fleet's budget of further dispatches leaves it, where there is one.
+func (c *Core) budgeted() {
+	if c.limiter == nil || len(c.scans) == 0 {
+		return
+	}
+	if left := c.limiter.Left(); !math.IsInf(left, 1) {
+		c.events = append(c.events, logic.Event{Kind: logic.FurtherLeft, Amount: left})
+	}
+}
+
+func (c *Core) unlimit(r *Scan) {
+	if r.fleet {
+		r.fleet = false
+		c.limiter.Done(r.Account, r.held.Cell, r.work)
+	}
+}
+
 // ended gives back what a scan held of its cell.
 func (g *guard) ended(now float64, r *Scan) {
 	if g != nil && r.held.Taken {
--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -109,3 +110,157 @@
 	require.Len(t, out, 1)
 	assert.Contains(t, out[0].(Reply).Why, "no cell can be laid out")
 }
+
+// few lets so many scans be open at once, for all cells and tenants together.
+type few struct{ open, most, done int }
+
+func (l *few) Take(account, cell string, work, lasts float64) Ruling {
+	if l.open >= l.most {
+		return Ruling{Why: "the fleet's limit few", After: 300}
+	}
+	l.open++
+	return Ruling{Taken: true}
+}
+
+func (l *few) Again(account, cell string, work, lasts float64) Ruling {
+	return l.Take(account, cell, work, lasts)
+}
+
+func (l *few) Left() float64 { return math.Inf(1) }
+func (l *few) Further() bool { return true }
+
+func (l *few) Done(account, cell string, work float64) { l.open, l.done = l.open-1, l.done+1 }
+
+// A scan that the shared limits turn away is answered at once and its cell has its place back; one that they took is told of once, however it ends.
+func TestLimited(t *testing.T) {
+	c, _ := confinedCore(t)
+	l := &few{most: 2}
+	c.Limit(l)
+	var in []Input
+	for i := range 5 {
+		in = append(in, board(fmt.Sprint("q", i), "bad"))
+	}
+	throttled := 0
+	for _, o := range c.Step(1005, in) {
+		if v, is := o.(Reply); is {
+			assert.Equal(t, logic.Throttle, v.Kind)
+			assert.Equal(t, "the fleet's limit few", v.Why)
+			assert.Equal(t, 300.0, v.RetryAfter)
+			throttled++
+		}
+	}
+	assert.Equal(t, 3, throttled)
+	assert.Equal(t, 3, c.Counts.Limited)
+	assert.Equal(t, 2, c.Cells()[0].Open, "the cell holds no place for those turned away")
+	c.Step(1010, []Input{Left{in[0].(*Scan)}})
+	assert.Equal(t, few{1, 2, 1}, *l)
+	c.Step(4000, nil)
+	c.Step(4005, nil)
+	assert.Equal(t, few{0, 2, 2}, *l)
+}
+
+// tight has a budget of further dispatches too.
+type tight struct {
+	few
+	left  float64
+	asked int
+}
+
+func (l *tight) Left() float64 { return l.left }
+func (l *tight) Further() bool {
+	if l.asked++; l.left < 1 {
+		return false
+	}
+	l.left--
+	return true
+}
+
+// A part that failed is sent again only within the fleet's budget; a scan that it keeps from an answer is given up at once, and that more was wanted is said.
+func TestFurtherBudget(t *testing.T) {
+	for left, want := range map[float64]int{0: 0, 1: 0, 2: 2} {
+		c, _ := confinedCore(t)
+		l := &tight{few: few{most: 9}, left: left}
+		c.Limit(l)
+		sent, answered := 0, 0
+		play := func(now float64, in ...Input) (refs []int64) {
+			for _, o := range c.Step(now, in) {
+				switch v := o.(type) {
+				case Call:
+					for _, p := range v.Parts {
+						sent++
+						refs = append(refs, p.Ref)
+					}
+				case Reply:
+					answered++
+				}
+			}
+			return refs
+		}
+		refs := play(1010, board("x", "good"))
+		first := len(refs)
+		require.Positive(t, first)
+		for now := 1020.0; now < 1200 && answered == 0; now += 5 {
+			var in []Input
+			for _, r := range refs {
+				in = append(in, Ended{Ref: r, How: AnsweredError, At: now})
+			}
+			refs = play(now, in...)
+		}
+		assert.Equal(t, want, sent-first, "with %v left", left)
+		assert.Positive(t, l.asked)
+		if left < 2 {
+			assert.Equal(t, 1, answered, "at once")
+		}
+		if left < 2 { // one alone would not save the scan: it is not spent
+			assert.Positive(t, c.Counts.Short)
+		}
+	}
+}
+
+// late lets scans wait.
+type late struct{ few }
+
+func (l *late) Take(account, cell string, work, lasts float64) Ruling {
+	v := l.few.Take(account, cell, work, lasts)
+	v.Wait = 25
+	return v
+}
+
+// A scan that may wait is taken when its tokens come, turned away at once when its wait is over, and gone with its client; it holds its cell's place meanwhile and no longer.
+func TestWaitsForTokens(t *testing.T) {
+	c, _ := confinedCore(t)
+	l := &late{}
+	c.Limit(l)
+	play := func(now float64, in ...Input) (replies, calls int) {
+		for _, o := range c.Step(now, in) {
+			switch v := o.(type) {
+			case Reply:
+				replies++
+				assert.Contains(t, []string{"the fleet's limit few", "stopping"}, v.Why)
+			case Call:
+				calls++
+			}
+		}
+		return replies, calls
+	}
+	gone := board("z", "good")
+	replies, calls := play(1010, board("x", "good"), board("y", "good"), gone)
+	assert.Zero(t, replies+calls, "they wait")
+	l.most = 1
+	replies, calls = play(1015, LimitsMoved{}, Left{gone})
+	assert.Zero(t, replies)
+	assert.Positive(t, calls, "one is taken")
+	replies, _ = play(1034)
+	assert.Zero(t, replies)
+	replies, _ = play(1036)
+	assert.Equal(t, 1, replies, "the other is turned away, the third has gone")
+	assert.Empty(t, c.waits)
+	open := 0
+	for _, v := range c.Cells() {
+		open += v.Open
+	}
+	assert.Equal(t, 1, open, "cells hold the one that is open")
+	c.Step(1040, []Input{board("w", "good")})
+	replies, _ = play(1041, Closing{})
+	assert.Equal(t, 2, replies, "none stays without an answer")
+}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -5,7 +5,7 @@
 	"gullstair/logic"
 )
 
-// Input is what the sockets tell the core: a *Scan, Left, Ended, List, ProbeFor, ProbeHeard, AskCells or Closing.
+// Input is what the sockets tell the core: a *Scan, Left, Ended, List, ProbeFor, ProbeHeard, LimitsMoved, Told, Held, AskCells or Closing.
 type Input any
 
 // Scan is what a client asked for. The front fills it and finds it again in Reply.
@@ -24,6 +24,7 @@
 	began float64
 	work  float64 // of all parts, as hinted
 	held  confine.Verdict
+	fleet bool // it was taken by limits that others share
 }
 
 // ScanPart is one part of a scan as its client asked for it.
@@ -73,10 +74,25 @@
 	Load   map[string]float64
 }
 
+// LimitsMoved says that what scans wait for may have come to the Limiter.
+type LimitsMoved struct{}
+
+// Told is a note of another broker's module.
+type Told struct{ Note []byte }
+
+// Held is what several brokers, or an operator, hold of a node: Outcome as the module has it, and ms since the newest that it rests on. Drained: an operator has it
+// drained, and nothing new may go there.
+type Held struct {
+	Host    string
+	Outcome logic.Outcome
+	Age     float64
+	Drained bool
+}
+
 // AskCells asks what is seen of the cells; Reply has room for one answer.
 type AskCells struct{ Reply chan<- []CellView }
 
-// Output is what the core wants done: a Call, GiveUp, Probe, Probed, Listed, Reply, Move, Watch or Log.
+// Output is what the core wants done: a Call, GiveUp, Probe, Probed, Listed, Reply, Move, Watch, Tell, Judged or Log.
 type Output any
 
 // Call is one frame to a node.
@@ -116,8 +132,20 @@
 	Load   map[string]float64
 }
 
-// Listed names the nodes that may be probed, after each change of the list. It is told once Core.Share was called.
-type Listed struct{ Hosts []string }
+// Listed names the nodes that may be probed, after each change of the list, and all that are on it. It is told once Core.Share was called.
+type Listed struct {
+	Hosts []string
+	Nodes []Node
+}
+
+// Tell is a note for the modules of all other brokers.
+type Tell struct{ Note []byte }
+
+// Judged is an outcome that the module counts for or against a node, or that a node turned a part away.
+type Judged struct {
+	Host    string
+	Outcome logic.Outcome
+}
 
 // Reply is the one answer to a scan.
 type Reply struct {
--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -20,8 +20,8 @@
 
 // Duty is one periodic duty.
 type Duty struct {
-	Name   string
-	Period float64 // ms
+	Name   string  `json:"name"`
+	Period float64 `json:"period"` // ms
 }
 
 // Weighted is a living member with its share against others.
@@ -109,25 +109,32 @@
 
 // Counts are kept for the operators.
 type Counts struct {
-	Turns, Ended, Unended, Heard, Stale, Moved, Odd int
-	Overdue                                         int // turns begun later than a tenth of a period after they were due
+	Turns   int `json:"turns"`
+	Ended   int `json:"ended"`
+	Unended int `json:"unended"`
+	Heard   int `json:"heard"`
+	Stale   int `json:"stale"`
+	Moved   int `json:"moved"`
+	Odd     int `json:"odd"`
+	Overdue int `json:"overdue"` // turns begun later than a tenth of a period after they were due
 }
 
 // Item is what is seen of one.
 type Item struct {
-	Name, Owner string
-	Last        float64 // by this member's clock; far below 0: not known
-	By          string
-	Due         float64
+	Name  string  `json:"name"`
+	Owner string  `json:"owner"`
+	Last  float64 `json:"last"` // by this member's clock; far below 0: not known
+	By    string  `json:"by"`
+	Due   float64 `json:"due"`
 }
 
 // Share is what is seen of a duty.
 type Share struct {
-	Duty   Duty
-	Items  []Item
-	Mine   int
-	Side   int // members of the roster that live and are not doubted
-	Roster int
+	Duty   Duty   `json:"duty"`
+	Items  []Item `json:"items"`
+	Mine   int    `json:"mine"`
+	Side   int    `json:"side"` // members of the roster that live and are not doubted
+	Roster int    `json:"roster"`
 }
 
 type item struct {
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -247,3 +247,32 @@
 	}
 	assert.Len(t, got, 1000)
 }
+
+// Brokers that share limits keep them through splits, loss, kills and pauses; brokers that share nothing pass them, and the judge sees it.
+func TestSharedLimits(t *testing.T) {
+	limits := []FleetLimit{{Name: "all", For: "fleet", Rate: 60, Burst: 20, Term: 1000}, {Name: "open", For: "fleet", Open: 30, Term: 1000},
+		{Name: "each", For: "tenant", Rate: 10, Burst: 5, Term: 1000}}
+	faults := []Fault{{Kind: "broker_split", At: 4000, For: 3000, Share: 0.34}, {Kind: "broker_loss", At: 8000, For: 3000, Size: 0.3},
+		{Kind: "broker_pause", At: 11000, For: 2500, Share: 0.34}, {Kind: "broker_kill", At: 15000, For: 1000, Share: 0.67}, {Kind: "broker_one_way", At: 17000, For: 2000, Share: 0.34}}
+	f := small()
+	f.Traffic.Tenants, f.Traffic.TenantSkew, f.Limits = 12, 1, limits
+	_, kept := play(t, f, 1, Gullstair, 20000, faults...)
+	assert.Empty(t, kept.Breaches)
+	assert.Greater(t, kept.Service, 0.35)
+	f = small()
+	f.Traffic.Tenants, f.Traffic.TenantSkew = 12, 1
+	w := New(f, 1, Gullstair)
+	f.Limits = limits // judged, and not known to any broker
+	for i := range w.seats {
+		w.seats[i].limits = nil
+	}
+	passed, err := w.Run(20000)
+	require.NoError(t, err)
+	over := ""
+	for _, b := range passed.Breaches {
+		assert.Equal(t, RuleLimit, b.Rule)
+		over += b.What
+	}
+	assert.Contains(t, over, "all ")
+	assert.Contains(t, over, "each tenant-0")
+}
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -47,6 +47,9 @@
 	"abuse":            "one tenant asks for too much; size: times the whole traffic",
 	"broker_kill":      "brokers are killed and come back with their last list",
 	"broker_pause":     "brokers stand still",
+	"broker_split":     "some brokers (share) and the others hear nothing of each other",
+	"broker_one_way":   "what some brokers (share) tell the others is lost",
+	"broker_loss":      "what brokers tell each other is lost; size: share",
 }
 
 // Plan has a fault happen. What can't be is an error that says why.
@@ -188,6 +191,19 @@
 		return w.kill(f)
 	case "broker_pause":
 		return w.pause(f)
+	case "broker_split", "broker_one_way":
+		return w.splitBrokers(f)
+	case "broker_loss":
+		w.net.brokerLoss = f.Size
+		if w.live != nil {
+			w.live.loseBrokers(f.Size)
+		}
+		return func() {
+			w.net.brokerLoss = 0
+			if w.live != nil {
+				w.live.loseBrokers(0)
+			}
+		}
 	}
 	return nil
 }
@@ -404,6 +420,7 @@
 			}
 			if w.live == nil {
 				w.turn(s, w.now)
+				w.wakeMail(s)
 			}
 		}
 	}
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -45,6 +45,10 @@
 	Traffic Traffic
 
 	Confined Cells // tenants to cells; none where Count is 0
+
+	Limits []FleetLimit // that hold for all brokers together
+	// The brokers tell each other of calls and failures; they come to verdicts on stores together.
+	Notes, Verdicts bool
 }
 
 // Cells confine tenants to subsets of the stores.
@@ -117,6 +121,9 @@
 		"rules.cold": f.Nature.Cold, "rules.fall": f.Nature.Fall, "rules.fallMultiple": f.Nature.FallMultiple,
 		"rules.startCapacity": f.Nature.ColdFrom, "tableType.count": float64(len(f.Types)),
 		"areas.count": float64(len(f.Zones)), "kinds.count": float64(len(f.Kinds)), "tenant.count": 0.0}
+	if f.Notes || f.Verdicts {
+		t["limit.peers"], t["share.verdicts"] = f.Notes, f.Verdicts
+	}
 	if f.BudgetWindow > 0 {
 		t["rules.budgetWindow"], t["rules.spareDispatches"], t["rules.spareShare"] = f.BudgetWindow, float64(f.BudgetSpare), f.BudgetShare
 	}
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -4,6 +4,7 @@
 package features
 
 import (
+	"cmp"
 	"encoding/hex"
 	"fmt"
 	"net/netip"
@@ -19,6 +20,7 @@
 	"github.com/hashicorp/hcl/v2/gohcl"
 	"github.com/hashicorp/hcl/v2/hclparse"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
+	"github.com/robfig/cron/v3"
 )
 
 // Document is what was read. A block that is not there is nil: that feature is off.
@@ -27,6 +29,45 @@
 	Control *Control
 	Cells   *Cells
 	Watch   *Watch
+	Lease   *Lease
+	Tasks   []Task
+	Limits  []Limit
+}
+
+// Limit holds for the whole fleet. One of Rate, Open and Work is set.
+type Limit struct {
+	Name        string
+	For         string  // fleet, cell or tenant
+	Rate, Burst float64 // scans a second, and at once
+	Open        float64 // scans open at once
+	Work        float64 // ms of work outstanding
+	Further     bool    // Rate and Burst are of dispatches beyond each part's first
+	Available   bool
+	Term        time.Duration // of a loan
+	Linger      time.Duration
+	Alone       float64
+	Owners      int // members with a home share of each key; 0: all
+}
+
+// Lease lets leases be held by hand, and says where votes on leases are stored.
+type Lease struct {
+	Dir     string        // "": votes are not stored
+	Longest time.Duration // term of a lease that is held by hand
+	Most    int           // leases at once, in the fleet
+}
+
+// Task is a command that one broker of the fleet runs at a time.
+type Task struct {
+	Name     string
+	Every    time.Duration // 0: At says when
+	At       string        // a cron expression, in UTC unless it begins with CRON_TZ=
+	Schedule cron.Schedule // of At
+	Run      []string
+	Term     time.Duration
+	Timeout  time.Duration // 0: none
+	Holders  int
+	Once     bool // what nobody could begin is made up for once
+	Prefer   []string
 }
 
 // Watch is what a broker compares its decisions with, and does not follow. A pointer at nil stays as it is now.
@@ -51,7 +92,8 @@
 
 // Sharing is for installations whose brokers may talk to each other.
 type Sharing struct {
-	Listen     string            // host:port for members' datagrams, as others reach it
+	Listen     string            // host:port for members' datagrams
+	Advertise  string            // where others reach it
 	Members    map[string]string // the configured members' addresses by name; empty: whoever joins
 	Join       []string          // addresses where members may be found
 	Weight     float64
@@ -59,6 +101,15 @@
 	Pace       float64 // times the usual times of membership
 	Keys       []Key   // the first one seals
 	Duties     []Duty
+	Notes      bool // the modules tell each other of calls and failures
+	Verdicts   *Verdicts
+}
+
+// Verdicts on stores that the brokers come to together. Times and shares at 0 are the usual ones.
+type Verdicts struct {
+	Fresh  time.Duration // what is older weighs on nothing
+	Quorum int           // independent observers that a verdict needs
+	Widest float64       // share of the holders of any shard that may rest by others' word
 }
 
 // Cells confine tenants to subsets of the stores.
@@ -103,6 +154,42 @@
 	Control *control `hcl:"control,block"`
 	Cells   *cellMap `hcl:"cells,block"`
 	Watch   *watch   `hcl:"watch,block"`
+	Lease   *leases  `hcl:"lease,block"`
+	Tasks   []task   `hcl:"task,block"`
+	Limits  []limit  `hcl:"limit,block"`
+}
+
+type limit struct {
+	Name    string   `hcl:"name,label"`
+	For     string   `hcl:"for"`
+	Rate    *float64 `hcl:"scans_per_s,optional"`
+	Burst   *float64 `hcl:"burst,optional"`
+	Open    *float64 `hcl:"open_scans,optional"`
+	Work    *float64 `hcl:"work_ms,optional"`
+	Further *float64 `hcl:"further_per_s,optional"`
+	Mode    string   `hcl:"mode,optional"`
+	Term    string   `hcl:"term,optional"`
+	Linger  string   `hcl:"linger,optional"`
+	Alone   *float64 `hcl:"alone,optional"`
+	Owners  *float64 `hcl:"owners,optional"`
+}
+
+type leases struct {
+	Dir     string   `hcl:"dir,optional"`
+	Longest string   `hcl:"longest,optional"`
+	Most    *float64 `hcl:"most,optional"`
+}
+
+type task struct {
+	Name    string   `hcl:"name,label"`
+	Every   string   `hcl:"every,optional"`
+	At      string   `hcl:"at,optional"`
+	Run     []string `hcl:"run"`
+	Term    string   `hcl:"term,optional"`
+	Timeout string   `hcl:"timeout,optional"`
+	Holders *float64 `hcl:"holders,optional"`
+	Missed  string   `hcl:"on_missed,optional"`
+	Prefer  []string `hcl:"prefer,optional"`
 }
 
 type watch struct {
@@ -147,6 +234,7 @@
 
 type sharing struct {
 	Listen     string            `hcl:"listen"`
+	Advertise  string            `hcl:"advertise,optional"`
 	Members    map[string]string `hcl:"members,optional"`
 	Join       []string          `hcl:"join,optional"`
 	Weight     *float64          `hcl:"weight,optional"`
@@ -154,6 +242,14 @@
 	Pace       *float64          `hcl:"pace,optional"`
 	Keys       []key             `hcl:"key,block"`
 	Duties     []duty            `hcl:"duty,block"`
+	Notes      bool              `hcl:"notes,optional"`
+	Verdicts   *verdicts         `hcl:"verdicts,block"`
+}
+
+type verdicts struct {
+	Fresh  string   `hcl:"fresh,optional"`
+	Quorum *float64 `hcl:"observers,optional"`
+	Widest *float64 `hcl:"widest,optional"`
 }
 
 type key struct {
@@ -207,9 +303,174 @@
 	if raw.Watch != nil {
 		doc.Watch = c.watch(raw.Watch)
 	}
+	if raw.Lease != nil {
+		doc.Lease = c.lease(raw.Lease, doc.Sharing)
+	}
+	for i, t := range raw.Tasks {
+		doc.Tasks = append(doc.Tasks, c.task(t, raw.Tasks[:i], doc.Sharing))
+	}
+	if len(raw.Tasks) > tasksMost {
+		c.fault([]string{"task", raw.Tasks[tasksMost].Name}, "", "there are more than %d tasks", tasksMost)
+	}
+	for i, l := range raw.Limits {
+		doc.Limits = append(doc.Limits, c.limit(l, raw.Limits[:i], doc))
+	}
+	if len(raw.Limits) > limitsMost {
+		c.fault([]string{"limit", raw.Limits[limitsMost].Name}, "", "there are more than %d limits", limitsMost)
+	}
 	return doc, c.err
 }
 
+const (
+	limitsMost    = 16
+	loanTerm      = time.Second
+	loanLeast     = 200 * time.Millisecond
+	loanMost      = time.Minute
+	lingerStd     = 10 * time.Second
+	tenantOwners  = 5.0
+	limitSizeMost = 1e9
+	tasksMost     = 1000
+	termStd       = 10 * time.Second
+	termLeast     = 500 * time.Millisecond
+	termMost      = time.Hour
+	leasesMost    = 1000.0
+	longestStd    = 30 * time.Second
+	freshStd      = 10 * time.Second
+	holdersMost   = 100.0
+)
+
+// voters says that leases need a configured set of members.
+func (c *check) voters(at []string, s *Sharing) {
+	if s == nil || len(s.Members) == 0 {
+		c.fault(at, "", "it needs a sharing block with members: a majority of them grants leases")
+	}
+}
+
+func (c *check) lease(raw *leases, s *Sharing) *Lease {
+	at := []string{"lease"}
+	c.voters(at, s)
+	l := &Lease{Dir: raw.Dir, Longest: longestStd, Most: int(c.between(at, "most", raw.Most, 1, 10000, leasesMost))}
+	if raw.Longest != "" {
+		l.Longest = c.period(at, "longest", raw.Longest, termLeast, termMost)
+	}
+	if l.Dir != "" && !filepath.IsAbs(l.Dir) {
+		l.Dir = filepath.Join(c.dir, l.Dir)
+	}
+	return l
+}
+
+func (c *check) limit(raw limit, before []limit, doc *Document) Limit {
+	at := []string{"limit", raw.Name}
+	if doc.Sharing == nil || len(doc.Sharing.Members) == 0 {
+		c.fault(at, "", "it needs a sharing block with members: they share it")
+	}
+	if raw.Name == "" || len(raw.Name) > 40 || strings.ContainsAny(raw.Name, "/ ") {
+		c.fault(at, "", "a limit needs a name of 1 to 40 bytes, without spaces and slashes")
+	}
+	if slices.ContainsFunc(before, func(o limit) bool { return o.Name == raw.Name }) {
+		c.fault(at, "", "this limit is there twice")
+	}
+	l := Limit{Name: raw.Name, For: raw.For, Term: loanTerm, Available: raw.Mode == "available"}
+	switch raw.For {
+	case "fleet", "tenant":
+	case "cell":
+		if doc.Cells == nil {
+			c.fault(at, "for", "a limit for each cell needs a cells block")
+		}
+	default:
+		c.fault(at, "for", "%q is neither fleet, cell nor tenant", raw.For)
+	}
+	sizes := 0
+	for _, x := range []struct {
+		key   string
+		value *float64
+		to    *float64
+	}{{"scans_per_s", raw.Rate, &l.Rate}, {"open_scans", raw.Open, &l.Open}, {"work_ms", raw.Work, &l.Work}, {"further_per_s", raw.Further, &l.Rate}} {
+		if x.value != nil {
+			sizes++
+			*x.to = c.between(at, x.key, x.value, 1e-3, limitSizeMost, 0)
+		}
+	}
+	if sizes != 1 {
+		c.fault(at, "", "one of scans_per_s, open_scans, work_ms and further_per_s is needed")
+	}
+	if raw.Burst != nil && raw.Rate == nil && raw.Further == nil {
+		c.fault(at, "burst", "goes with scans_per_s and further_per_s alone")
+	}
+	if l.Further = raw.Further != nil; l.Further && (raw.For != "fleet" || slices.ContainsFunc(before, func(o limit) bool { return o.Further != nil })) {
+		c.fault(at, "further_per_s", "there is one such limit, for the fleet")
+	}
+	l.Burst = c.between(at, "burst", raw.Burst, 1, limitSizeMost, max(1, l.Rate/2))
+	if raw.Mode != "" && raw.Mode != "strict" && raw.Mode != "available" {
+		c.fault(at, "mode", "%q is neither strict nor available", raw.Mode)
+	}
+	if raw.Term != "" {
+		l.Term = c.period(at, "term", raw.Term, loanLeast, loanMost)
+	}
+	if l.Available {
+		l.Linger = lingerStd
+		if raw.Linger != "" {
+			l.Linger = c.period(at, "linger", raw.Linger, 0, time.Hour)
+		}
+		l.Alone = c.between(at, "alone", raw.Alone, 0, 1, 0)
+	} else if raw.Linger != "" || raw.Alone != nil {
+		c.fault(at, "mode", "linger and alone go with mode = \"available\": a strict limit is never passed")
+	}
+	owners := 0.0
+	if raw.For == "tenant" {
+		owners = tenantOwners
+	}
+	l.Owners = int(c.between(at, "owners", raw.Owners, 0, 1000, owners))
+	return l
+}
+
+func (c *check) task(raw task, before []task, s *Sharing) Task {
+	at := []string{"task", raw.Name}
+	c.voters(at, s)
+	t := Task{Name: raw.Name, At: raw.At, Run: raw.Run, Term: termStd, Holders: int(c.between(at, "holders", raw.Holders, 1, holdersMost, 1)),
+		Once: raw.Missed == "once", Prefer: raw.Prefer}
+	if raw.Name == "" || len(raw.Name) > 80 || strings.ContainsAny(raw.Name, "/ ") {
+		c.fault(at, "", "a task needs a name of 1 to 80 bytes, without spaces and slashes")
+	}
+	if slices.ContainsFunc(before, func(o task) bool { return o.Name == raw.Name }) {
+		c.fault(at, "", "this task is there twice")
+	}
+	if len(raw.Run) == 0 || raw.Run[0] == "" {
+		c.fault(at, "run", "a command is needed, such as [\"/usr/bin/compact\", \"--all\"]; no shell reads it")
+	}
+	if raw.Term != "" {
+		t.Term = c.period(at, "term", raw.Term, termLeast, termMost)
+	}
+	if raw.Timeout != "" {
+		t.Timeout = c.period(at, "timeout", raw.Timeout, 10*time.Millisecond, 30*24*time.Hour)
+	}
+	if raw.Missed != "" && raw.Missed != "skip" && raw.Missed != "once" {
+		c.fault(at, "on_missed", "%q is neither skip nor once", raw.Missed)
+	}
+	var err error
+	switch {
+	case (raw.Every == "") == (raw.At == ""):
+		c.fault(at, "", "one of every and at is needed")
+	case raw.Every != "":
+		t.Every = c.period(at, "every", raw.Every, time.Second, 366*24*time.Hour)
+	default:
+		// Times are the fleet's: a member's own zone would be another at each.
+		text := raw.At
+		if !strings.HasPrefix(text, "CRON_TZ=") && !strings.HasPrefix(text, "TZ=") {
+			text = "CRON_TZ=UTC " + text
+		}
+		if t.Schedule, err = cron.ParseStandard(text); err != nil {
+			c.fault(at, "at", "%v", err)
+		}
+	}
+	for _, name := range raw.Prefer {
+		if s != nil && s.Members[name] == "" {
+			c.fault(at, "prefer", "%q is not among the members", name)
+		}
+	}
+	return t
+}
+
 var effects = []string{"replayable", "keyed", "non-replayable"}
 
 func (c *check) watch(raw *watch) *Watch {
@@ -361,11 +622,12 @@
 
 func (c *check) sharing(raw *sharing, self string) *Sharing {
 	at := []string{"sharing"}
-	s := &Sharing{Listen: raw.Listen, Members: raw.Members, Join: raw.Join,
+	s := &Sharing{Listen: raw.Listen, Advertise: cmp.Or(raw.Advertise, raw.Listen), Members: raw.Members, Join: raw.Join, Notes: raw.Notes,
 		Weight:     c.between(at, "weight", raw.Weight, 0.01, 1000, 1),
 		ClockDrift: c.between(at, "clock_drift", raw.ClockDrift, 0, 0.2, 0.01),
 		Pace:       c.between(at, "pace", raw.Pace, 0.02, 60, 1)}
 	c.address(at, "listen", raw.Listen)
+	c.address(at, "advertise", s.Advertise)
 	for _, a := range raw.Join {
 		c.address(at, "join", a)
 	}
@@ -385,11 +647,18 @@
 		c.fault(at, "members", "%d are too many, %d at most", len(raw.Members), membersMost)
 	case len(raw.Members) > 0 && raw.Members[self] == "":
 		c.fault(at, "members", "this broker, %q, is not among them", self)
-	case len(raw.Members) > 0 && raw.Members[self] != raw.Listen:
-		c.fault(at, "members", "this broker, %q, listens at %s but is named with %s", self, raw.Listen, raw.Members[self])
+	case len(raw.Members) > 0 && raw.Members[self] != s.Advertise:
+		c.fault(at, "members", "this broker, %q, is reached at %s but is named with %s", self, s.Advertise, raw.Members[self])
 	case len(raw.Members) == 0 && len(raw.Join) == 0:
 		c.fault(at, "", "members or join is needed")
 	}
+	if v := raw.Verdicts; v != nil {
+		at := []string{"sharing", "verdicts"}
+		s.Verdicts = &Verdicts{Fresh: freshStd, Quorum: int(c.between(at, "observers", v.Quorum, 1, 100, 2)), Widest: c.between(at, "widest", v.Widest, 0, 0.9, 1.0/3)}
+		if v.Fresh != "" {
+			s.Verdicts.Fresh = c.period(at, "fresh", v.Fresh, time.Second, 5*time.Minute)
+		}
+	}
 	if len(raw.Keys) == 0 {
 		c.fault(at, "", "a key block is needed: members' datagrams are authenticated")
 	}
@@ -445,7 +714,20 @@
 	return Key{Number: uint8(n), Secret: secret}
 }
 
-// Differ names the blocks and keys in which other differs from d; keys of members are taken up in service, the rest
+// unsized are limits without what is taken up in service.
+func unsized(limits []Limit) []Limit {
+	all := slices.Clone(limits)
+	for i := range all {
+		l := &all[i]
+		if l.Burst = 0; l.Rate > 0 {
+			l.Rate = 1
+		}
+		l.Open, l.Work = min(l.Open, 1e-9), min(l.Work, 1e-9)
+	}
+	return all
+}
+
+// Differ names the blocks and keys in which other differs from d; keys of members and sizes of limits are taken up in service, the rest
 // waits for a restart.
 func (d *Document) Differ(other *Document) (names []string) {
 	a, b := d.Sharing, other.Sharing
@@ -462,6 +744,15 @@
 	if !reflect.DeepEqual(d.Control, other.Control) {
 		names = append(names, "control")
 	}
+	if !reflect.DeepEqual(d.Lease, other.Lease) {
+		names = append(names, "lease")
+	}
+	if !reflect.DeepEqual(d.Tasks, other.Tasks) {
+		names = append(names, "task")
+	}
+	if !reflect.DeepEqual(unsized(d.Limits), unsized(other.Limits)) {
+		names = append(names, "limit")
+	}
 	if !reflect.DeepEqual(d.Watch, other.Watch) {
 		names = append(names, "watch")
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,7 +23,7 @@
 const (
 	headMost   = 4 << 10         // bytes of a request's head, and of each connection's reader
 	sendWithin = 2 * time.Second // an answer has so long to go out
-	drainFor   = 500 * time.Millisecond
+	drainFor   = 2 * time.Second
 	drainMost  = 1 << 20
 	acceptWait = 5 * time.Millisecond
 	speakUp    = 300 * time.Millisecond // beyond Ample: a connection that has said nothing for so long goes
--- a/internal/gossip/carrier.go
+++ b/internal/gossip/carrier.go
@@ -13,9 +13,19 @@
 
 // Counts of a carrier. What is dropped is counted by cause and nothing else: anybody can send a datagram.
 type Counts struct {
-	Sent, Received, SendFailed, TooLarge             int64
-	Short, Version, Key, Forged, Stale, Replay, Body int64
-	BytesSent, BytesReceived                         int64
+	Sent          int64 `json:"sent"`
+	Received      int64 `json:"received"`
+	SendFailed    int64 `json:"send_failed"`
+	TooLarge      int64 `json:"too_large"`
+	Short         int64 `json:"short"`
+	Version       int64 `json:"version"`
+	Key           int64 `json:"key"`
+	Forged        int64 `json:"forged"`
+	Stale         int64 `json:"stale"`
+	Replay        int64 `json:"replay"`
+	Body          int64 `json:"body"`
+	BytesSent     int64 `json:"bytes_sent"`
+	BytesReceived int64 `json:"bytes_received"`
 }
 
 // Carrier sends and receives envelopes on one UDP port.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -36,13 +36,13 @@
 
 // Member is what is told of a member.
 type Member struct {
-	Name        string
-	Addr        string  // where its messages are received
-	Boot        uint64  // its process: another number at each start
-	Incarnation uint64  // raised by the member itself, to refute what is said of it
-	State       State   //
-	Weight      float64 // its share of what is divided, against others'
-	By          string  // who suspects it, or holds it for dead
+	Name        string  `json:"name"`
+	Addr        string  `json:"addr"`        // where its messages are received
+	Boot        uint64  `json:"boot"`        // its process: another number at each start
+	Incarnation uint64  `json:"incarnation"` // raised by the member itself, to refute what is said of it
+	State       State   `json:"state"`       //
+	Weight      float64 `json:"weight"`      // its share of what is divided, against others'
+	By          string  `json:"by"`          // who suspects it, or holds it for dead
 }
 
 // Living says whether work may be given to it: a suspect still counts.
@@ -158,12 +158,19 @@
 
 // Counts are kept for the operators.
 type Counts struct {
-	Probes, Failed, Relayed  int // probes begun, without any answer, made for others
-	Suspected, Refuted       int // suspicions begun here, refutations of this member's own
-	Conflicts                int // words of another process under this member's name
-	Stalls                   int // times this member stood still for longer than a probe may take
-	Dropped                  int // news of more members than may be known, or that is impossible
-	Sent, Received, Rejoined int
+	// probes begun, without any answer, made for others
+	Probes  int `json:"probes"`
+	Failed  int `json:"failed"`
+	Relayed int `json:"relayed"`
+	// suspicions begun here, refutations of this member's own
+	Suspected int `json:"suspected"`
+	Refuted   int `json:"refuted"`
+	Conflicts int `json:"conflicts"` // words of another process under this member's name
+	Stalls    int `json:"stalls"`    // times this member stood still for longer than a probe may take
+	Dropped   int `json:"dropped"`   // news of more members than may be known, or that is impossible
+	Sent      int `json:"sent"`
+	Received  int `json:"received"`
+	Rejoined  int `json:"rejoined"`
 }
 
 const (
@@ -275,8 +282,8 @@
 // Seen is a member with what this one knows of it.
 type Seen struct {
 	Member
-	Since float64 // when its state changed, by this one's clock
-	Heard float64 // when it was last heard itself
+	Since float64 `json:"since"` // when its state changed, by this one's clock
+	Heard float64 `json:"heard"` // when it was last heard itself
 }
 
 // Members lists all that are known, this one among them, by name.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -61,10 +61,11 @@
 
 // Counts of one cell, for the operators.
 type Counts struct {
-	Taken, Throttled int
-	By               [Crowded + 1]int
-	RetriesRefused   int
-	Lent             int // scans taken beyond the cell's own share
+	Taken          int              `json:"taken"`
+	Throttled      int              `json:"throttled"`
+	By             [Crowded + 1]int `json:"by"` // why they were throttled
+	RetriesRefused int              `json:"retries_refused"`
+	Lent           int              `json:"lent"` // scans taken beyond the cell's own share
 }
 
 type bucket struct {
@@ -336,10 +337,12 @@
 
 // View is what is seen of a cell.
 type View struct {
-	Name                 string
-	Open, Share, Tenants int
-	Work                 float64
-	Counts               Counts
+	Name    string  `json:"name"`
+	Open    int     `json:"open"`
+	Share   int     `json:"share"`
+	Tenants int     `json:"tenants"`
+	Work    float64 `json:"work"`
+	Counts  Counts  `json:"counts"`
 }
 
 // Views lists the cells by name.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -141,3 +141,15 @@
 		}
 	})
 }
+
+// What a decision of one broker alone costs, beside BenchmarkTake of package shares.
+func BenchmarkTake(b *testing.B) {
+	c := New(1000, 1000, map[string]Limits{"c": {Rate: 1e9, Burst: 1e9, Open: 1e6}}, func() float64 { return 0.5 })
+	now := 10_000.0
+	b.ReportAllocs()
+	for b.Loop() {
+		now += 0.01
+		c.Take(now, "c", "tenant", Ask{Work: 10})
+		c.Ended(now, "c", "tenant", Ask{Work: 10}, 1)
+	}
+}
--- /dev/null
+++ b/internal/rig/limit.go
@@ -0,0 +1,57 @@
+package rig
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Span is something that was taken of a limit at some moment from From to To, as seen from outside, and was open from To to Ended at least. Times are ms
+// of one clock.
+type Span struct{ From, To, Ended float64 }
+
+// Excess looks at every window: of what lies within it whole there may be rate x window + burst. It returns by how much that was passed at most; at or
+// below 0: never. Rate is per ms.
+func Excess(all []Span, rate, burst float64) float64 {
+	if len(all) == 0 {
+		return -burst
+	}
+	byEnd := slices.SortedFunc(slices.Values(all), func(a, b Span) int { return cmp.Compare(a.To, b.To) })
+	over := math.Inf(-1)
+	seen := map[float64]bool{}
+	for _, b := range all {
+		if seen[b.From] {
+			continue
+		}
+		seen[b.From] = true
+		n := 0.0
+		for _, x := range byEnd {
+			if x.From >= b.From {
+				n++
+				over = max(over, n-rate*(x.To-b.From)-burst)
+			}
+		}
+	}
+	return over
+}
+
+// MostOpen is how many were open at once at most, for certain.
+func MostOpen(all []Span) float64 {
+	type edge struct {
+		at float64
+		by float64
+	}
+	var edges []edge
+	for _, x := range all {
+		if x.Ended > x.To {
+			edges = append(edges, edge{x.To, 1}, edge{x.Ended, -1})
+		}
+	}
+	slices.SortFunc(edges, func(a, b edge) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.by, b.by)) })
+	n, most := 0.0, 0.0
+	for _, e := range edges {
+		n += e.by
+		most = max(most, n)
+	}
+	return most
+}
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -3,6 +3,7 @@
 package sharer
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,12 +16,18 @@
 	"gullstair/internal/lease"
 	"gullstair/internal/membership"
 	"gullstair/internal/sharing"
+	"gullstair/internal/tasks"
+	"gullstair/internal/verdicts"
 )
 
 const (
 	mailbox   = 512
 	batchMost = 64
-	leaveMost = 3 * time.Second
+	// storesMost is how many votes wait for the disk; more keep the actor waiting, as a full disk's queue would.
+	storesMost = 1024
+	// snapshotAfter is after how many votes all of them take the place of the log.
+	snapshotAfter = 4096
+	leaveMost     = 3 * time.Second
 )
 
 // Work is what the broker does for the actor. None of it may keep the actor waiting.
@@ -29,10 +36,21 @@
 	Turn func(duty, item string)
 	// Heard brings what another member found, so many ms ago.
 	Heard func(duty, item, by string, age float64, report []byte)
-	// Run begins an occurrence of a fenced duty; Done must be called when it ends, and it looks at the clock and its Until before each effect.
-	Run func(lease.Run)
-	// Stop ends one.
-	Stop func(lease.Stop)
+	// Begin begins an occurrence of a task; Ended must be called when nothing of it goes on any more, whatever ends it.
+	Begin func(tasks.Begin)
+	// Extend lets one go on for longer, Cancel ends it.
+	Extend func(tasks.Extend)
+	Cancel func(tasks.Cancel)
+	// Store makes votes last, all with one fsync; it is called by a goroutine of its own. After an error nothing more is stored. Nil:
+	// votes are not stored.
+	Store func([]lease.Record) error
+	// Snapshot puts all votes in the place of what was stored so far.
+	Snapshot func([]lease.Record) error
+	// Verdict is what the fleet holds of a store, Note what another broker's module tells.
+	Verdict func(verdicts.Verdict)
+	Note    func([]byte)
+	// Wall is the wall clock in ms.
+	Wall func() float64
 }
 
 // Actor is one broker's part. It is safe for several goroutines.
@@ -46,31 +64,45 @@
 	mail    chan sharing.Input
 	ask     chan chan State
 	stop    chan struct{}
+	poke    chan struct{}
+	stores  chan stored
+	unkept  int // votes stored since the last snapshot
 	ended   sync.WaitGroup
 	crowded atomic.Int64
+
+	mu     sync.Mutex
+	orders map[uint64]chan tasks.Answer // that wait for an answer
+	holds  map[uint64]chan<- any        // who is to hear of a lease that is held by hand
 }
 
 // State is what the control socket shows.
 type State struct {
-	Self    membership.Member
-	Health  int // 0: this member does well
-	Now     float64
-	Common  float64 // the members' common time
-	Members []membership.Seen
-	Duties  []duties.Share
-	Leases  []lease.View
-	Counts  membership.Counts
-	Done    duties.Counts
-	Fenced  lease.Counts
-	Carrier gossip.Counts
-	Crowded int64 // datagrams that the mailbox had no room for
-	Gone    bool  // it has left, and said so for long enough
+	Self     membership.Member `json:"self"`
+	Health   int               `json:"health"` // 0: this member does well
+	Now      float64           `json:"now"`
+	Common   float64           `json:"common"` // the members' common time
+	Members  []membership.Seen `json:"members"`
+	Duties   []duties.Share    `json:"duties"`
+	Leases   []lease.View      `json:"leases"`
+	Counts   membership.Counts `json:"counts"`
+	Done     duties.Counts     `json:"done"`
+	Tasks    []tasks.View      `json:"tasks"`
+	Fenced   lease.Counts      `json:"fenced"`
+	Carrier  gossip.Counts     `json:"carrier"`
+	Crowded  int64             `json:"crowded"`  // datagrams that the mailbox had no room for
+	Verdicts []verdicts.Seen   `json:"verdicts"` // of stores that somebody holds something against, or that an operator has a word on
+	Judged   verdicts.Counts   `json:"judged"`
+	Gone     bool              `json:"gone"` // it has left, and said so for long enough
 }
 
 // Start begins: from now on the carrier's port is served.
 func Start(plan sharing.Plan, carrier *gossip.Carrier, now func() float64, work Work, log zerolog.Logger) *Actor {
 	a := &Actor{core: sharing.New(plan), carrier: carrier, now: now, work: work, log: log,
-		mail: make(chan sharing.Input, mailbox), ask: make(chan chan State), stop: make(chan struct{})}
+		poke: make(chan struct{}, 1), mail: make(chan sharing.Input, mailbox), ask: make(chan chan State), stop: make(chan struct{}),
+		stores: make(chan stored, storesMost), orders: map[uint64]chan tasks.Answer{}, holds: map[uint64]chan<- any{}}
+	if work.Store != nil {
+		a.ended.Go(a.store)
+	}
 	a.ended.Go(func() {
 		carrier.Run(func(addr string, e sharing.Envelope) {
 			select {
@@ -91,6 +123,26 @@
 	}
 }
 
+// Poke says that something is due earlier than it was. It never waits.
+func (a *Actor) Poke() {
+	select {
+	case a.poke <- struct{}{}:
+	default:
+	}
+}
+
+// Offer gives the actor something that may be lost like a datagram: it never waits.
+func (a *Actor) Offer(in sharing.Input) {
+	select {
+	case a.mail <- in:
+	default:
+		a.crowded.Add(1)
+	}
+}
+
+// Give gives it something that may not be lost: it waits for room.
+func (a *Actor) Give(in sharing.Input) { a.put(in) }
+
 // Items names all items of a duty.
 func (a *Actor) Items(duty string, items []string) {
 	a.put(duties.Items{Duty: duty, Items: slices.Clone(items)})
@@ -101,8 +153,102 @@
 	a.put(duties.Finished{Duty: duty, Item: item, Report: report})
 }
 
-// Done tells that a Run ended.
-func (a *Actor) Done(name string, fence uint64) { a.put(lease.Finished{Lease: name, Fence: fence}) }
+// Ended tells that nothing of an occurrence goes on any more.
+func (a *Actor) Ended(e tasks.Ended) { a.put(e) }
+
+// Order has an operator's order carried out by whoever holds the lease, and waits for the answer.
+func (a *Actor) Order(name string, do tasks.Do) tasks.Answer {
+	o := tasks.Order{ID: rand.Uint64(), Lease: name, Do: do}
+	reply := make(chan tasks.Answer, 1)
+	a.mu.Lock()
+	a.orders[o.ID] = reply
+	a.mu.Unlock()
+	a.put(o)
+	select {
+	case v := <-reply:
+		return v
+	case <-a.stop:
+		return tasks.Answer{ID: o.ID, Why: "this broker has ended"}
+	}
+}
+
+// Hold asks for a lease by hand. What becomes of it comes by the channel: tasks.Granted, tasks.Extended and tasks.Revoked. The channel has
+// to have room for some: of what finds none an Extended is left out, and anything else ends the hold.
+func (a *Actor) Hold(h tasks.Hold, events chan<- any) {
+	a.mu.Lock()
+	a.holds[h.ID] = events
+	a.mu.Unlock()
+	a.put(h)
+}
+
+// Close ends a hold; clean says that nothing goes on under it.
+func (a *Actor) Close(id uint64, clean bool) {
+	a.mu.Lock()
+	delete(a.holds, id)
+	a.mu.Unlock()
+	a.put(tasks.Close{ID: id, Clean: clean})
+}
+
+func (a *Actor) tellHold(id uint64, event any) {
+	a.mu.Lock()
+	events := a.holds[id]
+	a.mu.Unlock()
+	select {
+	case events <- event: // a nil channel takes nothing
+	default:
+	}
+}
+
+// stored is a vote on its way to the disk, or all of them.
+type stored struct {
+	lease.Store
+	all []lease.Record // nil: the one vote
+}
+
+// store makes votes last, as many at once as wait.
+func (a *Actor) store() {
+	for {
+		var next stored
+		select {
+		case next = <-a.stores:
+		case <-a.stop:
+			return
+		}
+		var records, all []lease.Record
+		var upto uint64
+		for more := true; more && all == nil && len(records) < storesMost; {
+			if all = next.all; all == nil {
+				records, upto = append(records, next.Record), next.Number
+				select {
+				case next = <-a.stores:
+				default:
+					more = false
+				}
+			}
+		}
+		var err error
+		if len(records) > 0 {
+			err = a.work.Store(records)
+		}
+		if err == nil && all != nil {
+			err = a.work.Snapshot(all)
+		}
+		if err != nil {
+			a.log.Error().Err(err).Msg("votes on leases can't be stored: this broker grants none any more, until it is started again")
+			a.put(lease.DiskLost{})
+			for { // what the actor still wants stored is not
+				select {
+				case <-a.stores:
+				case <-a.stop:
+					return
+				}
+			}
+		}
+		if upto > 0 {
+			a.put(lease.Stored{Upto: upto})
+		}
+	}
+}
 
 // State asks the actor for what it sees; false: it has ended.
 func (a *Actor) State() (State, bool) {
@@ -126,6 +272,7 @@
 		case in := <-a.mail:
 			batch = append(batch, in)
 		case <-timer.C:
+		case <-a.poke:
 		case reply := <-a.ask:
 			reply <- a.state()
 			continue
@@ -140,7 +287,11 @@
 				more = false
 			}
 		}
-		a.carryOut(a.core.Step(a.now(), batch))
+		a.carryOut(a.core.Step(a.now(), a.work.Wall(), batch))
+		if a.unkept >= snapshotAfter {
+			a.unkept = 0
+			a.keep(stored{all: a.core.Leases.Records()})
+		}
 	}
 }
 
@@ -153,14 +304,32 @@
 			a.work.Turn(v.Duty, v.Item)
 		case duties.Heard:
 			a.work.Heard(v.Duty, v.Item, v.By, v.Age, v.Report)
-		case lease.Run:
-			if a.work.Run != nil {
-				a.work.Run(v)
-			}
-		case lease.Stop:
-			if a.work.Stop != nil {
-				a.work.Stop(v)
+		case verdicts.Verdict:
+			a.work.Verdict(v)
+		case sharing.Note:
+			a.work.Note(v.Data)
+		case tasks.Begin:
+			a.work.Begin(v)
+		case tasks.Extend:
+			a.work.Extend(v)
+		case tasks.Cancel:
+			a.work.Cancel(v)
+		case tasks.Granted:
+			a.tellHold(v.ID, v)
+		case tasks.Extended:
+			a.tellHold(v.ID, v)
+		case tasks.Revoked:
+			a.tellHold(v.ID, v)
+		case tasks.Answer:
+			a.mu.Lock()
+			if reply := a.orders[v.ID]; reply != nil {
+				reply <- v
+				delete(a.orders, v.ID)
 			}
+			a.mu.Unlock()
+		case lease.Store:
+			a.keep(stored{Store: v})
+			a.unkept++
 		case membership.Changed:
 			a.log.Info().Str("member", v.Member.Name).Str("addr", v.Member.Addr).Stringer("is", v.Member.State).
 				Stringer("was", v.Was).Str("by", v.Member.By).Msg("a member is seen differently")
@@ -168,11 +337,23 @@
 	}
 }
 
+func (a *Actor) keep(s stored) {
+	select {
+	case a.stores <- s:
+	case <-a.stop:
+	}
+}
+
 func (a *Actor) state() State {
-	return State{Self: a.core.Members.Self(), Health: a.core.Members.Health(), Now: a.now(), Common: a.core.Duties.Common(a.now()),
+	s := State{Self: a.core.Members.Self(), Health: a.core.Members.Health(), Now: a.now(), Common: a.core.Duties.Common(a.now()),
 		Members: a.core.Members.Members(), Duties: a.core.Duties.Shares(), Leases: a.core.Leases.Views(),
+		Tasks:  a.core.Tasks.Views(a.core.Leases.Note),
 		Counts: a.core.Members.Counts, Done: a.core.Duties.Counts, Fenced: a.core.Leases.Counts,
-		Carrier: a.carrier.Counts(), Crowded: a.crowded.Load(), Gone: a.core.Members.Gone()}
+		Carrier: a.carrier.Counts(), Crowded: a.crowded.Load(), Gone: a.core.Members.Gone() && !a.core.Busy()}
+	if a.core.Stores != nil {
+		s.Verdicts, s.Judged = a.core.Stores.Seen(), a.core.Stores.Counts
+	}
+	return s
 }
 
 // Stop leaves with a word to the others, and ends.
--- a/internal/sharing/codec.go
+++ b/internal/sharing/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -17,4 +18,69 @@
 }
 
 // Unmarshal reads it. What is malformed is an error, whatever it is.
-func Unmarshal(data []byte, v any) error { return msgpack.Unmarshal(data, v) }
+func Unmarshal(data []byte, v any) error {
+	if err := sizes(data); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(data, v)
+}
+
+var errSize = errors.New("a size that the message can't hold")
+
+// sizes walks a message and refuses sizes beyond it: the library makes room for as many elements as are announced, and a few bytes can announce 4 billion.
+func sizes(data []byte) error {
+	for left := uint64(1); left > 0; left-- { // elements that are still to come
+		if len(data) == 0 {
+			return errSize
+		}
+		c := data[0]
+		data = data[1:]
+		bytes, items, head := uint64(0), uint64(0), 0 // what follows: bytes, elements, and how long the number is that says so
+		switch {
+		case c <= 0x7f || c >= 0xe0 || c >= 0xc0 && c <= 0xc3:
+		case c <= 0x8f:
+			items = 2 * uint64(c&0x0f)
+		case c <= 0x9f:
+			items = uint64(c & 0x0f)
+		case c <= 0xbf:
+			bytes = uint64(c & 0x1f)
+		case c <= 0xc6: // bin
+			head = 1 << (c - 0xc4)
+		case c <= 0xc9: // ext
+			head, bytes = 1<<(c-0xc7), 1
+		case c <= 0xcb: // floats
+			bytes = 4 << (c - 0xca)
+		case c <= 0xcf:
+			bytes = 1 << (c - 0xcc)
+		case c <= 0xd3:
+			bytes = 1 << (c - 0xd0)
+		case c <= 0xd8: // fixed ext
+			bytes = 1 + 1<<(c-0xd4)
+		case c <= 0xdb: // str
+			head = 1 << (c - 0xd9)
+		default: // array, map of 16 and 32 bits
+			head = 2 << ((c - 0xdc) & 1)
+		}
+		if head > len(data) {
+			return errSize
+		}
+		n := uint64(0)
+		for _, b := range data[:head] {
+			n = n<<8 | uint64(b)
+		}
+		data = data[head:]
+		switch {
+		case c >= 0xde && head > 0 && c <= 0xdf:
+			items = 2 * n
+		case c >= 0xdc && head > 0 && c <= 0xdd:
+			items = n
+		default:
+			bytes += n
+		}
+		if bytes > uint64(len(data)) || left-1+items > uint64(len(data))-bytes {
+			return errSize // each element takes a byte at least
+		}
+		data, left = data[bytes:], left+items
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/trial/roster_test.go
@@ -0,0 +1,142 @@
+package trial
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"gullstair/internal/lease"
+	"gullstair/internal/shares"
+	"gullstair/internal/virtual"
+)
+
+// rolls are how many plays of a roster's changes are made.
+var rolls uint64 = 60
+
+// rolled plays changes of the roster as operators make them, by restarts one after the other with another list, and returns what broke and how
+// often the lease came to be held. Splits come and go meanwhile.
+func rolled(seed uint64, disk bool, sizes []int) (faults []string, held int) {
+	chance := rand.New(rand.NewPCG(seed, 28))
+	r := LeaseRules{Members: 7, Drift: 0.05, Fixed: []lease.Terms{{Name: "x", Term: 1000}}, Disk: disk, Fsync: 5,
+		Weather: virtual.Weather{Delay: 1, Jitter: 10, Loss: 0.02}}
+	w := NewLeases(seed, r)
+	start := func(i, listed int) {
+		w.Rosters[Name(i)] = listed
+		w.Start(i)
+		w.Want(i, r.Fixed[0], true)
+	}
+	for i := range sizes[0] {
+		start(i, sizes[0])
+	}
+	w.Net.Run(4000)
+	split := func() {
+		var sides [2][]string
+		for i := range r.Members {
+			s := chance.IntN(2)
+			sides[s] = append(sides[s], Name(i))
+		}
+		w.Net.Split(sides[0], sides[1])
+		w.Net.After(3000*chance.Float64(), func() { w.Net.Split() })
+	}
+	for k, size := range sizes[1:] {
+		for _, i := range chance.Perm(max(size, sizes[k])) {
+			if chance.IntN(2) == 0 {
+				split()
+			}
+			w.Kill(i)
+			if i < size {
+				w.Net.Run(300 * chance.Float64())
+				start(i, size)
+			}
+			w.Net.Run(2500 * chance.Float64())
+		}
+	}
+	w.Net.Split()
+	w.Net.Run(4000)
+	return w.Faults, w.Held
+}
+
+// The roster changes by restarts, one member more or less at a time: majorities of two lists that differ by one member always have a voter in
+// common. Two members at once break it, so the proof can fail.
+func TestRosterByRestarts(t *testing.T) {
+	for _, disk := range []bool{true, false} {
+		held, broken := 0, 0
+		for seed := range rolls {
+			faults, n := rolled(seed, disk, []int{5, 6, 7, 6, 5, 4, 3})
+			assert.Empty(t, faults, "seed %d", seed)
+			held += n
+			if faults, _ := rolled(seed, disk, []int{3, 7, 3}); len(faults) > 0 {
+				broken++
+			}
+		}
+		assert.Greater(t, held, 7*int(rolls))
+		assert.Positive(t, broken, "four at once")
+		t.Logf("disks %v: held %d times; four members at once broke it in %d of %d", disk, held, broken, rolls)
+	}
+}
+
+// rolledLimits plays changes of the roster under load, from five to seven members and down to three, as docs/limits.md has them: those who stay are
+// restarted with the new list one after the other; whoever joins starts after them, whoever goes ends before them. In the other order nothing
+// keeps the sum of the home shares within the limit. It returns what broke and how many scans were taken.
+func rolledLimits(seed uint64, right bool) (faults []string, taken int) {
+	chance := rand.New(rand.NewPCG(seed, 29))
+	w := NewLimits(seed, LimitRules{Members: 7, Drift: 0.05, Way: Escrow, Most: 64, Weather: virtual.Weather{Delay: 1, Jitter: 10, Loss: 0.02},
+		Limits: []shares.Limit{{Name: "rate", Size: 100, Burst: 8, Term: 500, Owners: int(seed%2) * 4}, {Name: "open", Kind: shares.Stock, Size: 9, Term: 500}}})
+	uses := []shares.Use{{Limit: 0, Cost: 1}, {Limit: 1, Cost: 1}}
+	start := func(i, listed int) {
+		w.Rosters[i] = listed
+		w.Start(i)
+		w.Demand(i, 150+float64(chance.IntN(1000)), uses[i%2:i%2+1], 20)
+	}
+	for i := range 5 {
+		start(i, 5)
+	}
+	w.Net.Run(2500)
+	for _, change := range [][2]int{{5, 7}, {7, 3}} {
+		from, to := change[0], change[1]
+		stay := min(from, to)
+		others := func() {
+			for i := stay; i < max(from, to); i++ {
+				if w.Kill(i); to > from {
+					start(i, to)
+				}
+				w.Net.Run(400 * chance.Float64())
+			}
+		}
+		if right == (to < from) {
+			others()
+		}
+		if chance.IntN(2) == 0 {
+			w.Net.Split([]string{Name(0), Name(1), Name(5)}, []string{Name(2), Name(3), Name(4), Name(6)})
+			w.Net.After(2000*chance.Float64(), func() { w.Net.Split() })
+		}
+		for _, i := range chance.Perm(stay) {
+			w.Kill(i)
+			w.Net.Run(200 * chance.Float64())
+			start(i, to)
+			w.Net.Run(1500 * chance.Float64())
+		}
+		if right == (to > from) {
+			others()
+		}
+		w.Net.Run(2500)
+	}
+	return w.Faults, w.Taken
+}
+
+// A strict limit is kept while the roster grows and shrinks under load, in the stated order; in the other one it is passed.
+func TestLimitRosters(t *testing.T) {
+	taken, broken := 0, 0
+	for seed := range rolls {
+		faults, n := rolledLimits(seed, true)
+		assert.Empty(t, faults, "seed %d", seed)
+		taken += n
+		if faults, _ := rolledLimits(seed, false); len(faults) > 0 {
+			broken++
+		}
+	}
+	assert.Greater(t, taken, 1000*int(rolls))
+	assert.Positive(t, broken, "the other order")
+	t.Logf("%d scans taken; the other order passed a limit in %d of %d", taken, broken, rolls)
+}
--- /dev/null
+++ b/internal/trial/spread.go
@@ -0,0 +1,121 @@
+package trial
+
+import (
+	"math"
+
+	"gullstair/internal/verdicts"
+	"gullstair/internal/virtual"
+)
+
+// Spread is how fast words go round and what that costs, at so many members and so much loss. Times in ms.
+type Spread struct {
+	Members       int
+	Loss          float64
+	Verdict, Last float64 // from when observers were enough until all went by it: in the mean, and at most
+	Missed        int     // times that not all did within ten seconds
+	Order         float64 // from an order until the last one went by it, at most
+	Heal          float64 // from when a split healed until all went by one order, at most
+	Oldest        float64 // true age of the newest outcome under a verdict that was gone by, at most
+	Calm, Ill     float64 // bytes a member a second without a fault, and while one store in twenty fails
+	Messages      float64 // a member a second then
+}
+
+// Spreads measures it over so many faults.
+func Spreads(seed uint64, members int, loss float64, faults int) Spread {
+	r := verdictRules(members, 20)
+	r.Rate, r.Weather.Loss = 10, loss
+	w := NewVerdicts(seed, r)
+	x := Spread{Members: members, Loss: loss}
+	traffic := func(forMs float64) (bytes, messages float64) {
+		var before, after virtual.Counts
+		sum := func(c *virtual.Counts) {
+			for i := range members {
+				n := w.Net.Counts(Name(i))
+				c.Sent, c.Bytes = c.Sent+n.Sent, c.Bytes+n.Bytes
+			}
+		}
+		sum(&before)
+		w.Net.Run(forMs)
+		sum(&after)
+		per := forMs / 1000 * float64(members)
+		return float64(after.Bytes-before.Bytes) / per, float64(after.Sent-before.Sent) / per
+	}
+	w.Net.Run(3000)
+	x.Calm, _ = traffic(5000)
+	for n := range faults {
+		s := n % r.Stores
+		w.Ails = func(_, store int) bool { return store == s }
+		enough, all := math.Inf(1), math.Inf(1)
+		for begun := w.Net.Now(); w.Net.Now() < begun+10000 && math.IsInf(all, 1); w.Net.Run(5) {
+			zones := map[int]bool{}
+			for m := range members {
+				if w.lastBad[m][s] > begun {
+					zones[m%r.Zones] = true
+				}
+			}
+			if len(zones) >= 2 {
+				enough = min(enough, w.Net.Now())
+			}
+			resting := 0
+			for m := range members {
+				if v := w.Goes(m, s); v.Kind >= verdicts.Fails {
+					resting++
+					newest := math.Inf(-1)
+					for o := range members {
+						newest = max(newest, w.lastBad[o][s])
+					}
+					x.Oldest = max(x.Oldest, w.Net.Now()-newest)
+				}
+			}
+			if resting == members {
+				all = w.Net.Now()
+			}
+		}
+		if n == 0 {
+			x.Ill, x.Messages = traffic(5000)
+		}
+		if took := all - enough; math.IsInf(all, 1) {
+			x.Missed++
+		} else {
+			x.Verdict += took / float64(faults)
+			x.Last = max(x.Last, took)
+		}
+		w.Ails = func(int, int) bool { return false }
+		w.Net.Run(12000)
+		// An order, which then ends.
+		given := w.Net.Now()
+		w.Order(n%members, verdicts.Set{Store: storeName(s), Do: verdicts.Drain, For: 6000, Reason: "measured"})
+		x.Order = max(x.Order, w.agreed(s, given))
+		w.Net.Run(8000)
+		// A split into halves, an order on one side.
+		w.Net.Split(Names(0, members/2), Names(members/2, members))
+		w.Order(0, verdicts.Set{Store: storeName(s), Do: verdicts.Drain, For: 30000, Reason: "measured"})
+		w.Net.Run(6000)
+		w.Net.Split()
+		x.Heal = max(x.Heal, w.agreed(s, w.Net.Now()))
+		w.Order(0, verdicts.Set{Store: storeName(s), Do: verdicts.Clear, Reason: "over"})
+		w.Net.Run(6000)
+	}
+	return x
+}
+
+// agreed is how long after a moment all members go by a drain.
+func (w *Verdicts) agreed(store int, from float64) float64 {
+	for w.Net.Now() < from+20000 {
+		n := 0
+		for m := range w.members {
+			if w.Goes(m, store).Drain {
+				n++
+			}
+		}
+		if n == len(w.members) {
+			return w.Net.Now() - from
+		}
+		w.Net.Run(5)
+	}
+	return math.Inf(1)
+}
+
+func verdictRules(members, stores int) VerdictRules {
+	return VerdictRules{Members: members, Stores: stores, Zones: 3, Sets: 2, Rate: 20, Drift: 0.01, Words: verdicts.Standard(), Weather: virtual.Weather{Delay: 0.5, Jitter: 2}}
+}
--- /dev/null
+++ b/internal/trial/takeover.go
@@ -0,0 +1,116 @@
+package trial
+
+import (
+	"fmt"
+	"slices"
+
+	"gullstair/internal/lease"
+	"gullstair/internal/virtual"
+)
+
+// Takeovers is what Takeover measured: ms from a holder's end until another one holds the lease.
+type Takeovers struct {
+	Voters        int
+	Term          float64
+	P50, P99      float64
+	Bound         float64 // what follows from the term, the drift and the waits between two asks
+	Missed, Tries int
+}
+
+// Takeover ends the holder of a lease again and again and measures how long nobody holds it: killed without a word, or leaving in order.
+func Takeover(seed uint64, voters int, term float64, tries int, orderly bool) Takeovers {
+	t := Takeovers{Voters: voters, Term: term, Tries: tries}
+	r := LeaseRules{Members: voters, Drift: 0.01, Fixed: []lease.Terms{{Name: "x", Term: term}}, Disk: true, Fsync: 2, Weather: virtual.Weather{Delay: 0.5, Jitter: 1}}
+	w := NewLeases(seed, r)
+	for i := range voters {
+		w.Start(i)
+		w.Want(i, r.Fixed[0], true)
+	}
+	// A voter keeps to the longest term that clocks allow, a candidate asks a twentieth of a term later by chance; one try may come to nothing, a tenth
+	// of a term, and the next one follows within a fifth.
+	t.Bound = term*(1+r.Drift)/(1-r.Drift)*(1+r.Drift) + 0.35*term
+	if orderly {
+		t.Bound = 0.35 * term
+	}
+	var all []float64
+	for range tries {
+		w.Net.Run(3*term + term*w.Net.Chance().Float64())
+		who := slices.IndexFunc(Names(0, voters), func(n string) bool { return n == w.Holder("x") })
+		if who < 0 {
+			t.Missed++
+			continue
+		}
+		begun := w.Net.Now()
+		if orderly {
+			w.Drop(who, "x", false)
+			w.Want(who, r.Fixed[0], false)
+		} else {
+			w.Kill(who)
+		}
+		for w.Net.Now()-begun < 10*term {
+			if h := w.Holder("x"); h != "" && h != Name(who) {
+				break
+			}
+			w.Net.Run(max(0.5, term/2000))
+		}
+		if w.Net.Now()-begun >= 10*term {
+			t.Missed++
+		} else {
+			all = append(all, w.Net.Now()-begun)
+		}
+		if !orderly {
+			w.Start(who)
+		}
+		w.Want(who, r.Fixed[0], true)
+	}
+	slices.Sort(all)
+	if len(all) > 0 {
+		t.P50, t.P99 = all[len(all)/2], all[len(all)*99/100]
+	}
+	return t
+}
+
+// Gap restarts all voters at once and measures, in ms, for how long nobody holds a lease; with votes stored, or not.
+func Gap(seed uint64, voters int, term float64, disk bool) float64 {
+	r := LeaseRules{Members: voters, Drift: 0.01, Fixed: []lease.Terms{{Name: "x", Term: term}}, Disk: disk, Fsync: 2, Weather: virtual.Weather{Delay: 0.5, Jitter: 1}}
+	w := NewLeases(seed, r)
+	start := func() {
+		for i := range voters {
+			w.Start(i)
+			w.Want(i, r.Fixed[0], true)
+		}
+	}
+	start()
+	w.Net.Run(4 * term)
+	for i := range voters {
+		w.Kill(i)
+	}
+	begun := w.Net.Now()
+	w.Net.Run(100)
+	start()
+	// What the old holder was entitled to runs out meanwhile: it is the new one that counts.
+	before := w.Held
+	for w.Held == before && w.Net.Now()-begun < 10*term {
+		w.Net.Run(1)
+	}
+	return w.Net.Now() - begun
+}
+
+// Traffic holds so many leases at one of five members for a while: messages and datagrams a second that it sends, and bytes.
+func Traffic(seed uint64, leases int, term float64) (messages, datagrams float64) {
+	r := LeaseRules{Members: 5, Drift: 0.01, Disk: true, Fsync: 2, Weather: virtual.Weather{Delay: 0.5, Jitter: 1}}
+	for i := range leases {
+		r.Fixed = append(r.Fixed, lease.Terms{Name: fmt.Sprintf("task/x%04d/0", i), Term: term})
+	}
+	w := NewLeases(seed, r)
+	for i := range 5 {
+		w.Start(i)
+	}
+	for _, l := range r.Fixed {
+		w.Want(0, l, true)
+	}
+	w.Net.Run(3 * term)
+	sent, datagrams0 := w.messages, w.datagrams
+	w.Net.Run(10 * term)
+	return float64(w.messages-sent) / (10 * term) * 1000, float64(w.datagrams-datagrams0) / (10 * term) * 1000
+}
--- /dev/null
+++ b/internal/trial/verdicts_test.go
@@ -0,0 +1,234 @@
+package trial
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"gullstair/internal/verdicts"
+	"gullstair/internal/virtual"
+)
+
+// A store that fails for all rests everywhere soon and is back soon after it does well; parts lost to it are a tenth of what they are where nobody tells anybody.
+func TestOneStoreFails(t *testing.T) {
+	lost := map[bool]int{}
+	for _, alone := range []bool{true, false} {
+		r := verdictRules(30, 20)
+		r.Rate, r.Alone = 2, alone // each member sees the store once in ten seconds
+		w := NewVerdicts(1, r)
+		w.Net.Run(5000)
+		w.Ails = func(_, s int) bool { return s == 3 }
+		w.Net.Run(4000)
+		if !alone {
+			assert.GreaterOrEqual(t, w.Resting(3), 28, "all but some that see it well just now")
+		}
+		w.Net.Run(26000)
+		lost[alone] = w.Lost
+		w.Ails = func(int, int) bool { return false }
+		w.Net.Run(13000)
+		assert.Zero(t, w.Resting(3), "nobody rests it any more")
+		assert.Empty(t, w.Faults)
+	}
+	t.Logf("parts lost in 30 s: %d alone, %d with verdicts", lost[true], lost[false])
+	assert.Less(t, lost[false]*3, lost[true])
+}
+
+// What is one broker's trouble, or one zone's, stays theirs; who is wrong about everything moves nobody; where most stores are ill not all may rest.
+func TestWhoseWordCounts(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		quiet func(m int) bool
+		ails  func(m, s int) bool
+		liar  int
+		rests func(w *Verdicts) int
+		least int
+		most  int
+	}{
+		{"one broker's link to one store", nil, func(m, s int) bool { return m == 2 && s == 1 }, -1, func(w *Verdicts) int { return w.Resting(1) }, 0, 0},
+		{"one broker's link to all stores", nil, func(m, _ int) bool { return m == 2 }, -1, func(w *Verdicts) int { return w.Resting(0) + w.Resting(1) + w.Resting(2) }, 0, 0},
+		{"one zone's link to a store", nil, func(m, s int) bool { return m%3 == 1 && s == 1 }, -1, func(w *Verdicts) int { return w.Resting(1) }, 0, 0},
+		{"one that tells the contrary, and a store that fails", nil, func(_, s int) bool { return s == 1 }, 4, func(w *Verdicts) int { return w.Resting(1) }, 7, 9},
+		{"one that tells the contrary, and nothing fails", nil, func(int, int) bool { return false }, 4, func(w *Verdicts) int { return w.Resting(0) + w.Resting(1) + w.Resting(2) }, 0, 0},
+		{"one zone's link, and nothing comes to the others", func(m int) bool { return m%3 != 1 }, func(m, s int) bool { return m%3 == 1 && s == 1 }, -1, func(w *Verdicts) int { return w.Resting(1) }, 0, 0},
+		{"four of nine links", nil, func(m, s int) bool { return m < 4 && s == 1 }, -1, func(w *Verdicts) int { return w.Resting(1) }, 0, 0},
+		{"two that reach no store, and nothing comes to the others", func(m int) bool { return m != 2 && m != 3 }, func(m, _ int) bool { return m == 2 || m == 3 }, -1, func(w *Verdicts) int { return w.Resting(0) + w.Resting(1) + w.Resting(2) }, 0, 0},
+		{"a third of the stores, all of them holders of the same shards", nil, func(_, s int) bool { return s%2 == 0 && s < 8 }, -1, func(w *Verdicts) (n int) {
+			for s := range 12 {
+				if s%2 == 0 && w.Goes(0, s).Kind >= verdicts.Fails {
+					n++
+				}
+			}
+			return n
+		}, 1, 2},
+		{"two thirds of the stores", nil, func(_, s int) bool { return s%3 > 0 }, -1, func(w *Verdicts) (n int) {
+			for s := range 12 {
+				if w.Goes(0, s).Kind >= verdicts.Fails {
+					n++
+				}
+			}
+			return n
+		}, 0, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := NewVerdicts(7, verdictRules(9, 12))
+			if c.liar >= 0 {
+				w.members[c.liar].liar = true
+			}
+			w.Net.Run(3000)
+			w.Ails, w.Quiet = c.ails, c.quiet
+			w.Net.Run(2000) // whoever sees it well has said so by then
+			most, sum, looks := 0, 0, 0
+			for range 100 {
+				w.Net.Run(100)
+				n := c.rests(w)
+				most, sum, looks = max(most, n), sum+n, looks+1
+			}
+			assert.LessOrEqual(t, most, c.most)
+			assert.GreaterOrEqual(t, most, c.least)
+			assert.Empty(t, w.Faults)
+		})
+	}
+}
+
+// Drawn faults of stores, links and members: no verdict rests on less than it needs or on what is too old, none is wider than stated; and once all is well nobody
+// rests anything by others' word, orders are the same at all, and those that are over are over.
+func TestVerdictHistories(t *testing.T) {
+	used, plays := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		plays++
+		r := VerdictRules{Members: rapid.SampledFrom([]int{5, 2, 9}).Draw(t, "members"), Stores: rapid.SampledFrom([]int{6, 3, 12}).Draw(t, "stores"), Zones: rapid.IntRange(1, 3).Draw(t, "zones"),
+			Sets: rapid.IntRange(1, 3).Draw(t, "sets"), Rate: rapid.SampledFrom([]float64{30, 4}).Draw(t, "rate"), Drift: rapid.SampledFrom([]float64{0.01, 0.05}).Draw(t, "drift"),
+			Words: verdicts.Standard(), Weather: virtual.Weather{Delay: rapid.Float64Range(0.5, 20).Draw(t, "delay"), Jitter: rapid.SampledFrom([]float64{0, 30, 700}).Draw(t, "jitter"),
+				Loss: rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss"), Duplicate: rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "twice")}}
+		w := NewVerdicts(rapid.Uint64().Draw(t, "seed"), r)
+		ill := map[int]bool{}
+		oneSided := map[[2]int]bool{}
+		w.Ails = func(m, s int) bool { return ill[s] || oneSided[[2]int{m, s}] }
+		who := func() int { return rapid.IntRange(0, r.Members-1).Draw(t, "whom") }
+		which := func() int { return rapid.IntRange(0, r.Stores-1).Draw(t, "store") }
+		w.Net.Run(1000)
+		for range rapid.IntRange(3, 15).Draw(t, "events") {
+			i, s := who(), which()
+			span := rapid.SampledFrom([]float64{3000, 12000, 500}).Draw(t, "for")
+			switch rapid.SampledFrom([]string{"ill", "ill", "one side", "split", "cut", "pause", "crash", "reborn", "order", "order", "flap"}).Draw(t, "what") {
+			case "ill":
+				ill[s] = true
+				w.Net.After(span, func() { delete(ill, s) })
+			case "flap":
+				for n := range 6 {
+					w.Net.After(float64(n)*500, func() { ill[s] = n%2 == 0 })
+				}
+			case "one side":
+				oneSided[[2]int{i, s}] = true
+				w.Net.After(span, func() { delete(oneSided, [2]int{i, s}) })
+			case "split":
+				drawnSplit(t, w.Net, r.Members, 2, span)
+			case "cut":
+				cutFor(w.Net, who(), i, span)
+			case "pause":
+				w.Net.Pause(Name(i))
+				w.Net.After(span, func() { w.Net.Resume(Name(i)) })
+			case "crash":
+				w.Kill(i)
+				w.Net.After(span, func() { w.Start(i) })
+			case "reborn":
+				delete(ill, s)
+				w.Reborn(s)
+			case "order":
+				do := rapid.SampledFrom([]verdicts.Do{verdicts.Drain, verdicts.Rest, verdicts.Clear}).Draw(t, "do")
+				w.Order(i, verdicts.Set{Store: storeName(s), Do: do, For: span, Reason: "drawn"})
+			}
+			w.Net.Run(rapid.SampledFrom([]float64{900, 300, 4000, 20}).Draw(t, "wait"))
+		}
+		w.Net.Run(13000) // the last fault is over
+		clear(ill)
+		w.Net.Split()
+		w.Net.Weather.Loss, w.Net.Weather.Jitter = 0, 5
+		final := verdicts.Set{Store: storeName(0), Do: verdicts.Drain, For: 20000, Reason: "last"}
+		w.Net.Run(6000)
+		w.Order(0, final)
+		w.Net.Run(500)
+		for i := range r.Members {
+			if !w.Goes(i, 0).Drain {
+				t.Fatalf("member %d sends to a store half a second after it was drained", i)
+			}
+		}
+		w.Net.Run(21500)
+		for i := range r.Members {
+			for s := range r.Stores {
+				if v := w.Goes(i, s); v.Kind > verdicts.Well || v.Drain {
+					t.Fatalf("member %d still goes by %+v though all has been well for long", i, v)
+				}
+			}
+			if n := w.members[i].core.Held(); n > r.Members*r.Stores {
+				t.Fatalf("member %d keeps %d words", i, n)
+			}
+			used += w.members[i].core.Counts.Used
+		}
+		if len(w.Faults) > 0 {
+			t.Fatalf("%v", w.Faults)
+		}
+	})
+	assert.Greater(t, used*3, plays, "a proof of verdicts that nobody comes to is worth nothing")
+	t.Logf("%d verdicts", used)
+}
+
+// A split with contrary orders on two sides: each side goes by its own, and once it heals all go by one; who was cut off all the time ends it all the same.
+func TestContraryOrders(t *testing.T) {
+	w := NewVerdicts(3, verdictRules(6, 4))
+	w.Net.Run(2000)
+	w.Net.Split(Names(0, 3), Names(3, 5), Names(5, 6))
+	w.Order(0, verdicts.Set{Store: storeName(1), Do: verdicts.Rest, For: 8000, Reason: "at first"})
+	w.Net.Run(300)
+	w.Order(0, verdicts.Set{Store: storeName(1), Do: verdicts.Drain, For: 20000, Reason: "this side"})
+	w.Order(4, verdicts.Set{Store: storeName(1), Do: verdicts.Clear, For: 21000, Reason: "that side"})
+	w.Net.Run(500)
+	assert.True(t, w.Goes(2, 1).Drain)
+	assert.False(t, w.Goes(3, 1).Drain)
+	assert.False(t, w.Goes(5, 1).Drain, "it is cut off")
+	for _, s := range w.members[0].core.Seen() {
+		if s.Order != nil {
+			assert.Equal(t, [2]int{2, 3}, [2]int{s.Told, s.Not}, "of who is cut off it is not known")
+		}
+	}
+	w.Net.Split()
+	w.Net.Run(4000)
+	want := w.Goes(0, 1).Drain
+	for range 200 {
+		for i := range 6 {
+			assert.Equal(t, want, w.Goes(i, 1).Drain, "one holds, and goes on holding")
+		}
+		w.Net.Run(50)
+	}
+	w.Net.Run(9000)
+	for i := range 6 {
+		assert.False(t, w.Goes(i, 1).Drain, "it is over")
+	}
+	require.Empty(t, w.Faults)
+}
+
+// What was said of a store's earlier process counts no more once the list has the next one under its name.
+func TestReborn(t *testing.T) {
+	w := NewVerdicts(5, verdictRules(9, 12))
+	w.Ails = func(_, s int) bool { return s == 1 }
+	w.Net.Run(5000)
+	assert.Greater(t, w.Resting(1), 6)
+	w.Ails = func(int, int) bool { return false }
+	w.Reborn(1)
+	w.Quiet = func(int) bool { return true } // nobody sees for itself that it is well
+	w.Net.Run(5)
+	assert.Zero(t, w.Resting(1))
+	w.Net.Run(500)
+	assert.Zero(t, w.Resting(1), "nor when it is told once more")
+}
+
+// A store that fails one part in thirty, for all, is seldom rested by others' word, and for moments.
+func TestNowAndThen(t *testing.T) {
+	w := NewVerdicts(6, verdictRules(9, 12))
+	w.Ails = func(int, int) bool { return w.Net.Chance().IntN(30) == 0 }
+	w.Net.Run(30000)
+	assert.Less(t, w.Wrong*12, w.Sent, "of %d parts", w.Sent)
+	t.Logf("%d parts kept from a store that would have served them, of %d", w.Wrong, w.Sent)
+}
--- /dev/null
+++ b/internal/votes/votes_test.go
@@ -0,0 +1,159 @@
+package votes
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gullstair/internal/lease"
+)
+
+func vote(epoch uint64) lease.Record {
+	return lease.Record{Lease: "x", Holder: "a", Epoch: epoch, Boot: 3, Term: 1000, Data: []byte("n")}
+}
+
+// filled is a directory that was used, and left.
+func filled(t *testing.T) string {
+	path := filepath.Join(t.TempDir(), "votes")
+	d, f, err := Open(path)
+	require.NoError(t, err)
+	assert.False(t, f.Sound)
+	assert.Equal(t, "it is empty", f.Why)
+	require.NoError(t, d.Store([]lease.Record{vote(1), vote(2)}))
+	d.Close()
+	return path
+}
+
+func segment(t *testing.T, path string) string {
+	names, err := filepath.Glob(filepath.Join(path, "log-*"))
+	require.NoError(t, err)
+	require.Len(t, names, 1)
+	return names[0]
+}
+
+func TestKept(t *testing.T) {
+	path := filled(t)
+	d, f, err := Open(path)
+	require.NoError(t, err)
+	assert.True(t, f.Sound, f.Why)
+	assert.Equal(t, []lease.Record{vote(1), vote(2)}, f.Records)
+	_, _, err = Open(path)
+	assert.ErrorContains(t, err, "another process uses this directory")
+	// A snapshot takes the place of what was there.
+	require.NoError(t, d.Snapshot([]lease.Record{{Epoch: 9}, vote(7)}))
+	require.NoError(t, d.Store([]lease.Record{vote(8)}))
+	d.Close()
+	d, f, err = Open(path)
+	require.NoError(t, err)
+	defer d.Close()
+	assert.True(t, f.Sound, f.Why)
+	assert.Equal(t, []lease.Record{{Epoch: 9}, vote(7), vote(8)}, f.Records)
+}
+
+// What may be missing something does not pass for sound, and what can't be read or written does not open.
+func TestUnsound(t *testing.T) {
+	copied := func(t *testing.T, from, to string) {
+		out, err := exec.Command("cp", "-a", from, to).CombinedOutput()
+		require.NoError(t, err, string(out))
+	}
+	for name, c := range map[string]struct {
+		do   func(t *testing.T, path string) string
+		why  string
+		fail string
+	}{
+		"an older copy put back": {func(t *testing.T, path string) string {
+			old := path + ".old"
+			copied(t, path, old)
+			d, _, err := Open(path)
+			require.NoError(t, err)
+			require.NoError(t, d.Store([]lease.Record{vote(3)}))
+			d.Close()
+			require.NoError(t, os.RemoveAll(path))
+			copied(t, old, path)
+			return path
+		}, "it is a copy", ""},
+		"its mark lost": {func(t *testing.T, path string) string {
+			require.NoError(t, os.Remove(filepath.Join(path, markName)))
+			return path
+		}, "it is a copy", ""},
+		"a torn tail": {func(t *testing.T, path string) string {
+			name := segment(t, path)
+			info, err := os.Stat(name)
+			require.NoError(t, err)
+			require.NoError(t, os.Truncate(name, info.Size()-3))
+			return path
+		}, "bytes of a torn tail were cut", ""},
+		"a spoilt record": {func(t *testing.T, path string) string {
+			name := segment(t, path)
+			text, err := os.ReadFile(name)
+			require.NoError(t, err)
+			text[60] ^= 1
+			require.NoError(t, os.WriteFile(name, text, 0o600))
+			return path
+		}, "", "spoilt"},
+		"another's": {func(t *testing.T, path string) string {
+			name := segment(t, path)
+			text, err := os.ReadFile(name)
+			require.NoError(t, err)
+			text[9]++
+			require.NoError(t, os.WriteFile(name, text, 0o600))
+			return path
+		}, "", "head"},
+		"a file in its place": {func(t *testing.T, path string) string { return segment(t, path) }, "", "not a directory"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, f, err := Open(c.do(t, filled(t)))
+			if c.fail != "" {
+				assert.ErrorContains(t, err, c.fail)
+				return
+			}
+			require.NoError(t, err)
+			defer d.Close()
+			assert.False(t, f.Sound)
+			assert.Contains(t, f.Why, c.why)
+		})
+	}
+}
+
+// A directory that is taken away under a process takes no more votes: they would be told and not be there.
+func TestTakenAway(t *testing.T) {
+	path := filled(t)
+	d, _, err := Open(path)
+	require.NoError(t, err)
+	defer d.Close()
+	require.NoError(t, os.RemoveAll(path))
+	assert.Error(t, d.Store([]lease.Record{vote(3)}))
+}
+
+// Files that were changed in place, by whatever kept their numbers, show it by the kernel's own time of the change.
+func TestChangedInPlace(t *testing.T) {
+	path := filled(t)
+	d := &Dir{path: path}
+	at, any := d.changed()
+	assert.True(t, any)
+	assert.Positive(t, at)
+}
+
+// A vote's cost with its fsync, alone and together with others.
+func BenchmarkStore(b *testing.B) {
+	for _, n := range []int{1, 16, 256} {
+		b.Run(fmt.Sprint(n, " at once"), func(b *testing.B) {
+			d, _, err := Open(filepath.Join(b.TempDir(), "votes"))
+			require.NoError(b, err)
+			defer d.Close()
+			all := make([]lease.Record, n)
+			for i := range all {
+				all[i] = vote(uint64(i))
+			}
+			for b.Loop() {
+				require.NoError(b, d.Store(all))
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*n), "µs/vote")
+		})
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -95,6 +95,7 @@
 	spare, newsAt                         float64            // second dispatches late parts may have; heard last
 	meanWork, done, doneAt, allUnits      float64            // work completed, fading; units of all ready nodes
 	extras, taken                         [][2]float64       // for a stated budget
+	fleetSpare                            float64            // further dispatches that the fleet's budget leaves
 }
 
 // Step takes what happened to this broker at one moment and returns what is to be done.
@@ -122,6 +123,10 @@
 			}
 		case PeerNote:
 			b.takeNote(e.Note)
+		case VerdictHeard:
+			b.takeVerdict(e)
+		case FurtherLeft:
+			b.fleetSpare = e.Amount
 		case TimerDue:
 			if b.touch(b.byNum[e.Timer]); e.Timer == askList {
 				b.do(Action{Kind: Subscribe})
@@ -273,7 +278,7 @@
 			}
 			if len(p.tries) > 0 { // counted here, so that one scan's parts cannot pass the budget together
 				b.compare(p, true)
-				b.extras = append(b.extras, [2]float64{b.now})
+				b.extras, b.fleetSpare = append(b.extras, [2]float64{b.now}), b.fleetSpare-1
 			}
 		} else if again && b.due(p.tries[len(p.tries)-1].silent) && b.allows(p, "limit.cancelling") {
 			b.recall(p)
@@ -291,7 +296,11 @@
 	} else if b.due(p.scan.targetAt) && 1-p.scan.got > lateTail*typ.lateBenefit {
 		return false
 	}
-	return b.barred(p, &b.terms) == ""
+	why := b.barred(p, &b.terms)
+	if why == "fleet" {
+		b.do(Action{Kind: Short})
+	}
+	return why == ""
 }
 
 // barred names the rule that keeps p from a further dispatch under some terms, if there is one.
@@ -303,6 +312,8 @@
 		return "effect"
 	} else if len(p.tries) >= int(t.num("limit.dispatches")) {
 		return "dispatches"
+	} else if b.fleetSpare < 1 { // what all brokers together may send beyond first dispatches
+		return "fleet"
 	}
 	longest := b.now - max(b.num("rules.budgetWindow"), b.watch.num("rules.budgetWindow"))
 	b.extras, b.taken = within(b.extras, longest), within(b.taken, longest)
@@ -314,14 +325,6 @@
 	return ""
 }
 
-// firstRun says when the first dispatch that may have run was sent; below 0: none may have.
-func (p *part) firstRun() float64 {
-	if i := slices.IndexFunc(p.tries, func(d dispatch) bool { return d.ran }); i >= 0 {
-		return p.tries[i].at
-	}
-	return -1
-}
-
 // eligible returns the holders that p may go to now: sound ones that it has not been to, else sound ones,
 // else any. A holder that drains, is gone, is cold and has had its share, or is not permitted to the scan is
 // never among them.
@@ -614,6 +617,9 @@
 	if !good && b.failAt[n] == b.now {
 		return false
 	}
+	if b.flag("share.verdicts") {
+		b.do(Action{Kind: Judged, Node: b.nodeID[n], Whole: good})
+	}
 	if !good {
 		b.news = report(b.news, b.nodeID[n], noteBad)
 	} else if b.history[n] != 0xff || b.lateAt[n] > longAgo { // what is well and stays so is no news
@@ -800,23 +806,7 @@
 	for _, en := range e.Entries {
 		n, known := b.index[en.Node]
 		if !known {
-			// The place of a node that nothing refers to any more goes to the newcomer, and nothing of what was known.
-			for n = 0; n < len(b.nodeID) && (b.outCalls[n] > 0 || b.listed[n] > b.now-b.longest); n++ {
-			}
-			if n < len(b.nodeID) {
-				delete(b.index, b.nodeID[n])
-			} else {
-				b.nodeID, b.state, b.history = append(b.nodeID, 0), append(b.state, Gone), append(b.history, 0)
-				b.cell, b.zone, b.kind = append(b.cell, 0), append(b.zone, 0), append(b.kind, 0)
-				b.outCalls = append(b.outCalls, 0)
-			}
-			b.index[en.Node], b.nodeID[n], b.history[n] = n, en.Node, 0xff
-			for i, col := range []*[]float64{&b.units, &b.born, &b.outWork, &b.allowed, &b.allowAt, &b.latency,
-				&b.under, &b.others, &b.othersAt, &b.latAt, &b.heard, &b.restEnd, &b.passed, &b.used,
-				&b.lateAt, &b.failAt, &b.listed} {
-				*col = append(*col, 0)[:len(b.nodeID)]
-				(*col)[n] = longAgo * float64(min(1, i/9))
-			}
+			n = b.place(en.Node)
 		}
 		b.cell[n], b.zone[n], b.kind[n], b.state[n] = en.Cell, en.Zone, en.Kind, en.Readiness
 		if _, seen := b.kinds[en.Kind]; !seen {
@@ -846,7 +836,7 @@
 		differs: e.Differs, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
 		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*call{},
 		notebook: notebook{byCode: map[uint16]int{}}, kinds: map[int][2]float64{},
-		pcg: seeded(e.Seed), spare: spareMost, startAt: b.now}
+		pcg: seeded(e.Seed), spare: spareMost, startAt: b.now, fleetSpare: math.Inf(1)}
 	for i, name := range []string{"turn", "rules.cold", "rules.fall", "rules.fallMultiple",
 		"rules.startCapacity", "layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers",
 		"limit.dispatches", "tableType.count"} {
@@ -871,18 +861,9 @@
 	}
 }
 
-func (b *Broker) do(a Action) { b.out = append(b.out, a) }
-
 // due says whether a moment has come; timers may fire a hair early by rounding.
 func (b *Broker) due(at float64) bool { return at <= b.now+0.01 }
 
-func (b *Broker) touch(s *scan) {
-	if s != nil && !s.dirty && !s.ended {
-		s.dirty = true
-		b.changed = append(b.changed, s)
-	}
-}
-
 // linked says whether a connection to node n is likely to be open.
 func (b *Broker) linked(n int) bool {
 	return b.now-b.used[n] < cmp.Or(b.num("limit.connIdle"), math.Inf(1))
@@ -933,3 +914,20 @@
 		}
 	}
 }
+
+// takeVerdict takes up what several brokers, or an operator, hold of a node. Its own word goes first:
+// if this broker has heard of the node since the newest that the verdict rests on, it knows better.
+func (b *Broker) takeVerdict(e *Event) {
+	n, known := b.index[e.Node]
+	if !known || max(b.heard[n], b.failAt[n]) >= b.now-e.Age {
+		return
+	}
+	switch e.Outcome {
+	case Completed: // it is well again: as many successes as let it work
+		b.history[n], b.restEnd[n], b.lateAt[n] = b.history[n]|0x0f, b.now, longAgo
+	case Saturated: // slow or full
+		b.lateAt[n] = b.now
+	default:
+		b.history[n], b.restEnd[n] = 1, b.now+restTime
+	}
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -14,6 +14,8 @@
 	ProbeEnded
 	StreamBegan
 	PeerNote
+	VerdictHeard // what several brokers, or an operator, hold of a node: Node, Outcome, Age of the newest that it rests on
+	FurtherLeft  // Amount: further dispatches that the budget of all brokers leaves this one now
 )
 
 // Event is one thing that happened to this broker. Only the fields of its kind are filled.
@@ -112,7 +114,9 @@
 	Probe
 	Subscribe
 	Note
-	Tell // all other brokers
+	Tell   // all other brokers
+	Short  // a further dispatch was barred by the budget of all brokers
+	Judged // an outcome counts for or against a node, by Whole; only where verdicts are shared
 	Fatal
 )
 
--- /dev/null
+++ b/scenarios/shared-slow.hcl
@@ -0,0 +1,14 @@
+about = "Two thirds of the stores are slow at once: not all of them may rest."
+base  = "sparse"
+
+fault "slow" {
+  at    = "8s"
+  for   = "12s"
+  share = 0.67
+  size  = 4
+}
+
+
+expect "worst_10s" {
+  least = 0.5
+}
