A lost disk's doubt outlasts the next process; homes of limits that members size differently

Cause, each found by reading and shown by a test that fails without it: (1) a voter that found its directory empty, or a copy, kept quiet, but was it ended before that was over, the next process took the same directory for sound and forgot what had been promised before the loss. (2) A vote taken from the queue when a batch of 1,024 was full was left out, and told as stored with the next. (3) Home shares of a limit are whole tokens of its size: accounts made under an operator's order, or at a member started with another document, had homes of another size, together 1.1 of a limit.

Change: internal/lasting (internal/votes before) keeps records of any kind, stores the doubt with each and Trust when the quiet time is over, and has the queue of what waits for the disk; homes go by the least of all sizes that members are known to have; marks of what is lent, as stored before it is told (internal/shares, not in the broker yet), played by drawn histories with disks, lost ones and documents that differ. A voter's full disk is caused by a limit on file sizes (TestLeaseDiskFull).

--- a/cmd/gullstair/leases_test.go
+++ b/cmd/gullstair/leases_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"gullstair/internal/broker"
 	"gullstair/internal/guard"
@@ -300,6 +301,13 @@
 				log, _ := os.ReadFile(m.Path("log"))
 				return bytes.Contains(log, []byte("it is a copy"))
 			}), "it is found and named")
+			// Ended before its quiet time is over: the next process may not take for whole what this one has stored since.
+			m.Kill()
+			require.NoError(t, m.Launch())
+			require.NoError(t, rig.Until(takeoverIn, func() bool {
+				log, _ := os.ReadFile(m.Path("log"))
+				return bytes.Contains(log, []byte("an earlier process found something missing"))
+			}), "the doubt outlasts it")
 		}},
 		{"the holder ends in order", func(k rig.Work, m *rig.Member) {
 			m.End(20 * time.Second)
@@ -351,6 +359,47 @@
 	f.atWork()
 }
 
+// Disks that are full, as the kernel says it: a voter that can store nothing more grants nothing more and says why. One of three costs nothing; with two nobody may
+// begin; started again with room they find what the last write left, and the task goes on.
+func TestLeaseDiskFull(t *testing.T) {
+	f := startLeases(t, 3, "300ms", "plain", "votes", nil)
+	f.atWork()
+	said := func(m *rig.Member, any ...string) {
+		t.Helper()
+		require.NoError(t, rig.Until(takeoverIn, func() bool {
+			log, _ := os.ReadFile(m.Path("log"))
+			return slices.ContainsFunc(any, func(what string) bool { return bytes.Contains(log, []byte(what)) })
+		}), any)
+	}
+	fill := func(m *rig.Member) {
+		t.Helper()
+		// The log of what it says is longer than its votes: it has to go on, so it is moved out of the limit's way.
+		require.NoError(t, os.Truncate(m.Path("log"), 0))
+		size := int64(0)
+		names, _ := filepath.Glob(filepath.Join(m.Path("votes"), "log-*"))
+		for _, name := range names {
+			info, err := os.Stat(name)
+			require.NoError(t, err)
+			size = max(size, info.Size())
+		}
+		require.NoError(t, unix.Prlimit(m.Pid(), unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: uint64(size) + 20, Max: unix.RLIM_INFINITY}, nil))
+		said(m, "votes on leases can't be stored")
+		said(m, "file too large")
+	}
+	fill(f.Members[0])
+	f.atWork() // two of three are a majority
+	fill(f.Members[1])
+	require.NoError(t, rig.Until(takeoverIn, func() bool { return f.holderOf() == nil }), "one of three is none")
+	all := f.witness.Seen()
+	for _, m := range f.Members[:2] {
+		m.Kill()
+		require.NoError(t, m.Launch())
+		// Whether the last write left a torn tail is the kernel's to say.
+		said(m, "votes on leases may be missing", "votes on leases are as they were stored")
+	}
+	f.anew(all[len(all)-1])
+}
+
 // A whole machine stands still, broker, guard and command, and wakes after another one holds the lease: that no lease can cover, and the fence where effects
 // land does. The command wakes first and goes on for as long as it is let.
 func TestMachineStandsStill(t *testing.T) {
--- a/internal/broker/features.go
+++ b/internal/broker/features.go
@@ -15,12 +15,13 @@
 	"gullstair/internal/duties"
 	"gullstair/internal/features"
 	"gullstair/internal/gossip"
+	"gullstair/internal/lasting"
+	"gullstair/internal/lease"
 	"gullstair/internal/membership"
 	"gullstair/internal/quota"
 	"gullstair/internal/sharer"
 	"gullstair/internal/sharing"
 	"gullstair/internal/verdicts"
-	"gullstair/internal/votes"
 )
 
 // probing is the duty of asking the stores for their load.
@@ -36,8 +37,8 @@
 	lost   atomic.Int64 // ends that found no room: those turns count as over after a period
 	done   chan struct{}
 
-	now   func() float64 // the clock of leases
-	votes *votes.Dir     // nil: votes are not stored
+	now   func() float64             // the clock of leases
+	votes *lasting.Dir[lease.Record] // nil: votes are not stored
 	mu    sync.Mutex
 	runs  map[under]*run
 
--- a/internal/broker/leases.go
+++ b/internal/broker/leases.go
@@ -14,10 +14,11 @@
 
 	"gullstair/internal/control"
 	"gullstair/internal/guard"
+	"gullstair/internal/lasting"
+	"gullstair/internal/lease"
 	"gullstair/internal/sharer"
 	"gullstair/internal/sharing"
 	"gullstair/internal/tasks"
-	"gullstair/internal/votes"
 )
 
 // run is an occurrence of a task that this broker has begun.
@@ -36,7 +37,7 @@
 }
 
 // leases puts tasks and the directory of votes into a plan.
-func (b *Broker) leases(plan *sharing.Plan, work *sharer.Work) (*votes.Dir, error) {
+func (b *Broker) leases(plan *sharing.Plan, work *sharer.Work) (*lasting.Dir[lease.Record], error) {
 	for _, t := range b.features.Tasks {
 		plan.Tasks = append(plan.Tasks, tasks.Task{Name: t.Name, Every: ms64(t.Every), At: t.Schedule, Term: ms64(t.Term), Holders: t.Holders,
 			Once: t.Once, Timeout: ms64(t.Timeout), Prefer: t.Prefer})
@@ -49,7 +50,7 @@
 	if l.Dir == "" {
 		return nil, nil
 	}
-	dir, found, err := votes.Open(l.Dir)
+	dir, found, err := lasting.Open[lease.Record](l.Dir, lasting.Votes)
 	if err != nil {
 		return nil, fmt.Errorf("features: lease: %w", err)
 	}
@@ -59,7 +60,7 @@
 		b.log.Warn().Str("dir", l.Dir).Str("because", found.Why).Msg("votes on leases may be missing: nothing is granted for a term")
 	}
 	plan.Votes = &sharing.Votes{Records: found.Records, Sound: found.Sound}
-	work.Store, work.Snapshot = dir.Store, dir.Snapshot
+	work.Votes = dir
 	return dir, nil
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -384,6 +384,22 @@
 	return c.start + c.kept(term)
 }
 
+// SureAt is when this voter has kept quiet for as long as anything that it may have forgotten could bind it: what it has stored is all that counts
+// from then on. Before the first Step it is never.
+func (c *Core) SureAt() float64 {
+	if !c.begun {
+		return math.Inf(1)
+	}
+	if c.sound {
+		return c.start
+	}
+	term := c.rules.Longest
+	for _, t := range c.rules.Fixed {
+		term = max(term, t.Term)
+	}
+	return c.start + c.kept(term)
+}
+
 // Views lists what is seen of all leases, by name.
 func (c *Core) Views() []View {
 	var all []View
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -13,6 +13,7 @@
 
 	"gullstair/internal/duties"
 	"gullstair/internal/gossip"
+	"gullstair/internal/lasting"
 	"gullstair/internal/lease"
 	"gullstair/internal/membership"
 	"gullstair/internal/sharing"
@@ -23,8 +24,6 @@
 const (
 	mailbox   = 512
 	batchMost = 64
-	// storesMost is how many votes wait for the disk; more keep the actor waiting, as a full disk's queue would.
-	storesMost = 1024
 	// snapshotAfter is after how many votes all of them take the place of the log.
 	snapshotAfter = 4096
 	leaveMost     = 3 * time.Second
@@ -41,11 +40,8 @@
 	// Extend lets one go on for longer, Cancel ends it.
 	Extend func(tasks.Extend)
 	Cancel func(tasks.Cancel)
-	// Store makes votes last, all with one fsync; it is called by a goroutine of its own. After an error nothing more is stored. Nil:
-	// votes are not stored.
-	Store func([]lease.Record) error
-	// Snapshot puts all votes in the place of what was stored so far.
-	Snapshot func([]lease.Record) error
+	// Votes is where votes last; it is used by a goroutine of its own. Nil: votes are not stored.
+	Votes lasting.Sink[lease.Record]
 	// Verdict is what the fleet holds of a store, Note what another broker's module tells.
 	Verdict func(verdicts.Verdict)
 	Note    func([]byte)
@@ -65,8 +61,9 @@
 	ask     chan chan State
 	stop    chan struct{}
 	poke    chan struct{}
-	stores  chan stored
-	unkept  int // votes stored since the last snapshot
+	votes   *lasting.Queue[lease.Record]
+	unkept  int  // votes stored since the last snapshot
+	trusted bool // what is stored is all that counts, and that is stored too
 	ended   sync.WaitGroup
 	crowded atomic.Int64
 
@@ -99,9 +96,12 @@
 func Start(plan sharing.Plan, carrier *gossip.Carrier, now func() float64, work Work, log zerolog.Logger) *Actor {
 	a := &Actor{core: sharing.New(plan), carrier: carrier, now: now, work: work, log: log,
 		poke: make(chan struct{}, 1), mail: make(chan sharing.Input, mailbox), ask: make(chan chan State), stop: make(chan struct{}),
-		stores: make(chan stored, storesMost), orders: map[uint64]chan tasks.Answer{}, holds: map[uint64]chan<- any{}}
-	if work.Store != nil {
-		a.ended.Go(a.store)
+		orders: map[uint64]chan tasks.Answer{}, holds: map[uint64]chan<- any{}}
+	if work.Votes != nil {
+		a.votes = lasting.NewQueue(work.Votes, func(upto uint64) { a.put(lease.Stored{Upto: upto}) }, func(err error) {
+			a.log.Error().Err(err).Msg("votes on leases can't be stored: this broker grants none any more, until it is started again")
+			a.put(lease.DiskLost{})
+		})
 	}
 	a.ended.Go(func() {
 		carrier.Run(func(addr string, e sharing.Envelope) {
@@ -199,57 +199,6 @@
 	}
 }
 
-// stored is a vote on its way to the disk, or all of them.
-type stored struct {
-	lease.Store
-	all []lease.Record // nil: the one vote
-}
-
-// store makes votes last, as many at once as wait.
-func (a *Actor) store() {
-	for {
-		var next stored
-		select {
-		case next = <-a.stores:
-		case <-a.stop:
-			return
-		}
-		var records, all []lease.Record
-		var upto uint64
-		for more := true; more && all == nil && len(records) < storesMost; {
-			if all = next.all; all == nil {
-				records, upto = append(records, next.Record), next.Number
-				select {
-				case next = <-a.stores:
-				default:
-					more = false
-				}
-			}
-		}
-		var err error
-		if len(records) > 0 {
-			err = a.work.Store(records)
-		}
-		if err == nil && all != nil {
-			err = a.work.Snapshot(all)
-		}
-		if err != nil {
-			a.log.Error().Err(err).Msg("votes on leases can't be stored: this broker grants none any more, until it is started again")
-			a.put(lease.DiskLost{})
-			for { // what the actor still wants stored is not
-				select {
-				case <-a.stores:
-				case <-a.stop:
-					return
-				}
-			}
-		}
-		if upto > 0 {
-			a.put(lease.Stored{Upto: upto})
-		}
-	}
-}
-
 // State asks the actor for what it sees; false: it has ended.
 func (a *Actor) State() (State, bool) {
 	reply := make(chan State, 1)
@@ -288,9 +237,16 @@
 			}
 		}
 		a.carryOut(a.core.Step(a.now(), a.work.Wall(), batch))
+		if a.votes == nil {
+			continue
+		}
+		if !a.trusted && a.now() >= a.core.Leases.SureAt() {
+			a.trusted = true
+			a.votes.Put(lasting.Order[lease.Record]{Trust: true})
+		}
 		if a.unkept >= snapshotAfter {
 			a.unkept = 0
-			a.keep(stored{all: a.core.Leases.Records()})
+			a.votes.Put(lasting.Order[lease.Record]{All: a.core.Leases.Records()})
 		}
 	}
 }
@@ -328,7 +284,7 @@
 			}
 			a.mu.Unlock()
 		case lease.Store:
-			a.keep(stored{Store: v})
+			a.votes.Put(lasting.Order[lease.Record]{Number: v.Number, Record: v.Record})
 			a.unkept++
 		case membership.Changed:
 			a.log.Info().Str("member", v.Member.Name).Str("addr", v.Member.Addr).Stringer("is", v.Member.State).
@@ -337,13 +293,6 @@
 	}
 }
 
-func (a *Actor) keep(s stored) {
-	select {
-	case a.stores <- s:
-	case <-a.stop:
-	}
-}
-
 func (a *Actor) state() State {
 	s := State{Self: a.core.Members.Self(), Health: a.core.Members.Health(), Now: a.now(), Common: a.core.Duties.Common(a.now()),
 		Members: a.core.Members.Members(), Duties: a.core.Duties.Shares(), Leases: a.core.Leases.Views(),
@@ -371,5 +320,8 @@
 func (a *Actor) Kill() {
 	close(a.stop)
 	a.carrier.Close()
+	if a.votes != nil {
+		a.votes.Close()
+	}
 	a.ended.Wait()
 }
--- a/internal/shares/orders.go
+++ b/internal/shares/orders.go
@@ -43,6 +43,8 @@
 // standing is what a member knows of a limit's size.
 type standing struct {
 	own    size
+	first  size              // the document's when this process started
+	sizes  []size            // all that homes have to do with: these two, and theirs
 	theirs map[string]size   // documents, as last told
 	known  map[string]uint64 // the version of the newest order that a member was heard to know
 	order  Order             // the newest; Left counts for nothing here
@@ -164,6 +166,7 @@
 	}
 	s := &l.standing
 	s.theirs[from] = size{w.Size, w.Burst}
+	c.rehome(l, now)
 	news, unsure, q := false, false, s.asked[from]
 	if o := w.Order; o != nil {
 		// How long a message was under way nobody knows. What lets more in counts from a question that the word answers: its end must not come late.
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -12,6 +12,7 @@
 	"cmp"
 	"container/heap"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 )
@@ -92,7 +93,7 @@
 	Once       bool    // an Ask for one scan's tokens, or its answer
 }
 
-// Input is a Received, View, Set or Document.
+// Input is a Received, View, Set, Document, Stored or DiskLost.
 type Input any
 
 // Received is a message from a member.
@@ -137,6 +138,7 @@
 	Odd       int `json:"odd"`
 	Once      int `json:"once"`   // scans that were taken with tokens of an owner, asked for each by itself
 	Spared    int `json:"spared"` // tokens that this member gave for others' single scans
+	Stored    int `json:"stored"` // marks of what is lent that went to the disk
 }
 
 // Seen is what is seen of one limit and key.
@@ -235,6 +237,10 @@
 	limit   *limit
 	key     string
 	home    Part // of an owner, for good
+	rank    int  // among the owners; below 0: it is none of them
+	mark    Part // so much of the home share may be lent, as it lasts
+	markAt  uint64
+	marked  float64
 	debts   []debt
 	loans   []loan // one for each other owner
 	share   Part   // that may be used up to change, when it changes by itself
@@ -299,6 +305,7 @@
 	chance   func() float64
 	picked   []*account // by a Take
 	came     bool       // tokens for a single scan
+	marks
 }
 
 // New makes a member's part. It may be a process that has forgotten what an earlier one lent: until a loan's longest term is over its home shares
@@ -310,7 +317,7 @@
 	for i, l := range limits {
 		l.Burst, l.Term = max(1, l.Burst), max(1, l.Term)
 		own := size{l.Size, l.Burst}
-		c.limits = append(c.limits, &limit{l, i, standing{own: own, before: own, expires: math.Inf(1), asked: map[string]question{}, theirs: map[string]size{}, known: map[string]uint64{}}})
+		c.limits = append(c.limits, &limit{l, i, standing{own: own, first: own, sizes: []size{own}, before: own, expires: math.Inf(1), asked: map[string]question{}, theirs: map[string]size{}, known: map[string]uint64{}}})
 		c.byName[l.Name] = c.limits[i]
 	}
 	return c
@@ -319,17 +326,26 @@
 // kept is how long a lender keeps to a loan: the borrower's clock may be slow and its own fast.
 func (c *Core) kept(l *limit) float64 { return l.Term * (1 + c.rules.Drift) / (1 - c.rules.Drift) }
 
-// quiet is up to when home shares of a limit rest: an earlier process of this member may have lent them.
-func (c *Core) quiet(l *limit) float64 {
+// rested is when nothing that an earlier process of this member lent may be in use any more.
+func (c *Core) rested(l *limit) float64 {
 	if l.Available || !c.rules.Loans {
 		return c.start
 	}
 	return c.start + c.kept(l)
 }
 
+// quiet is up to when home shares of a limit rest: an earlier process of this member may have lent them, and it is not known what.
+func (c *Core) quiet(l *limit) float64 {
+	if c.sound {
+		return c.start
+	}
+	return c.rested(l)
+}
+
 func (c *Core) begin(now float64) {
 	if !c.begun {
 		c.begun, c.start, c.now, c.talkAt = true, now, now, now
+		c.ripe = c.ripens()
 	}
 	c.now = max(c.now, now)
 }
@@ -343,26 +359,61 @@
 	if len(c.accounts) >= c.rules.Most {
 		return nil
 	}
-	a = &account{limit: l, key: key, at: c.now, asked: c.now, seen: c.now, took: c.now, change: never, index: -1, due: c.now + l.Term}
+	a = &account{limit: l, key: key, rank: -1, at: c.now, asked: c.now, seen: c.now, took: c.now, change: never, index: -1, due: c.now + l.Term}
 	all := owners(c.rules.Roster, l.Name+"\x00"+key, l.Owners)
 	for i, name := range all {
 		if name == c.rules.Self {
-			a.home = home(l.Limit, i, len(all))
+			a.rank, a.home = i, l.home(i, len(all))
 		} else {
 			a.loans = append(a.loans, loan{from: name, silent: never})
 		}
 	}
 	c.accounts[id{l.number, key}] = a
+	c.inherit(a)
 	c.recount(a, c.now)
 	if l.Kind == Rate {
-		// Nothing was taken of it since this process's home shares count, or it was full when it was forgotten.
-		a.tokens = min(c.deep(a), max(0, c.now-c.quiet(l))/1000*c.pace(a))
+		// Nothing was taken of it since then, but by this process under an account that was full when it was forgotten. Before that the one before may have
+		// lent of it, and its tokens with it.
+		a.tokens = min(c.deep(a), max(0, c.now-c.rested(l))/1000*c.pace(a))
 	}
 	heap.Push(&c.due, a)
 	return a
 }
 
-// home is the share of the i-th of n owners. What is taken as a whole, tokens at once and open scans, is given out as a whole: five members with a
+// home is the share of the i-th of n owners, by whichever of the sizes that members may go by gives the least. So all homes together are never more than one
+// size's, which all have in common: that of the documents at the start, or of the one member that was started with another. Accounts that were made while an order
+// was in force once had homes of its size, and the fleet 1.1 of a limit.
+func (l *limit) home(i, n int) Part {
+	least := whole
+	for _, s := range l.sizes {
+		least = least.min(home(Limit{Kind: l.Kind, Size: s.size, Burst: s.burst}, i, n))
+	}
+	return least
+}
+
+// rehome counts the homes of all accounts anew, since a member is known to go by another size.
+func (c *Core) rehome(l *limit, now float64) {
+	sizes := []size{l.first}
+	for _, s := range append([]size{l.own}, slices.Collect(maps.Values(l.theirs))...) {
+		if !slices.Contains(sizes, s) {
+			sizes = append(sizes, s)
+		}
+	}
+	slices.SortFunc(sizes, func(a, b size) int { return cmp.Or(cmp.Compare(a.size, b.size), cmp.Compare(a.burst, b.burst)) })
+	if slices.Equal(sizes, l.sizes) {
+		return
+	}
+	l.sizes = sizes
+	for _, a := range c.due {
+		if a.limit == l && a.rank >= 0 {
+			c.settle(a, now)
+			a.home = l.home(a.rank, len(a.loans)+1)
+			c.recount(a, now)
+		}
+	}
+}
+
+// home is the share of the i-th of n owners at one size. What is taken as a whole, tokens at once and open scans, is given out as a whole: five members with a
 // fifth of a token each would let nobody in.
 func home(l Limit, i, n int) Part {
 	even := int64(Whole / n)
@@ -420,8 +471,8 @@
 	return p
 }
 
-// own is what is left of the home share.
-func (a *account) own(now float64) Part { return a.home.sub(a.lent(now)) }
+// own is what is left of the home share; nothing where more was lent of a home that was larger.
+func (a *account) own(now float64) Part { return a.home.sub(a.lent(now)).max(Part{}) }
 
 // valid is the share that may be used from a moment's point of view up to another one.
 func (c *Core) valid(a *account, now, upto float64) (p Part) {
@@ -630,6 +681,9 @@
 
 // spare gives a member the tokens of one scan, if there are as many now, and with them their room for as long as they hold.
 func (c *Core) spare(a *account, now float64, from string, m Message) {
+	if c.failed {
+		return
+	}
 	a.debts = slices.DeleteFunc(a.debts, func(d debt) bool { return d.once && d.out(now).none() })
 	if now < c.quiet(a.limit) || len(a.debts) >= 4*len(c.rules.Roster)+onceMost ||
 		slices.ContainsFunc(a.debts, func(d debt) bool { return d.once && d.to == from && d.boot == m.Boot && d.seq >= m.Seq }) {
@@ -643,8 +697,9 @@
 		c.recount(a, now)
 		c.Counts.Spared++
 		answer.Share, answer.Tokens = Part{depth: m.Share[depth]}, cost
+		c.raise(a, now)
 	}
-	c.mail[from] = append(c.mail[from], answer)
+	c.say(a, from, answer)
 }
 
 // spared takes an owner's answer.
@@ -785,7 +840,7 @@
 	if !c.begun {
 		return math.Inf(-1)
 	}
-	at := c.talkAt
+	at := min(c.talkAt, c.trustDue())
 	for _, l := range c.limits {
 		at = min(at, l.expires)
 	}
@@ -810,9 +865,14 @@
 		case Document:
 			if l := c.byName[v.Limit]; l != nil && sane(v.Size) && sane(max(1, v.Burst)) {
 				l.own = size{v.Size, max(1, v.Burst)}
+				c.rehome(l, now)
 				c.resize(l, now)
 				c.tellAll(l, now)
 			}
+		case Stored:
+			c.last(v.Upto)
+		case DiskLost:
+			c.failed, c.waits, c.stores = true, nil, nil
 		case View:
 			c.living = map[string]bool{}
 			for _, name := range v.Living {
@@ -827,6 +887,7 @@
 		}
 	}
 	c.talk(now)
+	c.trust()
 	for len(c.due) > 0 && c.due[0].due <= now {
 		a := c.due[0]
 		a.due = math.Inf(1)
@@ -845,6 +906,7 @@
 // turn looks after one account: calls lent shares back, asks for more, renews, gives back.
 func (c *Core) turn(a *account, now float64) {
 	c.settle(a, now)
+	c.settled(a, now)
 	term := a.limit.Term
 	a.next = now + moreShare*term // not again before
 	need := c.need(a, now)
@@ -1050,8 +1112,8 @@
 
 // lend answers an ask.
 func (c *Core) lend(a *account, now float64, from string, m Message) {
-	if now < c.quiet(a.limit) {
-		return // what was lent is not known
+	if now < c.quiet(a.limit) || c.failed {
+		return // what was lent is not known, or what is lent would not last
 	}
 	a.debts = slices.DeleteFunc(a.debts, func(d debt) bool {
 		return d.out(now).none() && now >= d.wantAt+c.kept(a.limit)
@@ -1088,7 +1150,8 @@
 	tokens := a.tokens
 	c.recount(a, now)
 	c.Counts.Lent++
-	c.mail[from] = append(c.mail[from], Message{Kind: Loan, Limit: m.Limit, Key: m.Key, Boot: m.Boot, Seq: m.Seq, Share: grant, Tokens: tokens - a.tokens})
+	c.raise(a, now)
+	c.say(a, from, Message{Kind: Loan, Limit: m.Limit, Key: m.Key, Boot: m.Boot, Seq: m.Seq, Share: grant, Tokens: tokens - a.tokens})
 	c.wake(a, now+moreShare*a.limit.Term)
 }
 
@@ -1210,6 +1273,10 @@
 }
 
 func (c *Core) drop(a *account) {
+	if c.disk && !c.failed && !a.mark.none() {
+		a.mark = Part{}
+		c.store(a.record())
+	}
 	heap.Remove(&c.due, a.index)
 	delete(c.accounts, id{a.limit.number, a.key})
 }
