What is lent of limits lasts on a disk; process tests run three fleets at a time

Need: a lender that has forgotten its loans lets its home share rest for a term after each start; with storage of lease.dir's kind it is to know.

Change: limits { dir } in the features document: marks of what is lent are stored before it is told, many with one fsync; a process that starts again takes the marks for lent and uses the rest at once, unless rules, roster or directory are others. Fleets of the process tests run beside each other, three at most, on ports below those that the kernel gives to connections.

--- a/cmd/gullstair/leases_test.go
+++ b/cmd/gullstair/leases_test.go
@@ -195,6 +195,7 @@
 // Five brokers and a task whose work a witness sees, through faults between and at them: never two at once, fencing numbers that grow, and work again once
 // a majority is together.
 func TestLeaseFaults(t *testing.T) {
+	besideOthers(t)
 	f := startLeases(t, 5, "1500ms", "stubborn", "votes", func(m *rig.Member) {
 		require.NoError(t, m.Bend([]float64{0.99, 1.01, 1}[m.N%3], 0)) // the drift that is told, at both ends
 	})
@@ -325,6 +326,7 @@
 
 // Voters without disks: after a restart of all nothing is granted for a term, what ran is over by then, and the task goes on.
 func TestLeasesWithoutDisks(t *testing.T) {
+	besideOthers(t)
 	f := startLeases(t, 3, "5s", "stubborn", "", nil)
 	k, _ := f.atWork()
 	for _, m := range f.Members {
@@ -362,6 +364,7 @@
 // Disks that are full, as the kernel says it: a voter that can store nothing more grants nothing more and says why. One of three costs nothing; with two nobody may
 // begin; started again with room they find what the last write left, and the task goes on.
 func TestLeaseDiskFull(t *testing.T) {
+	besideOthers(t)
 	f := startLeases(t, 3, "300ms", "plain", "votes", nil)
 	f.atWork()
 	said := func(m *rig.Member, any ...string) {
@@ -403,6 +406,7 @@
 // A whole machine stands still, broker, guard and command, and wakes after another one holds the lease: that no lease can cover, and the fence where effects
 // land does. The command wakes first and goes on for as long as it is let.
 func TestMachineStandsStill(t *testing.T) {
+	besideOthers(t)
 	f := startLeases(t, 3, "30s", "fenced", "votes", nil)
 	k, m := f.atWork()
 	stopped := append([]int{m.Pid()}, guardsOf(m.Pid())...)
@@ -434,6 +438,7 @@
 // Leases by hand: so many hold one at a time in the fleet, whoever waits gets it next, an operator can have it released, and a command whose lease
 // is lost is ended.
 func TestLeaseByHand(t *testing.T) {
+	besideOthers(t)
 	f := startLeases(t, 3, "20ms", "plain", "votes", nil)
 	f.atWork()
 	hold := func(m *rig.Member, name, span string, holders int, more ...string) *exec.Cmd {
@@ -531,6 +536,7 @@
 // A schedule of faults drawn from a seed: never two at work, and work again once all is well. One that fails is printed, played again to say how
 // often it fails, and made smaller; -rig.schedule plays it.
 func TestLeaseSchedule(t *testing.T) {
+	besideOthers(t)
 	s := rig.Draw(*rigSeed, *rigMembers, *rigFaults, *rigSpan)
 	if *rigSchedule != "" {
 		text, err := os.ReadFile(*rigSchedule)
--- a/cmd/gullstair/limits_test.go
+++ b/cmd/gullstair/limits_test.go
@@ -194,6 +194,7 @@
 // A strict limit for five processes whose clocks run apart: demand that moves, splits with loans out, one-way links, loss, replays, brokers killed, stopped
 // past their loans' ends and all restarted. Never a scan over; and what is free is used.
 func TestLimitFaults(t *testing.T) {
+	besideOthers(t)
 	f := startLimits(t, 5, "limit \"all\" {\n  for = \"fleet\"\n  scans_per_s = 80\n  burst = 16\n}\n")
 	near := f.near
 	near("all of it at one broker", 0.85, 160)
@@ -276,6 +277,7 @@
 
 // The roster grows from five to seven and shrinks to three under load, in the order that docs/limits.md gives: never a scan over.
 func TestLimitRoster(t *testing.T) {
+	besideOthers(t)
 	f := startLimits(t, 7, "limit \"all\" {\n  for = \"fleet\"\n  scans_per_s = 80\n  burst = 16\n}\n")
 	f.near("five", 0.85, 40, 40, 40, 40, 40)
 	list := func(n int, members ...*rig.Member) {
@@ -301,6 +303,7 @@
 // An available limit in a split of three and two: who is cut off goes on with what was borrowed for linger, then each side has its members' share, or alone
 // if that is more. What the whole fleet takes stays within the stated formula.
 func TestLimitAvailable(t *testing.T) {
+	besideOthers(t)
 	const alone, linger = 0.6, 2.0
 	f := startLimits(t, 5, "limit \"all\" {\n  for = \"fleet\"\n  scans_per_s = 80\n  burst = 16\n  mode = \"available\"\n  linger = \"2s\"\n  alone = 0.6\n}\n")
 	f.near("all of it at one", 0.9, 160, 0, 0, 0, 0)
--- a/cmd/gullstair/sharing_test.go
+++ b/cmd/gullstair/sharing_test.go
@@ -38,6 +38,16 @@
 	os.Exit(m.Run())
 }
 
+// fleets is how many fleets of processes run at once: each is idle most of the time, and all together must leave a machine of four cores enough to keep time.
+var fleets = make(chan struct{}, 3)
+
+// besideOthers lets a test with a fleet of its own run beside others, as far as there is room.
+func besideOthers(t *testing.T) {
+	t.Parallel()
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
+}
+
 // probed is a stand-in store that answers probes for load and counts them. A mute one takes connections and says nothing.
 type probed struct {
 	ln    net.Listener
--- a/cmd/gullstair/verdicts_test.go
+++ b/cmd/gullstair/verdicts_test.go
@@ -212,6 +212,7 @@
 // Five processes over stores that write down what reaches them: whose word counts, how fast it goes and comes back, what operators order, and what becomes of it in splits, through
 // restarts and when processes stand still.
 func TestVerdictFaults(t *testing.T) {
+	besideOthers(t)
 	f := startVerdicts(t)
 	s := f.stores
 	f.askAll(30, 30, 30, 30, 0)
--- a/internal/broker/features.go
+++ b/internal/broker/features.go
@@ -185,7 +185,14 @@
 		carrier.Close()
 		return err
 	}
-	limits := b.limits(&plan, boot, now)
+	limits, err := b.limits(&plan, boot, now)
+	if err != nil {
+		carrier.Close()
+		if dir != nil {
+			dir.Close()
+		}
+		return err
+	}
 	sh := &shared{b: b, now: now, runs: map[under]*run{}, votes: dir, sealer: sealer, ends: make(chan core.Probed, endsMost), lists: make(chan core.Listed, 1), done: make(chan struct{})}
 	sh.lists <- b.core.Share()
 	if s.Verdicts != nil {
@@ -200,7 +207,7 @@
 	sh.actor = sharer.Start(plan, carrier, now, work, b.log)
 	b.shared = sh
 	if sh.limits = limits; limits != nil {
-		limits.poke = sh.actor.Poke
+		limits.pokes(sh.actor.Poke)
 		b.core.Limit(limits)
 	}
 	go sh.pass()
@@ -304,6 +311,9 @@
 		if b.shared.votes != nil {
 			b.shared.votes.Close()
 		}
+		if b.shared.limits != nil {
+			b.shared.limits.close()
+		}
 	}()
 	return over
 }
--- a/internal/broker/limits.go
+++ b/internal/broker/limits.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"cmp"
 	"encoding/hex"
 	"fmt"
 	"hash/fnv"
@@ -12,8 +13,11 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"gullstair/internal/core"
 	"gullstair/internal/features"
+	"gullstair/internal/lasting"
 	"gullstair/internal/shares"
 	"gullstair/internal/sharing"
 )
@@ -26,12 +30,15 @@
 	moved  func() // the module's actor: scans that wait may be taken
 	limits []features.Limit
 
-	mu    sync.Mutex
-	in    []shares.Input // operators' orders, for the sharing actor
-	core  *shares.Core
-	due   float64 // as the sharing actor knows it
-	uses  []shares.Use
-	names []string // why a limit turns a scan away
+	mu     sync.Mutex
+	in     []shares.Input // operators' orders, for the sharing actor
+	core   *shares.Core
+	due    float64                       // as the sharing actor knows it
+	queue  *lasting.Queue[shares.Record] // nil: what is lent does not last
+	dir    *lasting.Dir[shares.Record]
+	unkept int // marks stored since the last snapshot
+	uses   []shares.Use
+	names  []string // why a limit turns a scan away
 }
 
 const (
@@ -41,12 +48,14 @@
 	keyKept    = 60 // bytes of a longer key that are kept beside its hash
 	keyWhole   = 100
 	endsLateMs = 50.0 // a scan's last answer may come so long after its time is up
+	// marksMost is after how many marks all of them take the place of the log.
+	marksMost = 20000
 )
 
 // limits puts the fleet's limits into a plan; nil: there are none.
-func (b *Broker) limits(plan *sharing.Plan, boot uint64, now func() float64) *limiter {
+func (b *Broker) limits(plan *sharing.Plan, boot uint64, now func() float64) (*limiter, error) {
 	if len(b.features.Limits) == 0 {
-		return nil
+		return nil, nil
 	}
 	l := &limiter{now: now, poke: func() {}, moved: func() { b.put(core.LimitsMoved{}) }, limits: b.features.Limits}
 	rules := shares.Rules{Self: plan.Name, Boot: boot, Drift: plan.Drift, Most: limitKeys, Loans: true, After: limitAfter}
@@ -68,7 +77,37 @@
 	}
 	l.core = shares.New(rules, limits, rand.New(rand.NewPCG(b.told.Seed, boot^0x11a17)).Float64)
 	plan.Limits = l
-	return l
+	if b.features.Lent != "" {
+		return l, l.keep(b.features.Lent, b.log)
+	}
+	return l, nil
+}
+
+// keep has what is lent last in a directory.
+func (l *limiter) keep(path string, log zerolog.Logger) error {
+	dir, found, err := lasting.Open[shares.Record](path, lasting.Loans)
+	if err != nil {
+		return fmt.Errorf("features: limits: %w", err)
+	}
+	if l.core.Restore(found.Records, found.Sound) {
+		log.Info().Str("dir", path).Int("marks", len(found.Records)).Msg("what was lent of limits is as it was stored: the rest is used at once")
+	} else {
+		log.Warn().Str("dir", path).Str("because", cmp.Or(found.Why, "limits or members were others")).Msg("what was lent of limits may be more than is known: home shares rest for a term")
+	}
+	l.dir = dir
+	l.queue = lasting.NewQueue(dir, func(upto uint64) { l.order(shares.Stored{Upto: upto}) }, func(err error) {
+		log.Error().Err(err).Msg("what is lent of limits can't be stored: this broker lends nothing any more, until it is started again")
+		l.order(shares.DiskLost{})
+	})
+	return nil
+}
+
+// close ends it; what is under way to the disk was told to nobody.
+func (l *limiter) close() {
+	if l.queue != nil {
+		l.queue.Close()
+		l.dir.Close()
+	}
 }
 
 // asked lists what a scan takes. It is good until the next call.
@@ -175,10 +214,23 @@
 	l.in = nil
 	l.due = l.core.Due()
 	came := l.core.Came()
+	stores := l.core.Stores()
+	var all []shares.Record
+	if l.unkept += len(stores); l.unkept >= marksMost {
+		l.unkept, all = 0, l.core.Records()
+	}
 	l.mu.Unlock()
 	if came {
 		l.moved()
 	}
+	if l.queue != nil {
+		for _, s := range stores {
+			l.queue.Put(lasting.Order[shares.Record]{Number: s.Number, Record: s.Record, Trust: s.Trust})
+		}
+		if all != nil {
+			l.queue.Put(lasting.Order[shares.Record]{All: all})
+		}
+	}
 	return out
 }
 
@@ -195,8 +247,16 @@
 func (l *limiter) order(in ...shares.Input) {
 	l.mu.Lock()
 	l.in = append(l.in, in...)
+	poke := l.poke
+	l.mu.Unlock()
+	poke()
+}
+
+// pokes names who is to be told that something is due earlier. The disk's word may come before.
+func (l *limiter) pokes(poke func()) {
+	l.mu.Lock()
+	l.poke = poke
 	l.mu.Unlock()
-	l.poke()
 }
 
 // set is an operator's order: another size of a limit for a while, or none any more.
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -32,6 +32,7 @@
 	Lease   *Lease
 	Tasks   []Task
 	Limits  []Limit
+	Lent    string // directory where it lasts what is lent of limits; "": it does not
 }
 
 // Limit holds for the whole fleet. One of Rate, Open and Work is set.
@@ -157,6 +158,11 @@
 	Lease   *leases  `hcl:"lease,block"`
 	Tasks   []task   `hcl:"task,block"`
 	Limits  []limit  `hcl:"limit,block"`
+	Lent    *lent    `hcl:"limits,block"`
+}
+
+type lent struct {
+	Dir string `hcl:"dir"`
 }
 
 type limit struct {
@@ -315,6 +321,19 @@
 	for i, l := range raw.Limits {
 		doc.Limits = append(doc.Limits, c.limit(l, raw.Limits[:i], doc))
 	}
+	if raw.Lent != nil {
+		if doc.Lent = raw.Lent.Dir; doc.Lent == "" {
+			c.fault([]string{"limits"}, "dir", "a directory is needed")
+		} else if !filepath.IsAbs(doc.Lent) {
+			doc.Lent = filepath.Join(c.dir, doc.Lent)
+		}
+		if len(raw.Limits) == 0 {
+			c.fault([]string{"limits"}, "", "there is no limit block: nothing is lent")
+		}
+		if doc.Lease != nil && doc.Lease.Dir == doc.Lent {
+			c.fault([]string{"limits"}, "dir", "votes on leases are stored there")
+		}
+	}
 	if len(raw.Limits) > limitsMost {
 		c.fault([]string{"limit", raw.Limits[limitsMost].Name}, "", "there are more than %d limits", limitsMost)
 	}
@@ -753,6 +772,9 @@
 	if !reflect.DeepEqual(unsized(d.Limits), unsized(other.Limits)) {
 		names = append(names, "limit")
 	}
+	if d.Lent != other.Lent {
+		names = append(names, "limits")
+	}
 	if !reflect.DeepEqual(d.Watch, other.Watch) {
 		names = append(names, "watch")
 	}
--- a/internal/planted/faults.go
+++ b/internal/planted/faults.go
@@ -5,6 +5,7 @@
 	tasksFile = "internal/tasks/tasks.go"
 	guardFile = "internal/guard/guard.go"
 	votesFile = "internal/lasting/lasting.go"
+	queueFile = "internal/lasting/queue.go"
 	fenceFile = "internal/fence/fence.go"
 	shareFile = "internal/shares/shares.go"
 	markFile  = "internal/shares/marks.go"
@@ -18,7 +19,7 @@
 var Faults = []Fault{
 	{"drift left out", leaseFile, "return term * (1 + c.rules.Drift) / (1 - c.rules.Drift)", "return term", "", ""},
 	{"drift counted on one side", leaseFile, "return term * (1 + c.rules.Drift) / (1 - c.rules.Drift)", "return term * (1 + c.rules.Drift)", "", ""},
-	{"no quiet time", leaseFile, "return c.start + c.kept(term)", "return c.start + 0*c.kept(term)", "", ""},
+	{"no quiet time", leaseFile, "return c.start + c.kept(term)\n}\n\n// SureAt", "return c.start + 0*c.kept(term)\n}\n\n// SureAt", "", ""},
 	{"term counted from the answer", leaseFile, "l.till = b.sent + b.term", "l.till = c.now + b.term", "", ""},
 	{"less than a majority", leaseFile, "return len(c.roster)/2 + 1", "return (len(c.roster) + 1) / 2 / 2 * 1", "", ""},
 	{"process number ignored", leaseFile, "l.until > c.now && (l.holder != c.self || l.boot != c.boot)", "l.until > c.now && l.holder != c.self",
@@ -90,6 +91,9 @@
 	{"process: only its group killed", guardFile, "	KillBelow(os.Getpid(), pid)\n}", "}", "			killed, codes = true, nil\n			kill(pid)\n", "			killed, codes = true, nil\n"},
 	{"process: no backstop", guardFile, "	go g.backstop()\n", "", "", ""},
 	{"process: deadline forgotten with the broker", guardFile, "told = nil // whoever", "told, until = nil, until+int64(time.Hour) // whoever", "", ""},
+	{"lasting: doubt forgotten with the process that had it", votesFile, "	case earlier != \"\":\n", "	case false:\n", "", ""},
+	{"lasting: trusted at once", votesFile, "Begun: time.Now().UnixNano(), Place: here, Doubt: d.doubt})\n}\n\n// Trust", "Begun: time.Now().UnixNano(), Place: here})\n}\n\n// Trust", "", ""},
+	{"lasting: taken from the queue and left out", queueFile, "next.Trust || len(records) == queueMost {", "next.Trust {", "			case next = <-q.in:\n			default:", "			case next = <-q.in:\n				if len(records) >= queueMost {\n					more = false\n				}\n			default:"},
 	{"process: copy of votes taken for sound", votesFile, "case fresh || here != there:", "case fresh || here != there && false:", "case changed && touched-last > int64(touchedWithin):", "case changed && touched-last > int64(touchedWithin) && false:"},
 }
 
@@ -100,6 +104,7 @@
 	{Name: "leases' histories", Package: "./internal/trial", Args: []string{"-test.run=TestLeaseHistories|TestNumbers", "-rapid.nofailfile", "-rapid.checks=1000", "-test.timeout=300s"}},
 	{Name: "limits' histories", Package: "./internal/trial", Args: []string{"-test.run=TestLimitHistories", "-rapid.nofailfile", "-rapid.checks=1500", "-test.timeout=300s"}, Among: "limits: "},
 	{Name: "limits' cases", Package: "./internal/shares", Args: []string{"-test.timeout=120s"}, Among: "limits: "},
+	{Name: "lasting's cases", Package: "./internal/lasting", Args: []string{"-test.timeout=60s"}, Among: "lasting: "},
 	{Name: "verdicts' histories", Package: "./internal/trial", Args: []string{"-test.run=TestVerdictHistories", "-rapid.nofailfile", "-rapid.checks=600", "-test.timeout=300s"}, Among: "verdicts: "},
 	{Name: "verdicts' cases", Package: "./internal/trial", Args: []string{"-test.run=TestOneStoreFails|TestWhoseWordCounts|TestContraryOrders|TestReborn|TestNowAndThen", "-test.timeout=120s"}, Among: "verdicts: "},
 	{Name: "verdicts' units", Package: "./internal/verdicts", Args: []string{"-test.timeout=60s"}, Among: "verdicts: "},
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -7,11 +7,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -54,22 +56,34 @@
 	agent   net.Listener
 }
 
+// Ports that are handed out lie below those that the kernel gives to connections: a client's connection once could take a member's port between two of its
+// processes. Each is handed out once by a process, and processes begin at different ones.
+const (
+	portsFrom = 20000
+	portsMost = 12000
+)
+
+var ports atomic.Int64
+
+func init() { ports.Store(int64(os.Getpid()) * 61) }
+
 // Loopback finds a free port on loopback and lets it go again.
 func Loopback(network string) (string, error) {
-	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
+	var err error
+	for range portsMost {
+		addr := fmt.Sprintf("127.0.0.1:%d", portsFrom+ports.Add(1)%portsMost)
+		var c io.Closer
+		if network == "udp" {
+			c, err = net.ListenPacket("udp", addr)
+		} else {
+			c, err = net.Listen("tcp", addr)
+		}
+		if err == nil {
+			c.Close()
+			return addr, nil
 		}
-		defer c.Close()
-		return c.LocalAddr().String(), nil
-	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", fmt.Errorf("rig: no port is free: %w", err)
 }
 
 // New lays a fleet out: addresses, the switch and every file. Nothing runs yet.
--- a/internal/shares/marks.go
+++ b/internal/shares/marks.go
@@ -65,8 +65,9 @@
 )
 
 // Restore has marks stored before what rests on them is told, and begins with those that were. Sound says that they are all there are. It goes
-// before the first Step or Take. Records of one account may come in any number, in their order.
-func (c *Core) Restore(records []Record, sound bool) {
+// before the first Step or Take. Records of one account may come in any number, in their order. It returns whether what was lent is known: else home
+// shares rest for a term, as without a disk.
+func (c *Core) Restore(records []Record, sound bool) bool {
 	c.disk, c.before = true, map[id]mark{}
 	rules := uint64(0)
 	for _, r := range records {
@@ -84,6 +85,7 @@
 	// By other rules, another roster or size, other members had other homes: what they lent to whom nobody here knows.
 	c.sound = sound && rules == c.rulesSum()
 	c.trusted = c.sound
+	return c.sound
 }
 
 // rulesSum tells rules by which shares are counted from others.
