--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -72,11 +72,14 @@
 	sizes := map[string]float64{"one_way_loss": 0.9, "one_sided": 0.8, "release": 0.1, "slow": 8, "neighbour": 0.7, "fails": 0.6,
 		"resets": 0.3, "spoils": 0.3, "lies": 5, "stale_list": 4000, "hot_key": 0.5, "traffic": 4}
 	for kind := range Faults {
-		f := Fault{Kind: kind, At: 3000, For: 8000, Share: 0.4, Size: sizes[kind]}
-		w, got := play(t, small(), 3, Gullstair, 16000, f, Fault{Kind: "slow", At: 6000, For: 2000, Share: 0.1, Size: 3})
-		assert.Empty(t, got.Breaches, kind)
-		assert.Greater(t, got.Service, 0.3, kind)
-		assert.GreaterOrEqual(t, len(w.Notes), 2, kind)
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel() // among themselves: a test that reads the memory runs alone
+			f := Fault{Kind: kind, At: 3000, For: 8000, Share: 0.4, Size: sizes[kind]}
+			w, got := play(t, small(), 3, Gullstair, 16000, f, Fault{Kind: "slow", At: 6000, For: 2000, Share: 0.1, Size: 3})
+			assert.Empty(t, got.Breaches)
+			assert.Greater(t, got.Service, 0.3)
+			assert.GreaterOrEqual(t, len(w.Notes), 2)
+		})
 	}
 	w := New(small(), 1, Gullstair)
 	assert.ErrorContains(t, w.Plan(Fault{Kind: "earthquake"}), "no such fault")
--- a/internal/trial/leases_test.go
+++ b/internal/trial/leases_test.go
@@ -13,6 +13,7 @@
 // Leases under faults drawn by chance, with all members asking, clocks at both ends of their drift, disks and none: never two that
 // hold themselves entitled, fencing numbers that grow, no note lost that a majority had; and once all is well somebody holds each lease.
 func TestLeaseHistories(t *testing.T) {
+	t.Parallel()
 	held, plays := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		plays++
@@ -100,6 +101,7 @@
 // Numbers rest on wall clocks alone: a member whose clock of elapsed time is fast holds a lease again and again for two minutes, then all memory is lost at
 // once and slower ones hold it. Numbers that went by that clock would go back.
 func TestNumbersOutliveAllMemory(t *testing.T) {
+	t.Parallel()
 	lasting := lease.Terms{Name: "x", Term: 400}
 	for seed := uint64(1); seed <= 4; seed++ {
 		w := NewLeases(seed, LeaseRules{Members: 3, Drift: 0.05, Fixed: []lease.Terms{lasting}, Weather: virtual.Weather{Delay: 1}})
--- a/internal/trial/limits_test.go
+++ b/internal/trial/limits_test.go
@@ -12,6 +12,7 @@
 
 // Strict limits under faults drawn by chance: what the whole fleet takes never passes rate x window + burst, nor so many open, by true time.
 func TestLimitHistories(t *testing.T) {
+	t.Parallel()
 	taken, asked, plays := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		plays++
@@ -112,6 +113,7 @@
 // The way that is taken is never over and beats a fixed share wherever demand is not spread evenly; the judge sees it where each takes the whole
 // limit for itself.
 func TestWays(t *testing.T) {
+	t.Parallel()
 	for _, d := range Days(5, 200) {
 		t.Run(d.Name, func(t *testing.T) {
 			fixed, taken, alone := Play(1, d, Fixed), Play(1, d, Escrow), Play(1, d, Alone)
@@ -134,6 +136,7 @@
 // An available limit in a split 3-2: borrowed shares go on for linger, then each side has its members' share or alone, whichever is more; what the fleet
 // takes stays within the stated formula, before and after.
 func TestAvailableInASplit(t *testing.T) {
+	t.Parallel()
 	const size, burst, linger, alone = 200.0, 100.0, 3000.0, 0.6
 	w := NewLimits(3, LimitRules{Members: 5, Drift: 0.01, Way: Escrow, Weather: virtual.Weather{Delay: 0.5, Jitter: 1},
 		Limits: []shares.Limit{{Name: "x", Size: size, Burst: burst, Term: 1000, Available: true, Linger: linger, Alone: alone}}})
--- a/internal/trial/roster_test.go
+++ b/internal/trial/roster_test.go
@@ -60,6 +60,7 @@
 // The roster changes by restarts, one member more or less at a time: majorities of two lists that differ by one member always have a voter in
 // common. Two members at once break it, so the proof can fail.
 func TestRosterByRestarts(t *testing.T) {
+	t.Parallel()
 	for _, disk := range []bool{true, false} {
 		held, broken := 0, 0
 		for seed := range rolls {
@@ -127,6 +128,7 @@
 
 // A strict limit is kept while the roster grows and shrinks under load, in the stated order; in the other one it is passed.
 func TestLimitRosters(t *testing.T) {
+	t.Parallel()
 	taken, broken := 0, 0
 	for seed := range rolls {
 		faults, n := rolledLimits(seed, true)
--- a/internal/trial/takeover_test.go
+++ b/internal/trial/takeover_test.go
@@ -12,6 +12,7 @@
 
 // However many candidates ask at once, a lease whose holder is gone is held again within its bound, each time.
 func TestTakeover(t *testing.T) {
+	t.Parallel()
 	for _, voters := range []int{3, 5, 9} {
 		for _, term := range []float64{1000, 10_000} {
 			for _, orderly := range []bool{false, true} {
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -47,6 +47,7 @@
 }
 
 func TestCalm(t *testing.T) {
+	t.Parallel()
 	w := settled(t, 1, usual())
 	from := w.Net.Now()
 	w.Net.Run(100000)
@@ -74,6 +75,7 @@
 }
 
 func TestOneKilledInMidCycle(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 5; seed++ {
 		w := settled(t, seed, usual())
 		w.Net.Run(4700)
@@ -87,6 +89,7 @@
 }
 
 func TestSplits(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name  string
 		sides [][]string
@@ -133,6 +136,7 @@
 }
 
 func TestRestarts(t *testing.T) {
+	t.Parallel()
 	restart := func(w *World, i int, down float64) {
 		w.Kill(i)
 		w.Net.After(down, func() { w.Start(i) })
@@ -174,6 +178,7 @@
 // The holder stands still for long in the middle of its work, and wakes up believing in its lease: its child is gone by the end of the term,
 // the work goes to another member, and nothing is done under the old fencing number after that.
 func TestPausedHolder(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 5; seed++ {
 		r := usual()
 		r.Work = 9000
@@ -199,6 +204,7 @@
 // The holder leaves with a word in the middle of its work, when the next occurrence is due already: its work is told to end and takes its whole grace, and
 // only then another member begins.
 func TestLeavesInMidWork(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 5; seed++ {
 		r := usual()
 		r.Work = 20000
@@ -217,6 +223,7 @@
 
 // A member that stood still for long condemns nobody when it wakes: nobody is held for dead by its word.
 func TestPausedMemberBlamesNobody(t *testing.T) {
+	t.Parallel()
 	w := settled(t, 2, usual())
 	w.Changes = nil
 	w.Net.Pause(Name(3))
@@ -230,6 +237,7 @@
 }
 
 func TestBadNetworks(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		weather virtual.Weather
@@ -257,6 +265,7 @@
 }
 
 func TestManyMembers(t *testing.T) {
+	t.Parallel()
 	r := usual()
 	r.Members, r.Stores, r.Occurs = many, 60, 0
 	r.Timing = membership.Standard()
@@ -277,6 +286,7 @@
 }
 
 func TestJoinStorm(t *testing.T) {
+	t.Parallel()
 	r := usual()
 	r.Members, r.Open, r.Occurs = 4, true, 0
 	w := New(5, r)
@@ -298,6 +308,7 @@
 // Records pass from member to member; an age that is told too short at each hop would put turns off, more with every
 // member: a hundred of them once probed 0.8 times in a period.
 func TestAgesStayTrue(t *testing.T) {
+	t.Parallel()
 	r := usual()
 	r.Members, r.Stores, r.Occurs, r.ClockSkew = 40, 200, 0, 0
 	w := settled(t, 8, r)
@@ -308,6 +319,7 @@
 
 // The list changes in mid-cycle, and half of the stores never answer: the others are probed as ever, what is gone never.
 func TestListChanges(t *testing.T) {
+	t.Parallel()
 	w := settled(t, 6, usual())
 	gone := w.Stores()[:10]
 	for _, s := range w.Stores()[10:25] {
@@ -332,6 +344,7 @@
 }
 
 func TestOneDeathMovesItsItemsAlone(t *testing.T) {
+	t.Parallel()
 	r := usual()
 	r.Members, r.Stores, r.Occurs = 10, 2000, 0
 	w := settled(t, 7, r)
@@ -366,6 +379,7 @@
 // clocks that run apart. Whatever happens, one alone works under the lease and a store sees three probes in a period at
 // most (two where faults don't overlap: the tests above); once all is well again every store is probed within three periods, and nothing that is kept has grown.
 func TestHistories(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		r := usual()
 		r.Members = rapid.IntRange(3, 5).Draw(t, "members")
--- a/internal/trial/verdicts_test.go
+++ b/internal/trial/verdicts_test.go
@@ -13,6 +13,7 @@
 
 // A store that fails for all rests everywhere soon and is back soon after it does well; parts lost to it are a tenth of what they are where nobody tells anybody.
 func TestOneStoreFails(t *testing.T) {
+	t.Parallel()
 	lost := map[bool]int{}
 	for _, alone := range []bool{true, false} {
 		r := verdictRules(30, 20)
@@ -37,6 +38,7 @@
 
 // What is one broker's trouble, or one zone's, stays theirs; who is wrong about everything moves nobody; where most stores are ill not all may rest.
 func TestWhoseWordCounts(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name  string
 		quiet func(m int) bool
@@ -95,6 +97,7 @@
 // Drawn faults of stores, links and members: no verdict rests on less than it needs or on what is too old, none is wider than stated; and once all is well nobody
 // rests anything by others' word, orders are the same at all, and those that are over are over.
 func TestVerdictHistories(t *testing.T) {
+	t.Parallel()
 	used, plays := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		plays++
@@ -177,6 +180,7 @@
 
 // A split with contrary orders on two sides: each side goes by its own, and once it heals all go by one; who was cut off all the time ends it all the same.
 func TestContraryOrders(t *testing.T) {
+	t.Parallel()
 	w := NewVerdicts(3, verdictRules(6, 4))
 	w.Net.Run(2000)
 	w.Net.Split(Names(0, 3), Names(3, 5), Names(5, 6))
@@ -211,6 +215,7 @@
 
 // What was said of a store's earlier process counts no more once the list has the next one under its name.
 func TestReborn(t *testing.T) {
+	t.Parallel()
 	w := NewVerdicts(5, verdictRules(9, 12))
 	w.Ails = func(_, s int) bool { return s == 1 }
 	w.Net.Run(5000)
@@ -226,6 +231,7 @@
 
 // A store that fails one part in thirty, for all, is seldom rested by others' word, and for moments.
 func TestNowAndThen(t *testing.T) {
+	t.Parallel()
 	w := NewVerdicts(6, verdictRules(9, 12))
 	w.Ails = func(int, int) bool { return w.Net.Chance().IntN(30) == 0 }
 	w.Net.Run(30000)
