--- a/cmd/gullstair/limits_test.go
+++ b/cmd/gullstair/limits_test.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math"
+	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,7 +19,10 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"gullstair/internal/broker"
 	"gullstair/internal/rig"
+	"gullstair/internal/sharer"
+	"gullstair/internal/verdicts"
 )
 
 // limitFleet is a fleet with a limit and clients who ask each broker so often in a second. What they got is all that is judged.
@@ -29,9 +35,11 @@
 	stop   chan struct{}
 	asking sync.WaitGroup
 
+	account func() string // whose the next scan is; nil: nobody's in particular
+
 	mu   sync.Mutex
 	got  []answer
-	back []float64 // ms, as throttled ones were told to come back
+	back []answer // throttled ones
 }
 
 // rates are the members' clocks': 3% apart, within the drift that they are told.
@@ -41,6 +49,8 @@
 type answer struct {
 	broker     int
 	sent, came time.Duration
+	account    string
+	after      float64 // s, as a throttled one was told to come back
 }
 
 const (
@@ -48,8 +58,8 @@
 	limitBurst = 16.0
 )
 
-// startLimits starts the first five of so many processes.
-func startLimits(t *testing.T, members int, limit string) *limitFleet {
+// startLimits starts the first five of so many processes. What is lent lasts at every other one.
+func startLimits(t *testing.T, members int, limit string, sharing ...string) *limitFleet {
 	tree := startTree(t)
 	var hosts []any
 	for i, s := range []*store{startStore(t), startStore(t)} {
@@ -58,8 +68,12 @@
 	}
 	tree["known"] = map[string]any{"seq": 41, "whole": true, "hosts": hosts}
 	fleet, err := rig.New(rig.Plan{Dir: t.TempDir(), Members: members, Program: []string{os.Args[0], "serve", "--log", "error"}, Env: []string{"GULLSTAIR_TEST_CHILD=1"},
-		Start: tree, Seed: 1, Features: func(*rig.Member) (string, string) {
-			return fmt.Sprintf("  pace = 0.1\n  clock_drift = 0.02\n  key \"1\" {\n    secret = %q\n  }\n", strings.Repeat("5e", 32)), limit
+		Start: tree, Seed: 1, Features: func(m *rig.Member) (string, string) {
+			rest := limit
+			if m.N%2 == 0 {
+				rest += fmt.Sprintf("limits {\n  dir = %q\n}\n", m.Path("lent"))
+			}
+			return fmt.Sprintf("  pace = 0.1\n  clock_drift = 0.02\n  key \"1\" {\n    secret = %q\n  }\n", strings.Repeat("5e", 32)) + strings.Join(sharing, ""), rest
 		}})
 	require.NoError(t, err)
 	f := &limitFleet{Fleet: fleet, t: t, client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}, demand: make([]atomic.Int64, members),
@@ -114,7 +128,12 @@
 	}
 	req.Header.Set("X-Correlation-Id", id)
 	req.Header.Set("X-Time-Left-Ms", "1000")
-	sent := time.Since(f.begun)
+	a := answer{broker: i}
+	if f.account != nil {
+		a.account = f.account()
+		req.Header.Set("X-Account", a.account)
+	}
+	a.sent = time.Since(f.begun)
 	res, err := f.client.Do(req)
 	if err != nil {
 		return // its broker was killed, or stands still
@@ -123,8 +142,10 @@
 	io.Copy(io.Discard, res.Body)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if res.StatusCode == http.StatusOK {
-		f.got = append(f.got, answer{i, sent, time.Since(f.begun)})
+	if a.came = time.Since(f.begun); res.StatusCode == http.StatusOK {
+		f.got = append(f.got, a)
+	} else if fmt.Sscan(res.Header.Get("Retry-After"), &a.after); a.after > 0 {
+		f.back = append(f.back, a)
 	}
 }
 
@@ -185,10 +206,10 @@
 	var got []answer
 	for i := range 40 {
 		at := time.Duration(max(0, i-15)) * time.Second / 80
-		got = append(got, answer{0, at, at + time.Millisecond})
+		got = append(got, answer{sent: at, came: at + time.Millisecond})
 	}
 	assert.LessOrEqual(t, judge(got, 80, 16), 0.0)
-	assert.Greater(t, judge(append(got, answer{0, 0, time.Millisecond}), 80, 16), 0.5)
+	assert.Greater(t, judge(append(got, answer{came: time.Millisecond}), 80, 16), 0.5)
 }
 
 // A strict limit for five processes whose clocks run apart: demand that moves, splits with loans out, one-way links, loss, replays, brokers killed, stopped
@@ -275,6 +296,137 @@
 	f.kept()
 }
 
+// between are the scans that were sent and answered in a span, at some brokers.
+func (f *limitFleet) between(from, to time.Duration, brokers ...int) (some []answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range f.got {
+		if a.sent >= from && a.came < to && slices.Contains(brokers, a.broker) {
+			some = append(some, a)
+		}
+	}
+	return some
+}
+
+// Operators on two sides of a split: who hears of an order goes by it at once, the other side by what it knows; healed, one order holds for all, the later one, and it
+// ends by itself also where it was not heard of when it was set.
+func TestLimitOrders(t *testing.T) {
+	besideOthers(t)
+	f := startLimits(t, 5, "limit \"all\" {\n  for = \"fleet\"\n  scans_per_s = 80\n  burst = 16\n}\n")
+	f.near("calm", 0.85, 100, 100, 100, 100, 100)
+	set := func(i int, size string) {
+		require.NoError(t, run([]string{"limits", "set", "all", "--size", size, "--for", "9s", "--socket", f.Members[i].Socket()}, io.Discard))
+	}
+	orders := func() (by []string) {
+		for _, m := range f.Members {
+			var s broker.LimitsSeen
+			require.NoError(t, m.Ask("limits", &s))
+			require.NotEmpty(t, s.Limits)
+			by = append(by, s.Limits[0].Order)
+		}
+		return by
+	}
+	f.Switch.Split([]int{0, 1, 2}, []int{3, 4})
+	f.let(1500 * time.Millisecond) // loans that went across have run out
+	set(0, "8")
+	require.NoError(t, rig.Until(5*time.Second, func() bool { by := orders(); return by[0] == "n0" && by[1] == "n0" && by[2] == "n0" }))
+	from := time.Since(f.begun)
+	f.let(2 * time.Second)
+	to := time.Since(f.begun)
+	low, high := f.between(from, to, 0, 1, 2), f.between(from, to, 3, 4)
+	// Its members' share of a tenth: home shares are whole tokens, so that of the burst of 1.6 may be all here.
+	assert.LessOrEqual(t, judge(low, limitRate/10*3/5, limitBurst/10+0.1), 0.0, "who heard of it")
+	assert.LessOrEqual(t, judge(high, limitRate*2/5, limitBurst*2/5+1), 0.0, "who did not goes by its members' share of the old size")
+	assert.Greater(t, float64(len(high)), 0.7*limitRate*2/5*(to-from).Seconds())
+	set(4, "40")
+	f.let(time.Second)
+	f.Switch.Heal()
+	require.NoError(t, rig.Until(10*time.Second, func() bool {
+		return !slices.ContainsFunc(orders(), func(by string) bool { return by != "n4" })
+	}), "the later one holds for all")
+	from = time.Since(f.begun)
+	f.let(1500 * time.Millisecond)
+	assert.LessOrEqual(t, judge(f.between(from, time.Since(f.begun), 0, 1, 2, 3, 4), limitRate/2, limitBurst/2+1), 0.0)
+	f.near("over by itself", 0.85, 100, 100, 100, 100, 100)
+	assert.Equal(t, []string{"", "", "", "", ""}, orders())
+	f.kept()
+}
+
+// Limits of many tenants by a power law, who change, while a third of the messages is lost and clients come back at once whatever they are told: no tenant is ever
+// over, whoever is turned away hears so at once with a time to come back, and what is idle is forgotten without a burst for who returns.
+func TestLimitTenants(t *testing.T) {
+	besideOthers(t)
+	const rate, burst = 5.0, 5.0
+	f := startLimits(t, 5, "limit \"each\" {\n  for = \"tenant\"\n  scans_per_s = 5\n  burst = 5\n}\n", "  verdicts {\n  }\n")
+	rnd := rand.New(rand.NewPCG(1, 0x7e4a))
+	var mu sync.Mutex
+	shift := 0 // a tenth of the names is another one with each
+	f.account = func() string {
+		mu.Lock()
+		defer mu.Unlock()
+		// By a power law: a few ask much more than they may.
+		n := int(math.Pow(3000, rnd.Float64())) - 1
+		return fmt.Sprint("t", n, "-", (shift+n%10)/10)
+	}
+	f.Switch.All(func(l *rig.Link) { l.Loss = 1.0 / 3 })
+	for range 8 {
+		f.askAll(60, 60, 60, 60, 60)
+		f.let(time.Second)
+		mu.Lock()
+		shift++
+		mu.Unlock()
+	}
+	// Who is held back by some is known to all, and by which limit.
+	f.Switch.Heal()
+	require.NoError(t, rig.Until(20*time.Second, func() bool {
+		var s sharer.State
+		return f.Members[3].Ask("sharing", &s) == nil && slices.ContainsFunc(s.Tenants, func(x verdicts.Tenant) bool {
+			return len(x.Observers) >= 3 && slices.Equal(x.Why, []string{"the fleet's limit each"})
+		})
+	}))
+	var out bytes.Buffer
+	require.NoError(t, run([]string{"verdict", "tenants", "--socket", f.Members[3].Socket()}, &out))
+	assert.Contains(t, out.String(), "the fleet's limit each")
+	f.askAll(0, 0, 0, 0, 0)
+	require.NoError(t, rig.Until(40*time.Second, func() bool {
+		for _, m := range f.Members {
+			var s broker.LimitsSeen
+			if m.Ask("limits", &s) != nil || s.Accounts > 0 {
+				return false
+			}
+		}
+		return true
+	}), "who asks nothing more is forgotten")
+	f.askAll(60, 60, 60, 60, 60) // they return
+	f.let(time.Second)
+	f.askAll(0, 0, 0, 0, 0)
+	f.let(1500 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	by := map[string][]answer{}
+	for _, a := range f.got {
+		by[a.account] = append(by[a.account], a)
+	}
+	busy := 0
+	for account, some := range by {
+		assert.LessOrEqual(t, judge(some, rate, burst), 0.0, account)
+		if len(some) > 20 {
+			busy++
+		}
+	}
+	assert.Greater(t, len(by), 300)
+	assert.Positive(t, busy)
+	require.Greater(t, len(f.back), 100, "some are turned away")
+	slow := 0
+	for _, a := range f.back {
+		if a.came-a.sent > 500*time.Millisecond {
+			slow++
+		}
+	}
+	assert.LessOrEqual(t, slow, len(f.back)/50, "at once, never near their time's end")
+	t.Logf("%d tenants, %d scans taken, %d turned away, %d of them after more than half a second", len(by), len(f.got), len(f.back), slow)
+}
+
 // The roster grows from five to seven and shrinks to three under load, in the order that docs/limits.md gives: never a scan over.
 func TestLimitRoster(t *testing.T) {
 	besideOthers(t)
--- a/cmd/gullstair/verdict.go
+++ b/cmd/gullstair/verdict.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/url"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -11,9 +12,10 @@
 )
 
 type verdictCmd struct {
-	List verdictListCmd `cmd:"" default:"withargs" help:"All stores that somebody holds something against (the default)."`
-	Set  verdictSetCmd  `cmd:"" help:"An operator's word on a store, in the whole fleet, for a while."`
-	Why  verdictWhyCmd  `cmd:"" help:"Each observer's word on a store, its evidence and its age, and what this broker makes of it."`
+	List    verdictListCmd    `cmd:"" default:"withargs" help:"All stores that somebody holds something against (the default)."`
+	Tenants verdictTenantsCmd `cmd:"" help:"Tenants that any broker holds back by a limit, which limits, and how much."`
+	Set     verdictSetCmd     `cmd:"" help:"An operator's word on a store, in the whole fleet, for a while."`
+	Why     verdictWhyCmd     `cmd:"" help:"Each observer's word on a store, its evidence and its age, and what this broker makes of it."`
 }
 
 type verdictListCmd struct{ asking }
@@ -45,6 +47,24 @@
 	return err
 }
 
+type verdictTenantsCmd struct{ asking }
+
+func (c *verdictTenantsCmd) Run(out io.Writer) error {
+	s, err := c.state()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return encoded(out, map[string]any{"tenants": s.Tenants})
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "TENANT\tHELD BACK AT\tTIMES IN THEIR LAST SECOND\tAGE\tWHY")
+	for _, t := range s.Tenants {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", t.Tenant, strings.Join(t.Observers, " "), t.Scans, ago(t.Age), strings.Join(t.Why, ", "))
+	}
+	return w.Flush()
+}
+
 type verdictSetCmd struct {
 	Socket string        `required:"" help:"The broker's control socket." type:"path"`
 	Store  string        `arg:"" help:"The store's name, as the list has it."`
--- a/cmd/gullstair/verdicts_test.go
+++ b/cmd/gullstair/verdicts_test.go
@@ -30,6 +30,7 @@
 type judgedStore struct {
 	ln    net.Listener
 	fails atomic.Int64 // a bit for each broker
+	mute  atomic.Bool  // it takes parts and answers none
 	mu    sync.Mutex
 	came  [][]time.Time // by broker
 }
@@ -73,6 +74,10 @@
 			if s.fails.Load()>>broker&1 == 1 {
 				answer = fmt.Sprintf("Y%s ERROR - -\n", id)
 			}
+			if s.mute.Load() {
+				rest = tail[length:]
+				continue
+			}
 			conn.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(answer))), answer...))
 			rest = tail[length:]
 		}
@@ -117,8 +122,12 @@
 	tree["known"] = map[string]any{"seq": 41, "whole": true, "hosts": hosts}
 	var err error
 	f.Fleet, err = rig.New(rig.Plan{Dir: t.TempDir(), Members: brokers, Program: []string{os.Args[0], "serve", "--log", "error"}, Env: []string{"GULLSTAIR_TEST_CHILD=1"},
-		Start: tree, Seed: 1, Features: func(*rig.Member) (string, string) {
-			return fmt.Sprintf("  pace = 0.1\n  clock_drift = 0.02\n  notes = true\n  verdicts {\n  }\n  key \"1\" {\n    secret = %q\n  }\n", strings.Repeat("5e", 32)), ""
+		Start: tree, Seed: 1, Features: func(m *rig.Member) (string, string) {
+			dir := ""
+			if m.N == 3 { // one of them remembers operators' orders
+				dir = fmt.Sprintf("    dir = %q\n", m.Path("orders"))
+			}
+			return fmt.Sprintf("  pace = 0.1\n  clock_drift = 0.02\n  notes = true\n  verdicts {\n"+dir+"  }\n  key \"1\" {\n    secret = %q\n  }\n", strings.Repeat("5e", 32)), ""
 		}})
 	require.NoError(t, err)
 	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
@@ -243,6 +252,14 @@
 	})
 	t.Logf("well everywhere after %v", time.Since(from).Round(time.Millisecond))
 
+	// One that takes parts and answers none is held for silent, also by who has sent it nothing.
+	f.askAll(30, 30, 30, 30, 0)
+	s[5].mute.Store(true)
+	f.until("who has sent it nothing holds it for silent", func() bool { return f.seen(4, 5).Kind == "silent" })
+	s[5].mute.Store(false)
+	f.until("it is well", func() bool { return f.seen(4, 5).Kind != "silent" && f.seen(0, 5).Kind != "silent" })
+	f.askAll(30, 30, 30, 30, 30)
+
 	// One broker's trouble stays its own.
 	s[1].fails.Store(1 << 2)
 	f.until("it says so", func() bool { return len(f.seen(0, 1).Words) > 0 })
@@ -279,6 +296,20 @@
 	f.until("parts flow", func() bool { return s[0].since(from) > 30 && s[4].since(from) > 30 })
 	assert.Zero(t, s[2].since(from))
 
+	// All at once: who keeps orders on a disk tells the others.
+	for _, m := range f.Members {
+		m.Kill()
+	}
+	require.NoError(t, f.LaunchAll())
+	f.until("all know of the drain again", func() bool {
+		for i := range f.Members {
+			if f.seen(i, 2).Kind != "drained" {
+				return false
+			}
+		}
+		return true
+	})
+
 	// Contrary orders on two sides of a split: one holds for all when it heals.
 	f.Switch.Split([]int{0, 1, 2}, []int{3, 4})
 	f.order(0, 2, "clear", "60s")
--- a/cmd/measure/verdicts.go
+++ b/cmd/measure/verdicts.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math"
@@ -14,10 +15,12 @@
 )
 
 type verdictsCmd struct {
-	Seeds  int    `default:"8" help:"Seeds, from 1 on."`
-	Spread bool   `help:"Instead: how fast verdicts and orders go round at 4, 32 and 200 members under 0, 5 and 30% loss, and what that costs."`
-	Sizes  []int  `default:"4,32,200" help:"Members for --spread."`
-	Prefix string `default:"shared-" help:"Scenarios whose names begin so."`
+	Seeds   int    `default:"8" help:"Seeds, from 1 on."`
+	Spread  bool   `help:"Instead: how fast verdicts and orders go round at 4, 32 and 200 members under 0, 5 and 30% loss, and what that costs."`
+	Sizes   []int  `default:"4,32,200" help:"Members for --spread."`
+	Prefix  string `default:"shared-" help:"Scenarios whose names begin so."`
+	Brokers int    `help:"So many brokers in place of the scenarios' own; all the scans are as many as before."`
+	Page    string `help:"Beside the table: a page with each scenario's first seed, sharing off and on, side by side, into this HTML file." placeholder:"FILE"`
 }
 
 // sharings are what brokers may tell each other.
@@ -36,7 +39,8 @@
 		return err
 	}
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "SCENARIO\tBROKERS\tSERVICE\tWORST 10 s\tP99 ms\tPARTS TO STRUCK STORES\tDISPATCHES A SCAN\tAGAINST ALONE: SERVICE, 95% INTERVAL")
+	var days []day
+	fmt.Fprintln(w, "SCENARIO\tBROKERS TELL EACH OTHER\tSERVICE\tWORST 10 s\tP99 ms\tPARTS TO STRUCK STORES\tDISPATCHES A SCAN\tAGAINST ALONE: SERVICE, 95% INTERVAL")
 	for _, e := range entries {
 		name := strings.TrimSuffix(e.Name(), ".hcl")
 		if !strings.HasPrefix(name, c.Prefix) {
@@ -46,6 +50,11 @@
 		if err != nil {
 			return err
 		}
+		first, err := scenario.Parse(text, e.Name())
+		if err != nil {
+			return err
+		}
+		brokers := cmp.Or(c.Brokers, first.Fleet.Brokers)
 		all := make([][]emulator.Figures, len(sharings))
 		var group errgroup
 		for k := range sharings {
@@ -56,6 +65,9 @@
 					if err != nil {
 						return err
 					}
+					if c.Brokers > 0 {
+						s.Fleet.Brokers = c.Brokers
+					}
 					s.Fleet.Notes, s.Fleet.Verdicts = sharings[k].notes, sharings[k].verdicts
 					world := emulator.New(&s.Fleet, uint64(seed+1), emulator.Gullstair)
 					for _, f := range s.Faults {
@@ -89,6 +101,14 @@
 		if err := w.Flush(); err != nil {
 			return err
 		}
+		d, err := compared(name, first.About, brokers, all[0][0], all[len(sharings)-1][0], "notes and verdicts")
+		if err != nil {
+			return err
+		}
+		days = append(days, d)
+	}
+	if c.Page != "" {
+		return writePage(c.Page, days)
 	}
 	return nil
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -247,6 +247,8 @@
 			b.shared.tell(v.Note)
 		case core.Judged:
 			b.shared.judged(v)
+		case core.HeldBack:
+			b.shared.heldBack(v)
 		case core.Watch:
 			b.watch.Ask()
 		case core.Log:
--- a/internal/broker/features.go
+++ b/internal/broker/features.go
@@ -37,12 +37,16 @@
 	lost   atomic.Int64 // ends that found no room: those turns count as over after a period
 	done   chan struct{}
 
-	now   func() float64             // the clock of leases
-	votes *lasting.Dir[lease.Record] // nil: votes are not stored
-	mu    sync.Mutex
-	runs  map[under]*run
+	now    func() float64                // the clock of leases
+	votes  *lasting.Dir[lease.Record]    // nil: votes are not stored
+	orders *lasting.Dir[verdicts.Stored] // nil: operators' orders are not stored
+	mu     sync.Mutex
+	runs   map[under]*run
 
 	limits *limiter // nil: none are shared
+
+	held   map[string]bool // tenants that have been told of as held back since heldAt; the module's actor's
+	heldAt float64
 }
 
 // report is what a probe found, as it travels between brokers.
@@ -193,20 +197,31 @@
 		}
 		return err
 	}
-	sh := &shared{b: b, now: now, runs: map[under]*run{}, votes: dir, sealer: sealer, ends: make(chan core.Probed, endsMost), lists: make(chan core.Listed, 1), done: make(chan struct{})}
+	sh := &shared{b: b, now: now, limits: limits, runs: map[under]*run{}, votes: dir, sealer: sealer, ends: make(chan core.Probed, endsMost), lists: make(chan core.Listed, 1), done: make(chan struct{})}
 	sh.lists <- b.core.Share()
 	if s.Verdicts != nil {
 		zone := fmt.Sprint(b.told.Flat["zone"])
 		plan.Verdicts = &verdicts.Rules{Self: plan.Name, Zone: zone, Run: plan.Incarnation, Fresh: ms64(s.Verdicts.Fresh), Quorum: s.Verdicts.Quorum, Widest: s.Verdicts.Widest,
 			Roster: slices.Sorted(maps.Keys(s.Members))}
 		b.core.Judge()
+		if path := s.Verdicts.Dir; path != "" {
+			orders, found, err := lasting.Open[verdicts.Stored](path, lasting.Words)
+			if err != nil {
+				carrier.Close()
+				sh.closeDirs()
+				return fmt.Errorf("features: sharing: verdicts: %w", err)
+			}
+			// What is missing there the others know.
+			b.log.Info().Str("dir", path).Int("orders", len(found.Records)).Msg("operators' orders on stores are as they were stored")
+			plan.Orders, work.Orders, sh.orders = found.Records, orders, orders
+		}
 	}
 	plan.Notes = s.Notes
 	work.Verdict, work.Note = sh.verdict, func(note []byte) { b.put(core.Told{Note: note}) }
 	work.Turn, work.Heard, work.Begin, work.Extend, work.Cancel = sh.turn, sh.heard, sh.begin, sh.extend, sh.cancel
 	sh.actor = sharer.Start(plan, carrier, now, work, b.log)
 	b.shared = sh
-	if sh.limits = limits; limits != nil {
+	if limits != nil {
 		limits.pokes(sh.actor.Poke)
 		b.core.Limit(limits)
 	}
@@ -214,6 +229,19 @@
 	return nil
 }
 
+// closeDirs lets other processes use the directories.
+func (s *shared) closeDirs() {
+	if s.votes != nil {
+		s.votes.Close()
+	}
+	if s.orders != nil {
+		s.orders.Close()
+	}
+	if s.limits != nil {
+		s.limits.close()
+	}
+}
+
 func sealing(keys []features.Key) (all []gossip.Key) {
 	for _, k := range keys {
 		all = append(all, gossip.Key{Number: k.Number, Secret: k.Secret})
@@ -308,12 +336,7 @@
 		defer close(over)
 		b.shared.actor.Stop()
 		close(b.shared.done)
-		if b.shared.votes != nil {
-			b.shared.votes.Close()
-		}
-		if b.shared.limits != nil {
-			b.shared.limits.close()
-		}
+		b.shared.closeDirs()
 	}()
 	return over
 }
--- a/internal/broker/verdicts.go
+++ b/internal/broker/verdicts.go
@@ -27,7 +27,29 @@
 	}
 }
 
-var kinds = map[logic.Outcome]verdicts.Kind{logic.Completed: verdicts.Well, logic.Errored: verdicts.Fails, logic.Saturated: verdicts.Full}
+// heldBack passes on whom a limit turned away. It is the module's actor's call and never waits; a tenant that asks much is told of once a second, and what comes in
+// between is counted here, so that it does not crowd the sharing actor.
+func (s *shared) heldBack(h core.HeldBack) {
+	if s == nil {
+		return
+	}
+	now := s.now()
+	if now >= s.heldAt+heldEvery || len(s.held) >= heldMost {
+		s.held, s.heldAt = map[string]bool{}, now
+	}
+	if s.held[h.Account] {
+		return
+	}
+	s.held[h.Account] = true
+	s.actor.Offer(verdicts.HeldBack{Tenant: h.Account, Why: h.Why})
+}
+
+const (
+	heldEvery = 100.0 // ms in which a tenant is told of once
+	heldMost  = 1000
+)
+
+var kinds = map[logic.Outcome]verdicts.Kind{logic.Completed: verdicts.Well, logic.Errored: verdicts.Fails, logic.Overdue: verdicts.Silent, logic.Saturated: verdicts.Full}
 
 // tell passes the module's note on. It is the module's actor's call and never waits.
 func (s *shared) tell(note []byte) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,6 +104,7 @@
 
 	sharing bool            // the list is told on: brokers share the probing of nodes, or what they hold of them
 	judges  bool            // outcomes are told on
+	said    []int64         // nodes of which something bad was told in this step
 	drained map[string]bool // by an operator's order
 	guard   *guard
 	limiter Limiter
@@ -242,6 +243,12 @@
 			c.finish(d, Ended{How: OutOfTime, At: c.now})
 		}
 	}
+	c.said = c.said[:0]
+	for i := range events {
+		if e := &events[i]; c.judges && e.Kind == logic.DispatchEnded && e.Outcome != logic.Completed && e.Outcome != logic.Overdue {
+			c.said = append(c.said, e.Node)
+		}
+	}
 	c.act(c.brk.Step(c.now, events))
 	out := c.out
 	c.out = nil
@@ -438,9 +445,11 @@
 			c.do(Tell{Note: a.Note})
 		case logic.Judged:
 			if at := c.hosts[a.Node]; at != nil {
-				how := logic.Errored
+				how := logic.Overdue // it said nothing: the module had waited for long enough
 				if a.Whole {
 					how = logic.Completed
+				} else if slices.Contains(c.said, a.Node) {
+					how = logic.Errored
 				}
 				c.do(Judged{Host: at.host, Outcome: how})
 			}
--- a/internal/core/guard.go
+++ b/internal/core/guard.go
@@ -71,6 +71,7 @@
 	}
 	c.Counts.Confined++
 	c.Counts.Throttled++
+	c.heldBack(r, r.held.Why)
 	reply := Reply{Scan: r, Kind: logic.Throttle, Why: r.held.Why}
 	if c.site.RetryAfterAllowed {
 		reply.RetryAfter = r.held.After
@@ -171,6 +172,7 @@
 	r.held.Taken = false
 	c.Counts.Limited++
 	c.Counts.Throttled++
+	c.heldBack(r, v.Why)
 	reply := Reply{Scan: r, Kind: logic.Throttle, Why: v.Why}
 	if c.site.RetryAfterAllowed {
 		reply.RetryAfter = v.After
@@ -242,3 +244,10 @@
 
 // step steps the moves. Without a log that lasts there are none, and what they want written is left.
 func (g *guard) step(now float64, in ...cells.Input) { g.moves.Step(now, in) }
+
+// heldBack tells whom a limit turns away, where that is shared.
+func (c *Core) heldBack(r *Scan, why string) {
+	if c.judges && r.Account != "" {
+		c.do(HeldBack{Account: r.Account, Why: why})
+	}
+}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -92,7 +92,7 @@
 // AskCells asks what is seen of the cells; Reply has room for one answer.
 type AskCells struct{ Reply chan<- []CellView }
 
-// Output is what the core wants done: a Call, GiveUp, Probe, Probed, Listed, Reply, Move, Watch, Tell, Judged or Log.
+// Output is what the core wants done: a Call, GiveUp, Probe, Probed, Listed, Reply, Move, Watch, Tell, Judged, HeldBack or Log.
 type Output any
 
 // Call is one frame to a node.
@@ -147,6 +147,9 @@
 	Outcome logic.Outcome
 }
 
+// HeldBack is a scan that a limit turned away.
+type HeldBack struct{ Account, Why string }
+
 // Reply is the one answer to a scan.
 type Reply struct {
 	Scan       *Scan
--- a/internal/emulator/judge.go
+++ b/internal/emulator/judge.go
@@ -390,6 +390,7 @@
 	Late      int     `json:"late"`
 	Throttled int     `json:"throttled"`
 	Fails     int     `json:"fails"`
+	Struck    int     `json:"struck"` // parts that went to stores which were failing, by the moment at which they did
 }
 
 // tally adds up what clients got.
--- a/internal/emulator/shared.go
+++ b/internal/emulator/shared.go
@@ -250,7 +250,7 @@
 	dueAt float64
 }
 
-var heldKinds = map[logic.Outcome]verdicts.Kind{logic.Completed: verdicts.Well, logic.Errored: verdicts.Fails, logic.Saturated: verdicts.Full}
+var heldKinds = map[logic.Outcome]verdicts.Kind{logic.Completed: verdicts.Well, logic.Errored: verdicts.Fails, logic.Overdue: verdicts.Silent, logic.Saturated: verdicts.Full}
 
 // hold gives a broker that starts its part of the fleet's verdicts.
 func (w *World) hold(s *seat, seed uint64) {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -416,6 +416,7 @@
 	w.tally.f.Moved++
 	if a := &st.Ails; a.Mute || a.Late || a.Vanished || a.Dead || a.Fails > 0 || a.Resets > 0 || a.Spoils > 0 {
 		w.tally.f.Struck++
+		w.tally.window(w.now).Struck++
 	}
 }
 
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -108,6 +108,7 @@
 
 // Verdicts on stores that the brokers come to together. Times and shares at 0 are the usual ones.
 type Verdicts struct {
+	Dir    string        // where operators' orders last; "": they do not
 	Fresh  time.Duration // what is older weighs on nothing
 	Quorum int           // independent observers that a verdict needs
 	Widest float64       // share of the holders of any shard that may rest by others' word
@@ -253,6 +254,7 @@
 }
 
 type verdicts struct {
+	Dir    string   `hcl:"dir,optional"`
 	Fresh  string   `hcl:"fresh,optional"`
 	Quorum *float64 `hcl:"observers,optional"`
 	Widest *float64 `hcl:"widest,optional"`
@@ -673,10 +675,13 @@
 	}
 	if v := raw.Verdicts; v != nil {
 		at := []string{"sharing", "verdicts"}
-		s.Verdicts = &Verdicts{Fresh: freshStd, Quorum: int(c.between(at, "observers", v.Quorum, 1, 100, 2)), Widest: c.between(at, "widest", v.Widest, 0, 0.9, 1.0/3)}
+		s.Verdicts = &Verdicts{Dir: v.Dir, Fresh: freshStd, Quorum: int(c.between(at, "observers", v.Quorum, 1, 100, 2)), Widest: c.between(at, "widest", v.Widest, 0, 0.9, 1.0/3)}
 		if v.Fresh != "" {
 			s.Verdicts.Fresh = c.period(at, "fresh", v.Fresh, time.Second, 5*time.Minute)
 		}
+		if v.Dir != "" && !filepath.IsAbs(v.Dir) {
+			s.Verdicts.Dir = filepath.Join(c.dir, v.Dir)
+		}
 	}
 	if len(raw.Keys) == 0 {
 		c.fault(at, "", "a key block is needed: members' datagrams are authenticated")
--- a/internal/features/limit_test.go
+++ b/internal/features/limit_test.go
@@ -1,6 +1,7 @@
 package features
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -31,6 +32,29 @@
 	assert.Empty(t, d.Differ(other), "sizes are taken up in service")
 }
 
+// Directories lie beside the document unless they say otherwise; each has its own.
+func TestWhereThingsLast(t *testing.T) {
+	limit := "limit \"a\" {\n  for = \"fleet\"\n  open_scans = 1\n}\n"
+	verdicts := strings.Replace(good, "  duty \"probing\"", "  verdicts {\n    dir = \"orders\"\n  }\n  duty \"probing\"", 1)
+	d, err := Parse([]byte(verdicts+limit+"limits {\n  dir = \"lent\"\n}\n"), "/etc/f.hcl", "n1")
+	require.NoError(t, err)
+	assert.Equal(t, "/etc/lent", d.Lent)
+	assert.Equal(t, "/etc/orders", d.Sharing.Verdicts.Dir)
+	other, err := Parse([]byte(good+limit), "/etc/f.hcl", "n1")
+	require.NoError(t, err)
+	assert.Equal(t, []string{"sharing.Verdicts", "limits"}, other.Differ(d), "both wait for a restart")
+	for text, want := range map[string]string{
+		"limits {\n  dir = \"lent\"\n}":               "there is no limit block: nothing is lent",
+		limit + "limits {\n}":                         "dir",
+		limit + "limits {\n  dir = \"\"\n}":           "limits.dir: a directory is needed",
+		limit + "limits {\n  dir = \"/var/votes\"\n}": "votes on leases are stored there",
+	} {
+		_, err := Parse([]byte(good+text), "/etc/f.hcl", "n1")
+		assert.ErrorContains(t, err, want, text)
+		assert.ErrorContains(t, err, "f.hcl:", text)
+	}
+}
+
 func TestBadLimits(t *testing.T) {
 	for text, want := range map[string]string{
 		"limit \"a\" {\n  for = \"all\"\n  scans_per_s = 1\n}":                                                         `"all" is neither fleet, cell nor tenant`,
--- a/internal/lasting/lasting.go
+++ b/internal/lasting/lasting.go
@@ -1,4 +1,4 @@
-// Package lasting keeps what a process has promised others (votes on leases, shares that it lent) in a directory, and says at each start whether
+// Package lasting keeps what a process has promised others (votes on leases, shares that it lent, operators' orders) in a directory, and says at each start whether
 // that is all that was ever stored: a copy that was put back, a tail that was cut or another process's directory must not pass for a memory that
 // nothing is missing from.
 package lasting
@@ -25,6 +25,7 @@
 const (
 	Votes Kind = 0x1ea5e
 	Loans Kind = 0x10a45
+	Words Kind = 0x0bde5 // operators' orders
 )
 
 const (
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -42,6 +42,8 @@
 	Cancel func(tasks.Cancel)
 	// Votes is where votes last; it is used by a goroutine of its own. Nil: votes are not stored.
 	Votes lasting.Sink[lease.Record]
+	// Orders is where operators' orders on stores last; nil: they don't.
+	Orders lasting.Sink[verdicts.Stored]
 	// Verdict is what the fleet holds of a store, Note what another broker's module tells.
 	Verdict func(verdicts.Verdict)
 	Note    func([]byte)
@@ -57,15 +59,17 @@
 	work    Work
 	log     zerolog.Logger
 
-	mail    chan sharing.Input
-	ask     chan chan State
-	stop    chan struct{}
-	poke    chan struct{}
-	votes   *lasting.Queue[lease.Record]
-	unkept  int  // votes stored since the last snapshot
-	trusted bool // what is stored is all that counts, and that is stored too
-	ended   sync.WaitGroup
-	crowded atomic.Int64
+	mail     chan sharing.Input
+	ask      chan chan State
+	stop     chan struct{}
+	poke     chan struct{}
+	votes    *lasting.Queue[lease.Record]
+	ordersOn *lasting.Queue[verdicts.Stored]
+	given    uint64 // orders stored
+	unkept   int    // votes stored since the last snapshot
+	trusted  bool   // what is stored is all that counts, and that is stored too
+	ended    sync.WaitGroup
+	crowded  atomic.Int64
 
 	mu     sync.Mutex
 	orders map[uint64]chan tasks.Answer // that wait for an answer
@@ -88,6 +92,7 @@
 	Carrier  gossip.Counts     `json:"carrier"`
 	Crowded  int64             `json:"crowded"`  // datagrams that the mailbox had no room for
 	Verdicts []verdicts.Seen   `json:"verdicts"` // of stores that somebody holds something against, or that an operator has a word on
+	Tenants  []verdicts.Tenant `json:"tenants"`  // that somebody holds back
 	Judged   verdicts.Counts   `json:"judged"`
 	Gone     bool              `json:"gone"` // it has left, and said so for long enough
 }
@@ -103,6 +108,11 @@
 			a.put(lease.DiskLost{})
 		})
 	}
+	if work.Orders != nil {
+		a.ordersOn = lasting.NewQueue(work.Orders, func(uint64) {}, func(err error) {
+			a.log.Error().Err(err).Msg("operators' orders on stores can't be stored: after a restart this broker hears of them from others alone")
+		})
+	}
 	a.ended.Go(func() {
 		carrier.Run(func(addr string, e sharing.Envelope) {
 			select {
@@ -262,6 +272,16 @@
 			a.work.Heard(v.Duty, v.Item, v.By, v.Age, v.Report)
 		case verdicts.Verdict:
 			a.work.Verdict(v)
+		case verdicts.Stored:
+			if a.ordersOn == nil {
+				break
+			}
+			a.given++
+			if o := (lasting.Order[verdicts.Stored]{Number: a.given, Record: v}); a.given%snapshotAfter == 0 {
+				a.ordersOn.Put(lasting.Order[verdicts.Stored]{All: a.core.Stores.Orders(a.work.Wall())})
+			} else {
+				a.ordersOn.Put(o)
+			}
 		case sharing.Note:
 			a.work.Note(v.Data)
 		case tasks.Begin:
@@ -300,7 +320,7 @@
 		Counts: a.core.Members.Counts, Done: a.core.Duties.Counts, Fenced: a.core.Leases.Counts,
 		Carrier: a.carrier.Counts(), Crowded: a.crowded.Load(), Gone: a.core.Members.Gone() && !a.core.Busy()}
 	if a.core.Stores != nil {
-		s.Verdicts, s.Judged = a.core.Stores.Seen(), a.core.Stores.Counts
+		s.Verdicts, s.Tenants, s.Judged = a.core.Stores.Seen(), a.core.Stores.Tenants(), a.core.Stores.Counts
 	}
 	return s
 }
@@ -323,5 +343,8 @@
 	if a.votes != nil {
 		a.votes.Close()
 	}
+	if a.ordersOn != nil {
+		a.ordersOn.Close()
+	}
 	a.ended.Wait()
 }
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -30,15 +30,16 @@
 	Timing      membership.Timing
 	Duties      []duties.Duty
 	Tasks       []tasks.Task
-	Longest     float64         // ms; no lease that is held by hand has a longer term; 0: none is
-	LeasesMost  int             // leases that are kept beside those of tasks
-	Drift       float64         // share by which a clock may run wrong
-	Floor       uint64          // a fencing number that no earlier holder has passed
-	Votes       *Votes          // nil: votes are not stored
-	Seed        uint64          // for chance
-	Limits      Limits          // nil: none are shared
-	Verdicts    *verdicts.Rules // of stores; nil: none are shared
-	Notes       bool            // the modules' notes travel
+	Longest     float64           // ms; no lease that is held by hand has a longer term; 0: none is
+	LeasesMost  int               // leases that are kept beside those of tasks
+	Drift       float64           // share by which a clock may run wrong
+	Floor       uint64            // a fencing number that no earlier holder has passed
+	Votes       *Votes            // nil: votes are not stored
+	Seed        uint64            // for chance
+	Limits      Limits            // nil: none are shared
+	Verdicts    *verdicts.Rules   // of stores; nil: none are shared
+	Orders      []verdicts.Stored // operators' orders on stores that lasted
+	Notes       bool              // the modules' notes travel
 }
 
 // Limits share limits with the other members. Unlike the rest it may be in use elsewhere at once.
@@ -69,7 +70,7 @@
 // Note is what this broker's module tells all others, as an input, or what another one's tells this one, as an output.
 type Note struct{ Data []byte }
 
-// Input is an Arrived, Note, verdicts.Saw, verdicts.Stores, verdicts.Set, Leave, duties.Items, duties.Finished, tasks.Ended, tasks.Hold, tasks.Close, tasks.Order, lease.Stored or
+// Input is an Arrived, Note, verdicts.Saw, verdicts.HeldBack, verdicts.Stores, verdicts.Set, Leave, duties.Items, duties.Finished, tasks.Ended, tasks.Hold, tasks.Close, tasks.Order, lease.Stored or
 // lease.DiskLost.
 type Input any
 
@@ -82,7 +83,7 @@
 // Leave ends this member's part: it holds nothing any more and tells the others.
 type Leave struct{}
 
-// Output is a Post, Note, verdicts.Verdict, duties.Turn, duties.Heard, membership.Changed, lease.Store, or one of tasks: Begin, Extend, Cancel, Answer, Granted,
+// Output is a Post, Note, verdicts.Verdict, verdicts.Stored, duties.Turn, duties.Heard, membership.Changed, lease.Store, or one of tasks: Begin, Extend, Cancel, Answer, Granted,
 // Extended and Revoked.
 type Output any
 
@@ -193,6 +194,10 @@
 	var stores []verdicts.Input
 	if !c.begun {
 		c.begun = true
+		if c.Stores != nil {
+			c.Stores.Restore(c.plan.Orders, now, wall)
+			c.plan.Orders = nil
+		}
 		members = append(members, membership.Join{Addrs: c.seeds()})
 		items = append(items, duties.View{Living: c.living()})
 	}
@@ -227,7 +232,7 @@
 			}
 		case duties.Items, duties.Finished:
 			items = append(items, v)
-		case verdicts.Saw, verdicts.Stores, verdicts.Set:
+		case verdicts.Saw, verdicts.HeldBack, verdicts.Stores, verdicts.Set:
 			stores = append(stores, v)
 		case Note:
 			c.note(v)
@@ -274,6 +279,9 @@
 				c.out = append(c.out, o)
 			}
 		}
+		for _, s := range c.Stores.Lasting(wall) {
+			c.out = append(c.out, s)
+		}
 	}
 	if c.plan.Limits != nil && (len(limits) > 0 || c.plan.Limits.Due() <= now) {
 		for _, s := range c.plan.Limits.Step(now, limits) {
--- a/internal/verdicts/judge.go
+++ b/internal/verdicts/judge.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 )
 
 // Reasons why a store is held for well, as Why tells them.
@@ -40,6 +41,7 @@
 		h := c.words[store][by]
 		switch {
 		case c.now-h.at > c.r.Fresh, h.Born < born: // old, or of an earlier process of that name
+		case h.Kind == Held: // no word on a store
 		case float64(condemned[by]) > max(1, condemning*float64(len(c.stores))):
 			c.Counts.Doubted++
 		case h.Kind.bad():
@@ -252,7 +254,9 @@
 func (c *Core) Seen() (all []Seen) {
 	names := map[string]bool{}
 	for store := range c.words {
-		names[store] = true
+		if !strings.HasPrefix(store, tenantMark) {
+			names[store] = true
+		}
 	}
 	for store := range c.states {
 		names[store] = true
--- a/internal/verdicts/orders.go
+++ b/internal/verdicts/orders.go
@@ -53,6 +53,52 @@
 	graveFor   = 600000.0                // ms for which an order that is over is remembered, so that it does not come back
 )
 
+// Stored is an order as it lasts on a disk.
+type Stored struct {
+	Order
+	Wall float64 // Unix ms at which Left was so much
+}
+
+// Restore takes up orders that lasted, at a moment of the wall clock. What it has run since counts, and a clock that was set back counts nothing: an order never has
+// more left than it had. It goes before the first Step; records of one store may come in any number, in their order.
+func (c *Core) Restore(records []Stored, now, wall float64) {
+	c.now = max(c.now, now)
+	for _, r := range records {
+		if r.Order.sane() {
+			r.Left = max(0, r.Left-max(0, wall-r.Wall))
+			c.adopt(r.Order)
+		}
+	}
+	c.lasting = nil
+}
+
+// Lasting lists orders that have been taken up since it was asked last, as they are to last.
+func (c *Core) Lasting(wall float64) (all []Stored) {
+	for _, store := range c.lasting {
+		if x := c.orders.all[store]; x != nil {
+			o := x.Order
+			o.Left = max(0, x.until-c.now)
+			all = append(all, Stored{o, wall})
+		}
+	}
+	c.lasting = nil
+	return all
+}
+
+// Orders lists all that are remembered, as they are to last in the place of what lasted so far.
+func (c *Core) Orders(wall float64) (all []Stored) {
+	for _, o := range c.orders.told(c.now) {
+		all = append(all, Stored{o, wall})
+	}
+	return all
+}
+
+// sane says whether an order is possible.
+func (o Order) sane() bool {
+	return o.Store != "" && len(o.Store) <= nameMost && len(o.Reason) <= reasonMost && len(o.By) <= nameMost && slices.Contains([]Do{Drain, Rest, Clear}, o.Do) &&
+		o.Left >= 0 && o.Left <= orderFor
+}
+
 type ordered struct {
 	Order
 	until  float64 // it ends then
@@ -127,6 +173,7 @@
 	}
 	c.orders.all[o.Store] = &ordered{Order: o, until: c.now + o.Left, remind: c.now + remindFor, next: c.now}
 	c.dirty[o.Store] = true
+	c.lasting = append(c.lasting, o.Store)
 	c.Counts.Orders++
 	return true
 }
@@ -155,8 +202,7 @@
 	}
 	var mine []Known
 	for _, o := range all {
-		if o.Store == "" || len(o.Store) > nameMost || len(o.Reason) > reasonMost || len(o.By) > nameMost || !slices.Contains([]Do{Drain, Rest, Clear}, o.Do) ||
-			!(o.Left >= 0 && o.Left <= orderFor) {
+		if !o.sane() {
 			c.Counts.Odd++
 			continue
 		}
--- a/internal/verdicts/verdicts.go
+++ b/internal/verdicts/verdicts.go
@@ -22,17 +22,18 @@
 	Slow
 	Fails
 	Silent
+	Held // of a tenant alone: it is held back
 )
 
 func (k Kind) String() string {
-	if k >= Well && k <= Silent {
-		return [...]string{"well", "full", "slow", "fails", "silent"}[k-Well]
+	if k >= Well && k <= Held {
+		return [...]string{"well", "full", "slow", "fails", "silent", "held back"}[k-Well]
 	}
 	return "unknown"
 }
 
 // bad says that others should keep away.
-func (k Kind) bad() bool { return k >= Fails }
+func (k Kind) bad() bool { return k == Fails || k == Silent }
 
 // Word is what one observer says of one store: what it has seen of it in the last Window.
 type Word struct {
@@ -44,9 +45,11 @@
 	Kind     Kind    `json:"kind"` // of the newest outcome
 	Good     int     `json:"good"` // outcomes
 	Bad      int     `json:"bad"`
-	Row      int     `json:"row"`  // of the bad ones so many in a row, the newest
-	Born     float64 `json:"born"` // of the store's process, as listed to the observer, in Unix ms; 0: not stated
-	Age      float64 `json:"age"`  // ms since the newest outcome
+	Row      int     `json:"row"`             // of the bad ones so many in a row, the newest
+	Born     float64 `json:"born"`            // of the store's process, as listed to the observer, in Unix ms; 0: not stated
+	Age      float64 `json:"age"`             // ms since the newest outcome
+	Times    int     `json:"times,omitempty"` // scans of a tenant that were turned away since the word before
+	Why      string  `json:"why,omitempty"`   // by what limit
 }
 
 // later says that a is a newer word than b of the same observer and store.
@@ -66,7 +69,7 @@
 // Standard are the rules where nothing else is set.
 func Standard() Rules { return Rules{Fresh: 10000, Quorum: 2, Widest: 1.0 / 3, Most: 20000} }
 
-// Input is a Saw, Stores, View, Received or Set.
+// Input is a Saw, HeldBack, Stores, View, Received or Set.
 type Input any
 
 // Saw is an outcome at this broker.
@@ -195,7 +198,8 @@
 	begun   bool
 	stores  map[string]Store
 	seen    map[string]*own
-	words   map[string]map[string]*held // by store and observer
+	words   map[string]map[string]*held // by store, or tenant, and observer
+	tenants map[string]*tenant
 	n       int
 	living  []Member
 	zones   map[string]string
@@ -204,6 +208,7 @@
 	dirty   map[string]bool // stores to be judged anew
 	guilty  map[string]int  // how many stores each observer condemns; nil: to be counted anew
 	orders  orders
+	lasting []string // stores of which an order has been taken up and is to last
 	tickAt  float64
 	wholeAt float64
 	lookAt  float64
@@ -216,7 +221,7 @@
 func New(r Rules, chance func() float64) *Core {
 	std := Standard()
 	r.Fresh, r.Quorum, r.Widest, r.Most = cmp.Or(r.Fresh, std.Fresh), cmp.Or(r.Quorum, std.Quorum), cmp.Or(r.Widest, std.Widest), cmp.Or(r.Most, std.Most)
-	return &Core{r: r, chance: chance, stores: map[string]Store{}, seen: map[string]*own{}, words: map[string]map[string]*held{}, zones: map[string]string{}, runs: map[string]uint64{},
+	return &Core{r: r, chance: chance, stores: map[string]Store{}, seen: map[string]*own{}, words: map[string]map[string]*held{}, tenants: map[string]*tenant{}, zones: map[string]string{}, runs: map[string]uint64{},
 		states: map[string]*state{}, dirty: map[string]bool{}, orders: newOrders()}
 }
 
@@ -240,6 +245,8 @@
 		switch v := x.(type) {
 		case Saw:
 			c.saw(v)
+		case HeldBack:
+			c.heldBack(v)
 		case Stores:
 			c.list(v.All)
 		case View:
@@ -255,6 +262,7 @@
 		// Ages alone change verdicts too.
 		c.lookAt = c.now + Repeat/3
 		c.forget()
+		c.forgetTenants()
 		for store := range c.words {
 			c.dirty[store] = true
 		}
@@ -362,7 +370,7 @@
 		}
 		h.Word, h.at, h.left = w, at, c.times()
 	} else {
-		if c.n >= c.r.Most {
+		if c.n >= c.r.Most || w.Kind == Held && c.n >= c.r.Most/2 {
 			c.Counts.Dropped++
 			return false
 		}
@@ -426,8 +434,7 @@
 	}
 	for _, w := range m.Words {
 		switch {
-		case w.Store == "" || w.Observer == "" || len(w.Store) > nameMost || len(w.Observer) > nameMost || w.Kind < Well || w.Kind > Silent || !(w.Age >= 0) ||
-			w.Good < 0 || w.Bad < 0 || w.Good+w.Bad > outcomes || w.Row < 0 || w.Row > w.Bad || w.Observer == c.r.Self && w.Run > c.r.Run:
+		case !w.sane() || w.Observer == c.r.Self && w.Run > c.r.Run:
 			c.Counts.Odd++
 		case w.Observer == c.r.Self: // its own, or an earlier process's: it knows better
 		case w.Age > keepFor*c.r.Fresh:
@@ -456,8 +463,13 @@
 			}
 		}
 	}
-	// The newest first; what was told least before what was told often.
-	slices.SortStableFunc(wait, func(a, b *held) int { return cmp.Or(cmp.Compare(b.left, a.left), cmp.Compare(b.at, a.at)) })
+	// Words on stores first, since they weigh; the newest first; what was told least before what was told often.
+	slices.SortStableFunc(wait, func(a, b *held) int {
+		if (a.Kind == Held) != (b.Kind == Held) {
+			return cmp.Compare(a.Kind, b.Kind)
+		}
+		return cmp.Or(cmp.Compare(b.left, a.left), cmp.Compare(b.at, a.at))
+	})
 	if len(wait) > 4*wordMost {
 		wait = wait[:4*wordMost]
 	}
--- a/internal/verdicts/verdicts_test.go
+++ b/internal/verdicts/verdicts_test.go
@@ -73,3 +73,71 @@
 	c.Step(1e6, nil)
 	assert.Zero(t, c.Held(), "and it is forgotten")
 }
+
+// An order that lasts on a disk holds after a restart for what it had left, by the wall clock, and never for more; what is over stays over.
+func TestOrdersLast(t *testing.T) {
+	c := newCore()
+	c.Step(1100, []Input{Set{Store: "s", Do: Drain, For: 60000, Reason: "disk"}, Set{Store: "t", Do: Rest, For: 60000}})
+	records := c.Lasting(5e6)
+	assert.Empty(t, c.Lasting(5e6), "once each")
+	c.Step(2100, []Input{Set{Store: "t", Do: Rest}})
+	records = append(records, c.Lasting(5e6+1000)...)
+	require.Len(t, records, 3)
+	for wall, left := range map[float64]float64{5e6 + 20000: 40000, 5e6 - 3600000: 60000, 5e6 + 3600000: 0} {
+		again := New(Rules{Self: "a", Zone: "x", Run: 2}, half)
+		again.Restore(append([]Stored{{Order{Store: "u", Do: "explode", Left: 9}, wall}}, records...), 700, wall)
+		out := again.Step(701, []Input{Stores{[]Store{{Name: "s", Ready: true}, {Name: "t", Ready: true}, {Name: "u", Ready: true}}}})
+		o, holds := again.orders.of("s", 701)
+		assert.Equal(t, left > 0, holds)
+		if holds {
+			assert.InDelta(t, left, o.Left, 1)
+			assert.Contains(t, out, Verdict{Store: "s", Kind: Well, Drain: true})
+		}
+		_, holds = again.orders.of("t", 701)
+		assert.False(t, holds, "it was taken back")
+		_, holds = again.orders.of("u", 701)
+		assert.False(t, holds, "no such order")
+		assert.Empty(t, again.Lasting(wall), "they last already")
+	}
+}
+
+// Whom one broker holds back all know: by whom, by which limit, how often, for as long as that is fresh. It weighs on no store, and words on stores go first.
+func TestTenantsHeldBack(t *testing.T) {
+	c := newCore()
+	other := New(Rules{Self: "b", Zone: "y", Run: 1}, half)
+	other.Step(1000, []Input{Stores{[]Store{{Name: "s", Ready: true}, {Name: "tenant/acme", Ready: true}}}, View{[]Member{{Name: "a"}}}})
+	for i := range 50 {
+		now := 1100 + float64(i*100)
+		for _, o := range c.Step(now, []Input{HeldBack{"acme", "the fleet's limit each"}, HeldBack{"", "none"}, HeldBack{strings.Repeat("x", 300), "long"}}) {
+			if s, is := o.(Send); is && s.To == "b" {
+				other.Step(now, []Input{Received{"a", s.Message}, Received{"a", s.Message}})
+			}
+		}
+	}
+	assert.Equal(t, 5, c.Counts.Said, "once a second")
+	other.Step(6100, []Input{HeldBack{"acme", "cell west"}, Saw{"s", Fails}})
+	seen := other.Tenants()
+	require.Len(t, seen, 1)
+	assert.Equal(t, []string{"a", "b"}, seen[0].Observers)
+	assert.Equal(t, []string{"the fleet's limit each", "cell west"}, seen[0].Why)
+	assert.Equal(t, 11, seen[0].Scans)
+	assert.Equal(t, "well", other.Seen()[0].Kind)
+	assert.Equal(t, "s", other.Seen()[0].Store)
+	var first []Word
+	for now := 6110.0; len(first) == 0; now += 10 {
+		for _, o := range other.Step(now, []Input{HeldBack{"acme", "cell west"}, Saw{"s", Fails}}) {
+			if s, is := o.(Send); is {
+				first = append(first, s.Message.Words...)
+			}
+		}
+	}
+	assert.Equal(t, "s", first[0].Store)
+	for _, w := range []Word{{Store: "tenant/x", Observer: "a", Kind: Fails, Bad: 1}, {Store: "s", Observer: "a", Kind: Held, Times: 1}, {Store: "tenant/x", Observer: "a", Kind: Held},
+		{Store: "tenant/x", Observer: "a", Kind: Held, Times: 1, Why: strings.Repeat("x", 100)}} {
+		assert.False(t, w.sane(), "%v", w)
+	}
+	other.Step(6e6, nil)
+	assert.Empty(t, other.Tenants())
+	assert.Empty(t, other.tenants)
+	assert.Zero(t, other.Held())
+}
