--- a/cmd/gullstair/limits_test.go
+++ b/cmd/gullstair/limits_test.go
@@ -34,6 +34,8 @@
 	begun  time.Time
 	stop   chan struct{}
 	asking sync.WaitGroup
+	// stopAll ends it before the test does.
+	stopAll func()
 
 	account func() string // whose the next scan is; nil: nobody's in particular
 
@@ -58,8 +60,13 @@
 	limitBurst = 16.0
 )
 
-// startLimits starts the first five of so many processes. What is lent lasts at every other one.
+// startLimits starts the first five of so many processes.
 func startLimits(t *testing.T, members int, limit string, sharing ...string) *limitFleet {
+	return startSomeLimits(t, members, 5, limit, sharing...)
+}
+
+// startSomeLimits starts the first ones of so many processes, which their documents list. What is lent lasts at every other one.
+func startSomeLimits(t *testing.T, members, first int, limit string, sharing ...string) *limitFleet {
 	tree := startTree(t)
 	var hosts []any
 	for i, s := range []*store{startStore(t), startStore(t)} {
@@ -78,20 +85,21 @@
 	require.NoError(t, err)
 	f := &limitFleet{Fleet: fleet, t: t, client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}, demand: make([]atomic.Int64, members),
 		begun: time.Now(), stop: make(chan struct{})}
-	t.Cleanup(func() {
+	f.stopAll = sync.OnceFunc(func() {
 		close(f.stop)
 		f.asking.Wait()
 		f.Close()
 		f.client.CloseIdleConnections()
 	})
+	t.Cleanup(f.stopAll)
 	for i, m := range f.Members {
 		require.NoError(t, m.Bend(rates[i%len(rates)], 0))
-		if members > 5 {
-			m.Listed = 5
+		if members > first {
+			m.Listed = first
 			require.NoError(t, m.Write())
 		}
 	}
-	for _, m := range f.Members[:5] {
+	for _, m := range f.Members[:first] {
 		require.NoError(t, m.Launch())
 	}
 	for i := range f.Members {
--- a/cmd/gullstair/measure_test.go
+++ b/cmd/gullstair/measure_test.go
@@ -87,6 +87,111 @@
 	}
 }
 
+// Twenty brokers in earnest and sixty that see little, with sharing off and on: a store fails all its parts for a while and does well again. What is judged reached the stores.
+func TestMeasureVerdicts(t *testing.T) {
+	if !*measure {
+		t.Skip("only with -measure")
+	}
+	for _, c := range []struct {
+		brokers int
+		each    float64 // scans a second
+	}{{20, 10}, {60, 0.5}} {
+		for _, share := range []bool{false, true} {
+			f := startSharing(t, c.brokers, share)
+			all := make([]int64, c.brokers)
+			for i := range all {
+				all[i] = int64(c.each)
+				if c.each < 1 && i%2 == 0 {
+					all[i] = 1
+				}
+			}
+			f.askAll(all...)
+			f.let(5 * time.Second)
+			s := f.stores[0]
+			begun := time.Now()
+			s.fails.Store(-1)
+			f.let(5 * time.Second)
+			early := s.since(begun)
+			middle := time.Now()
+			f.let(15 * time.Second)
+			late := s.since(middle)
+			s.fails.Store(0)
+			well := time.Now()
+			f.let(3 * time.Second)
+			back := s.since(well)
+			f.let(3 * time.Second)
+			cpu, mb := 0.0, 0.0
+			for _, m := range f.Members {
+				x, y := took(m.Pid())
+				cpu, mb = cpu+x, max(mb, y)
+			}
+			t.Logf("%d brokers, %.1f scans a second each, sharing %v: parts to the failing store %d in its first 5 s and %.1f a second after; %d in 3 s once it does well, %.1f a second after; %.0f MB at most",
+				c.brokers, c.each, share, early, float64(late)/15, back, float64(s.since(well.Add(3*time.Second)))/3, mb)
+			f.stopAll()
+		}
+	}
+}
+
+// A limit at five and sixty brokers: the share of it that is used where demand is spread badly, moves, and is split; and whether it was ever passed.
+func TestMeasureLimits(t *testing.T) {
+	if !*measure {
+		t.Skip("only with -measure")
+	}
+	for _, n := range []int{5, 60} {
+		f := startSomeLimits(t, n, n, "limit \"all\" {\n  for = \"fleet\"\n  scans_per_s = 80\n  burst = 60\n}\n")
+		one := func(at int, all, most int64) {
+			for i := range n {
+				f.demand[i].Store(0)
+				if all > 0 && i%max(1, n/20) == 0 {
+					f.demand[i].Store(all)
+				}
+			}
+			if at >= 0 {
+				f.demand[at].Store(most)
+			}
+		}
+		used := func(what string, span time.Duration) {
+			all, by := f.let(span)
+			t.Logf("%d brokers, %s: %.3f of the limit used, %.1f a second at the one", n, what, all/80, by[0])
+		}
+		one(0, 0, 160)
+		f.let(4 * time.Second)
+		used("all of it at one", 6*time.Second)
+		one(0, 1, 150)
+		f.let(3 * time.Second)
+		used("nine tenths at one", 6*time.Second)
+		for k := range 4 {
+			one((k%2)*(n/2), 1, 150)
+			used("it moves every 3 s", 3*time.Second)
+		}
+		one(-1, 8, 0)
+		f.let(4 * time.Second)
+		used("spread over twenty, or all five", 6*time.Second)
+		var left, right []int
+		for i := range n {
+			if i < n*3/5 {
+				left = append(left, i)
+			} else {
+				right = append(right, i)
+			}
+		}
+		f.Switch.Split(left, right)
+		f.let(3 * time.Second)
+		used("a split of three fifths and two", 6*time.Second)
+		f.Switch.Heal()
+		f.mu.Lock()
+		t.Logf("%d brokers: largest excess over all windows %.1f, of %d scans", n, judge(f.got, 80, 60), len(f.got))
+		f.mu.Unlock()
+		cpu, mb := 0.0, 0.0
+		for _, m := range f.Members {
+			x, y := took(m.Pid())
+			cpu, mb = cpu+x, max(mb, y)
+		}
+		t.Logf("%d brokers: %.1f s of CPU in all, %.0f MB at most each, %d datagrams passed", n, cpu, mb, f.Switch.Passed())
+		f.stopAll()
+	}
+}
+
 // Sixty brokers with a task each are started again one after the other: how many of the leases are held meanwhile.
 func TestMeasureRolling(t *testing.T) {
 	const n = 60
--- a/cmd/gullstair/verdicts_test.go
+++ b/cmd/gullstair/verdicts_test.go
@@ -106,10 +106,17 @@
 	demand []atomic.Int64
 	stop   chan struct{}
 	asking sync.WaitGroup
+	// stopAll ends it before the test does.
+	stopAll func()
 }
 
-func startVerdicts(t *testing.T) *verdictFleet {
-	const brokers = 5
+// let lets time pass.
+func (f *verdictFleet) let(span time.Duration) { <-time.After(span) }
+
+func startVerdicts(t *testing.T) *verdictFleet { return startSharing(t, 5, true) }
+
+// startSharing starts so many brokers, which share verdicts and notes, or only see each other.
+func startSharing(t *testing.T, brokers int, share bool) *verdictFleet {
 	f := &verdictFleet{t: t, demand: make([]atomic.Int64, brokers), stop: make(chan struct{})}
 	tree := startTree(t)
 	var hosts []any
@@ -123,6 +130,9 @@
 	var err error
 	f.Fleet, err = rig.New(rig.Plan{Dir: t.TempDir(), Members: brokers, Program: []string{os.Args[0], "serve", "--log", "error"}, Env: []string{"GULLSTAIR_TEST_CHILD=1"},
 		Start: tree, Seed: 1, Features: func(m *rig.Member) (string, string) {
+			if !share {
+				return fmt.Sprintf("  pace = 0.1\n  clock_drift = 0.02\n  key \"1\" {\n    secret = %q\n  }\n", strings.Repeat("5e", 32)), ""
+			}
 			dir := ""
 			if m.N == 3 { // one of them remembers operators' orders
 				dir = fmt.Sprintf("    dir = %q\n", m.Path("orders"))
@@ -131,14 +141,15 @@
 		}})
 	require.NoError(t, err)
 	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
-	t.Cleanup(func() {
+	f.stopAll = sync.OnceFunc(func() {
 		close(f.stop)
 		f.asking.Wait()
 		f.Close()
 		client.CloseIdleConnections()
 	})
+	t.Cleanup(f.stopAll)
 	for i, m := range f.Members {
-		require.NoError(t, m.Bend(rates[i], 0))
+		require.NoError(t, m.Bend(rates[i%len(rates)], 0))
 	}
 	require.NoError(t, f.LaunchAll())
 	for i := range f.Members {
--- a/scenarios/first-look.hcl
+++ b/scenarios/first-look.hcl
@@ -1,5 +1,6 @@
 about  = "A first look: two brokers, twelve stores, a third of which die for three seconds."
 length = "10s"
+base   = "calm"
 
 fleet {
   zones   = ["mill", "quay", "hill"]
@@ -20,45 +21,6 @@
   }
 }
 
-table_type "board" {
-  share        = 0.65
-  parts        = 4
-  work_ms      = 20
-  target_ms    = 500
-  timeout_ms   = 1500
-  benefit      = 1
-  late_benefit = 0.1
-  effect       = "replayable"
-}
-
-table_type "fix" {
-  share            = 0.25
-  parts            = 1
-  work_ms          = 20
-  target_ms        = 500
-  timeout_ms       = 2000
-  benefit          = 2
-  late_benefit     = 0.3
-  effect           = "keyed"
-  repeat_window_ms = 2500
-}
-
-table_type "report" {
-  share        = 0.1
-  parts        = 8
-  work_ms      = 25
-  target_ms    = 1500
-  timeout_ms   = 4000
-  benefit      = 3
-  late_benefit = 0.1
-  effect       = "replayable"
-  fetch        = 2
-}
-
-traffic {
-  scans_per_s = 90
-}
-
 fault "die" {
   at  = "3s"
   for = "3s"
