--- a/cmd/gullstair/measure_test.go
+++ b/cmd/gullstair/measure_test.go
@@ -96,8 +96,8 @@
 		brokers int
 		each    float64 // scans a second
 	}{{20, 10}, {60, 0.5}} {
-		for _, share := range []bool{false, true} {
-			f := startSharing(t, c.brokers, share)
+		for how, share := range map[string][2]bool{"nothing": {false, false}, "notes": {true, false}, "verdicts": {false, true}, "both": {true, true}} {
+			f := startSharing(t, c.brokers, share[0], share[1])
 			all := make([]int64, c.brokers)
 			for i := range all {
 				all[i] = int64(c.each)
@@ -125,8 +125,8 @@
 				x, y := took(m.Pid())
 				cpu, mb = cpu+x, max(mb, y)
 			}
-			t.Logf("%d brokers, %.1f scans a second each, sharing %v: parts to the failing store %d in its first 5 s and %.1f a second after; %d in 3 s once it does well, %.1f a second after; %.0f MB at most",
-				c.brokers, c.each, share, early, float64(late)/15, back, float64(s.since(well.Add(3*time.Second)))/3, mb)
+			t.Logf("%d brokers, %.1f scans a second each, sharing %s: parts to the failing store %d in its first 5 s and %.1f a second after; %d in 3 s once it does well, %.1f a second after; %.0f MB at most",
+				c.brokers, c.each, how, early, float64(late)/15, back, float64(s.since(well.Add(3*time.Second)))/3, mb)
 			f.stopAll()
 		}
 	}
@@ -164,7 +164,7 @@
 			one((k%2)*(n/2), 1, 150)
 			used("it moves every 3 s", 3*time.Second)
 		}
-		one(-1, 8, 0)
+		one(-1, max(8, 160/int64(n)), 0)
 		f.let(4 * time.Second)
 		used("spread over twenty, or all five", 6*time.Second)
 		var left, right []int
--- a/cmd/gullstair/verdicts_test.go
+++ b/cmd/gullstair/verdicts_test.go
@@ -113,10 +113,10 @@
 // let lets time pass.
 func (f *verdictFleet) let(span time.Duration) { <-time.After(span) }
 
-func startVerdicts(t *testing.T) *verdictFleet { return startSharing(t, 5, true) }
+func startVerdicts(t *testing.T) *verdictFleet { return startSharing(t, 5, true, true) }
 
-// startSharing starts so many brokers, which share verdicts and notes, or only see each other.
-func startSharing(t *testing.T, brokers int, share bool) *verdictFleet {
+// startSharing starts so many brokers, which see each other, and share notes and verdicts or do not.
+func startSharing(t *testing.T, brokers int, notes, share bool) *verdictFleet {
 	f := &verdictFleet{t: t, demand: make([]atomic.Int64, brokers), stop: make(chan struct{})}
 	tree := startTree(t)
 	var hosts []any
@@ -130,14 +130,15 @@
 	var err error
 	f.Fleet, err = rig.New(rig.Plan{Dir: t.TempDir(), Members: brokers, Program: []string{os.Args[0], "serve", "--log", "error"}, Env: []string{"GULLSTAIR_TEST_CHILD=1"},
 		Start: tree, Seed: 1, Features: func(m *rig.Member) (string, string) {
-			if !share {
-				return fmt.Sprintf("  pace = 0.1\n  clock_drift = 0.02\n  key \"1\" {\n    secret = %q\n  }\n", strings.Repeat("5e", 32)), ""
-			}
 			dir := ""
 			if m.N == 3 { // one of them remembers operators' orders
 				dir = fmt.Sprintf("    dir = %q\n", m.Path("orders"))
 			}
-			return fmt.Sprintf("  pace = 0.1\n  clock_drift = 0.02\n  notes = true\n  verdicts {\n"+dir+"  }\n  key \"1\" {\n    secret = %q\n  }\n", strings.Repeat("5e", 32)), ""
+			sharing := fmt.Sprintf("  pace = 0.1\n  clock_drift = 0.02\n  notes = %v\n  key \"1\" {\n    secret = %q\n  }\n", notes, strings.Repeat("5e", 32))
+			if share {
+				sharing += "  verdicts {\n" + dir + "  }\n"
+			}
+			return sharing, ""
 		}})
 	require.NoError(t, err)
 	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -31,10 +31,10 @@
 }
 
 func TestFaults(t *testing.T) {
-	text, err := scenarios.Files.ReadFile("third-dies.hcl")
+	text, err := scenarios.Files.ReadFile("calm.hcl")
 	require.NoError(t, err)
-	good := string(text)
-	_, err = Parse(text, "x.hcl")
+	good := strings.Replace(string(text), "30s", "45s", 1) + "fault \"die\" {\n  at  = \"10s\"\n  for = \"12s\"\n  share = 0.33\n}\n"
+	_, err = Parse([]byte(good), "x.hcl")
 	require.NoError(t, err)
 	line := func(of string) string {
 		for i, l := range strings.Split(good, "\n") {
--- a/internal/trial/verdicts_test.go
+++ b/internal/trial/verdicts_test.go
@@ -36,6 +36,28 @@
 	assert.Less(t, lost[false]*3, lost[true])
 }
 
+// A store that goes on failing is tried again by few: when the evidence is old all may, and the first who do make it fresh again. (Having three members alone try, by rendezvous hashing,
+// lost as many: 18 and 21 parts a minute at 10 and 60 members, 16 and 21 without.)
+func TestFewTryAgain(t *testing.T) {
+	t.Parallel()
+	for _, members := range []int{10, 60} {
+		r := verdictRules(members, 20)
+		r.Rate = 2
+		w := NewVerdicts(1, r)
+		w.Net.Run(5000)
+		w.Ails = func(_, s int) bool { return s == 3 }
+		w.Net.Run(15000)
+		early := w.Lost
+		w.Net.Run(60000)
+		t.Logf("%d members: %d parts lost in 15 s, %d in the minute after", members, early, w.Lost-early)
+		assert.Less(t, w.Lost-early, 60, "one a second")
+		w.Ails = func(int, int) bool { return false }
+		w.Net.Run(13000)
+		assert.Zero(t, w.Resting(3), "nobody rests it any more")
+		assert.Empty(t, w.Faults)
+	}
+}
+
 // What is one broker's trouble, or one zone's, stays theirs; who is wrong about everything moves nobody; where most stores are ill not all may rest.
 func TestWhoseWordCounts(t *testing.T) {
 	t.Parallel()
