--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -1,6 +1,7 @@
 package explore
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -8,6 +9,9 @@
 	"github.com/stretchr/testify/require"
 )
 
+// deep is for a longer run by command: go test ./internal/explore -deep 1 -timeout 2h.
+var deep = flag.Int("deep", 0, "so many time steps more in each world")
+
 // most is how many states of each world are visited; 0: all.
 var most = 0
 
@@ -42,7 +46,7 @@
 	for _, b := range worlds() {
 		t.Run(b.Name, func(t *testing.T) {
 			t.Parallel()
-			b.States = most
+			b.States, b.Ticks = most, b.Ticks+*deep
 			begun := time.Now()
 			r := Explore(b)
 			t.Logf("%d states, %d steps, depth %d, whole %v, held %d times, %.1f s", r.States, r.Steps, r.Depth, r.Whole, r.Held, time.Since(begun).Seconds())
