--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -517,7 +517,7 @@
 	k.again("a", 7, deep)
 	k.lost["c"] = true
 	k.run(1500, "a", 1, use)
-	k.run((markTerms+3)*deep.Term, "b", 45, use) // for so long that marks are lowered
+	k.run((2*markTerms+5)*deep.Term, "b", 45, use) // for so long that marks are lowered
 	require.Greater(t, k.seen("a").Lent, 0.05)
 	require.True(t, k.again("a", 9, deep).sound)
 	k.now += 900
