What is left of guarded work is told by its environment, not by process numbers twice asked

All fleets' tests with guards shared the two steps. Process numbers wrap at 32,768 too, and these tests start thousands.

--- a/internal/rig/witness.go
+++ b/internal/rig/witness.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -99,6 +100,19 @@
 	return all
 }
 
+// Left lists the processes of this work that are still there. Each is told by one look at its environment, which has the fencing number: a number of a
+// process alone is given to another one within minutes where tests start thousands, and asking first whether it is there and then whether it only waits
+// to be collected took one that was collected in between for one that goes on.
+func (k Work) Left() (pids []int) {
+	mark := fmt.Sprintf("\x00GULLSTAIR_FENCE=%d\x00", k.Fence)
+	for _, pid := range k.Pids {
+		if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/environ", pid)); err == nil && strings.Contains("\x00"+string(text), mark) {
+			pids = append(pids, pid)
+		}
+	}
+	return pids
+}
+
 // Judge says what was broken: work under two fencing numbers of one lease at one time, or a number that fell.
 func (w *Witness) Judge() (faults []string) {
 	last := map[string]Work{}
