--- a/logic/logic.go
+++ b/logic/logic.go
@@ -898,8 +898,8 @@
 		case r[2] <= noteFull:
 			b.others[n], b.othersAt[n] = b.load(n)-b.outWork[n]+float64(r[2])*noteWork, b.now
 			b.answers, b.newsAt = b.answers+1, b.now
-			if b.poor(n) { // it is being tried
-				b.restEnd[n] = max(b.restEnd[n], b.now+restTime)
+			if b.poor(n) { // it is being tried; after long with no ill word others work with it: its news was lost
+				b.restEnd[n] = max(b.restEnd[n], min(b.now+restTime, b.failAt[n]+recent))
 			}
 		case r[2] == noteLate:
 			b.lateAt[n] = b.now
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -72,6 +72,27 @@
 	assert.False(t, r.b.poor(n))
 }
 
+// The news that a node is well again may be lost on its way, or come while this broker stands still. Others work with the node all the time and each of their notes
+// put its trial off here: it never came. Without an ill word for as long as anything counts, this broker tries it itself.
+func TestLostNewsOfRecovery(t *testing.T) {
+	r := play(t, peers, ring(4))
+	r.step(1000, Event{Kind: PeerNote, Note: recordOf(100, noteNobody)})
+	n := r.b.index[100]
+	for range 40 {
+		r.step(100, Event{Kind: PeerNote, Note: recordOf(100, 9)})
+		assert.True(t, r.b.sick(n), "others are trying it")
+	}
+	r.step(100, Event{Kind: PeerNote, Note: recordOf(100, noteBad)})
+	for range 40 {
+		r.step(100, Event{Kind: PeerNote, Note: recordOf(100, 9)})
+		assert.True(t, r.b.sick(n), "it failed at the last trial")
+	}
+	for range 15 {
+		r.step(100, Event{Kind: PeerNote, Note: recordOf(100, 9)})
+	}
+	assert.False(t, r.b.sick(n))
+}
+
 // Notes may be spoilt: they change nothing and stop nothing.
 func TestSpoiltNotes(t *testing.T) {
 	for _, note := range [][]byte{nil, {1}, {1, 2, 3, 4}, make([]byte, 300)} {
