Slow is a verdict: the module says which outcomes came late; a load that is over is no recovery

Need: of the kinds of verdicts that the users listed, slow was a word without a speaker. Found while doing it: when only a drain changed, or a full store was full no more, brokers' modules heard of a recovery and gave the node four successes, also where it failed this very broker.

Change: the module tells with each outcome that it judges whether it came late, by its own measure (three deviations past its table type's mean). An observer says slow after two in a row, since single ones are late by chance all the time and each word against a store has all others answer; two observers make the verdict, as for full. It weighs on the choice as a late sign does, while it is told again (each 0.9 s) and two rests longer, and rests nobody. broker.Held is the one place where a verdict becomes what the module hears, for processes and the emulator.

TestSlow, TestLoadByVerdict, TestHeld, and TestVerdictFaults with a store that is slow.

--- a/cmd/gullstair/verdicts_test.go
+++ b/cmd/gullstair/verdicts_test.go
@@ -31,6 +31,7 @@
 	ln    net.Listener
 	fails atomic.Int64 // a bit for each broker
 	mute  atomic.Bool  // it takes parts and answers none
+	slow  atomic.Int64 // so many ms longer a part
 	mu    sync.Mutex
 	came  [][]time.Time // by broker
 }
@@ -70,7 +71,7 @@
 			s.mu.Lock()
 			s.came[broker] = append(s.came[broker], time.Now())
 			s.mu.Unlock()
-			time.Sleep(serviceTime)
+			time.Sleep(serviceTime + time.Duration(s.slow.Load())*time.Millisecond)
 			answer := fmt.Sprintf("Y%s OK %d -\nvalue of %s, %s", id, shard, id, tail[:length])
 			if s.fails.Load()>>broker&1 == 1 {
 				answer = fmt.Sprintf("Y%s ERROR - -\n", id)
@@ -311,7 +312,21 @@
 	f.until("who has sent it nothing holds it for silent", func() bool { return f.seen(4, 5).Kind == "silent" })
 	s[5].mute.Store(false)
 	f.until("it is well", func() bool { return f.seen(4, 5).Kind != "silent" && f.seen(0, 5).Kind != "silent" })
+
+	// One that is slow is held for slow by who has sent it nothing too. It rests nowhere.
+	s[3].slow.Store(100)
+	f.until("who has sent it nothing holds it for slow", func() bool {
+		for i := range 4 {
+			f.owed[i].Store(20)
+		}
+		f.let(300 * time.Millisecond)
+		return f.seen(4, 3).Kind == "slow"
+	})
+	s[3].slow.Store(0)
+	from = time.Now()
+	f.until("it is no more", func() bool { return f.seen(4, 3).Kind != "slow" })
 	f.askAll(30, 30, 30, 30, 30)
+	f.used("parts flow to it", 3, from, 3, 0, 1, 2, 3, 4)
 
 	// One broker's trouble stays its own.
 	s[1].fails.Store(1 << 2)
--- a/internal/broker/verdicts.go
+++ b/internal/broker/verdicts.go
@@ -23,7 +23,7 @@
 // judged passes on what the module counts for or against a store. It is the module's actor's call and never waits.
 func (s *shared) judged(j core.Judged) {
 	if s != nil {
-		s.actor.Offer(verdicts.Saw{Store: j.Host, Kind: kinds[j.Outcome]})
+		s.actor.Offer(verdicts.Saw{Store: j.Host, Kind: Seen(j)})
 	}
 }
 
@@ -49,7 +49,28 @@
 	heldMost  = 1000
 )
 
-var kinds = map[logic.Outcome]verdicts.Kind{logic.Completed: verdicts.Well, logic.Errored: verdicts.Fails, logic.Overdue: verdicts.Silent, logic.Saturated: verdicts.Full}
+// Seen is what an outcome that the module judged is among the members' words.
+func Seen(j core.Judged) verdicts.Kind {
+	if j.Late {
+		return verdicts.Slow
+	}
+	return map[logic.Outcome]verdicts.Kind{logic.Completed: verdicts.Well, logic.Errored: verdicts.Fails, logic.Overdue: verdicts.Silent, logic.Saturated: verdicts.Full}[j.Outcome]
+}
+
+// Held is a verdict as the module hears of it.
+func Held(v verdicts.Verdict) core.Held {
+	h := core.Held{Host: v.Store, Outcome: logic.Errored, Age: v.Age, Drained: v.Drain}
+	switch {
+	case v.Kind == verdicts.Well && v.Was < verdicts.Fails:
+		// Only a drain has changed, or a load is over, which the module lets go when it is not told of it again: as a recovery it would let a node work that fails here.
+		h.Outcome = 0
+	case v.Kind == verdicts.Well:
+		h.Outcome = logic.Completed
+	case v.Kind == verdicts.Full || v.Kind == verdicts.Slow:
+		h.Outcome = logic.Saturated
+	}
+	return h
+}
 
 // tell passes the module's note on. It is the module's actor's call and never waits.
 func (s *shared) tell(note []byte) {
@@ -60,14 +81,7 @@
 
 // verdict brings what the fleet holds of a store to the module. It is the sharing actor's call.
 func (s *shared) verdict(v verdicts.Verdict) {
-	how := logic.Errored
-	switch v.Kind {
-	case verdicts.Well:
-		how = logic.Completed
-	case verdicts.Full, verdicts.Slow:
-		how = logic.Saturated
-	}
-	s.b.put(core.Held{Host: v.Store, Outcome: how, Age: v.Age, Drained: v.Drain})
+	s.b.put(Held(v))
 }
 
 // setVerdict is an operator's order.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -451,7 +451,7 @@
 				} else if slices.Contains(c.said, a.Node) {
 					how = logic.Errored
 				}
-				c.do(Judged{Host: at.host, Outcome: how})
+				c.do(Judged{Host: at.host, Outcome: how, Late: a.Late})
 			}
 		case logic.Note:
 			c.do(Log{Text: a.Text})
@@ -740,7 +740,7 @@
 			c.list(List{Kind: logic.ListChanges, Nodes: []Node{c.hosts[num].node}})
 		}
 	}
-	if known && !c.hosts[num].gone {
+	if known && !c.hosts[num].gone && v.Outcome != 0 {
 		c.events = append(c.events, logic.Event{Kind: logic.VerdictHeard, Node: num, Outcome: v.Outcome, Age: v.Age})
 	}
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -80,7 +80,7 @@
 // Told is a note of another broker's module.
 type Told struct{ Note []byte }
 
-// Held is what several brokers, or an operator, hold of a node: Outcome as the module has it, and ms since the newest that it rests on. Drained: an operator has it
+// Held is what several brokers, or an operator, hold of a node: Outcome as the module has it (0: nothing that the module is to hear of), and ms since the newest that it rests on. Drained: an operator has it
 // drained, and nothing new may go there.
 type Held struct {
 	Host    string
@@ -145,6 +145,7 @@
 type Judged struct {
 	Host    string
 	Outcome logic.Outcome
+	Late    bool // it completed, but late
 }
 
 // HeldBack is a scan that a limit turned away.
--- a/internal/emulator/shared.go
+++ b/internal/emulator/shared.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"gullstair/internal/broker"
 	"gullstair/internal/core"
 	"gullstair/internal/rig"
 	"gullstair/internal/shares"
@@ -250,8 +251,6 @@
 	dueAt float64
 }
 
-var heldKinds = map[logic.Outcome]verdicts.Kind{logic.Completed: verdicts.Well, logic.Errored: verdicts.Fails, logic.Overdue: verdicts.Silent, logic.Saturated: verdicts.Full}
-
 // hold gives a broker that starts its part of the fleet's verdicts.
 func (w *World) hold(s *seat, seed uint64) {
 	c, is := s.d.(*core.Core)
@@ -297,13 +296,7 @@
 				}
 			}
 		case verdicts.Verdict:
-			how := logic.Errored
-			if v.Kind == verdicts.Well {
-				how = logic.Completed
-			} else if v.Kind < verdicts.Fails {
-				how = logic.Saturated
-			}
-			h.w.tell(h.s, h.boot, core.Held{Host: v.Store, Outcome: how, Age: v.Age, Drained: v.Drain})
+			h.w.tell(h.s, h.boot, broker.Held(v))
 		}
 	}
 	if at := max(h.core.Due(), h.w.now); !math.IsInf(at, 1) {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"gullstair/internal/broker"
 	"gullstair/internal/cells"
 	"gullstair/internal/core"
 	"gullstair/internal/terms"
@@ -339,7 +340,7 @@
 		case core.Tell:
 			w.noteAll(s, v.Note)
 		case core.Judged:
-			s.verdicts.step(verdicts.Saw{Store: v.Host, Kind: heldKinds[v.Outcome]})
+			s.verdicts.step(verdicts.Saw{Store: v.Host, Kind: broker.Seen(v)})
 		case core.Listed:
 			s.verdicts.list(v)
 		case core.Log:
--- a/internal/verdicts/judge.go
+++ b/internal/verdicts/judge.go
@@ -203,6 +203,7 @@
 		if d.Age = max(0, c.now-d.at); d.Kind == Well {
 			d.Age = 0 // what it rested on is over now
 		}
+		d.Was = was.Kind
 		was.Verdict, was.at, was.next = d.Verdict, d.at, c.now+Repeat
 		c.out = append(c.out, d.Verdict)
 	}
--- a/internal/verdicts/verdicts.go
+++ b/internal/verdicts/verdicts.go
@@ -126,6 +126,7 @@
 	Kind  Kind    // Well: nothing is held against it any more
 	Age   float64 // ms since the newest outcome that it rests on
 	Drain bool    // an operator has it drained: nothing new may go there
+	Was   Kind    // the verdict before
 }
 
 // Counts are kept for the operators.
@@ -155,6 +156,7 @@
 	retell     = 3       // times the decimal logarithm of the members: how often a word is told
 	againMs    = 1000.0  // a word that only says the same once more is told so often
 	condemning = 1.0 / 3 // of the stores: who holds more of them for bad than this is not counted
+	slowRow    = 2       // an observer's outcomes in a row have to be slow before it says so: single ones are late by chance all the time
 	rowsNeeded = 3       // bad outcomes in a row, of all observers together, that a verdict needs
 	denying    = 1.0 / 3 // as many who see it well, against those who see it bad, keep a verdict from standing
 	stallMs    = 100.0   // a member whose turn comes later than this has stood still,
@@ -321,7 +323,7 @@
 	news := w.Kind != o.last.Kind && (w.Kind != Well || o.last.Kind > Well) || w.Kind.bad() && w.Bad != o.last.Bad && w.Bad <= 3
 	// What is well and stays so is told where others hold something against it: they have to hear that this one does not.
 	if s := c.states[v.Store]; !news && c.now-o.told >= againMs {
-		news = w.Kind.bad() || w.Kind == Well && (s != nil && s.Kind > Well || c.accused(v.Store))
+		news = w.Kind > Well || w.Kind == Well && (s != nil && s.Kind > Well || c.accused(v.Store))
 	}
 	if !news {
 		return
@@ -358,6 +360,10 @@
 			w.Good++
 		}
 	}
+	// By chance a broker that sees much of a store is late now and then, and each word that holds something against it has all others answer.
+	if w.Kind == Slow && (o.n < slowRow || c.now-o.at[slowRow-1] > Window || slices.ContainsFunc(o.kind[:slowRow], func(k Kind) bool { return k == Well })) {
+		w.Kind = Well
+	}
 	return w
 }
 
--- a/internal/verdicts/verdicts_test.go
+++ b/internal/verdicts/verdicts_test.go
@@ -91,7 +91,7 @@
 		assert.Equal(t, left > 0, holds)
 		if holds {
 			assert.InDelta(t, left, o.Left, 1)
-			assert.Contains(t, out, Verdict{Store: "s", Kind: Well, Drain: true})
+			assert.Contains(t, out, Verdict{Store: "s", Kind: Well, Drain: true, Was: Well})
 		}
 		_, holds = again.orders.of("t", 701)
 		assert.False(t, holds, "it was taken back")
@@ -141,3 +141,43 @@
 	assert.Empty(t, other.tenants)
 	assert.Zero(t, other.Held())
 }
+
+// One late outcome is chance and no word; two in a row are one observer's, and two observers' a verdict, which is over with the first outcomes in time.
+func TestSlow(t *testing.T) {
+	c := newCore()
+	saw := func(at float64, kinds ...Kind) (last []Output) {
+		for i, k := range kinds {
+			last = c.Step(at+float64(i), []Input{Saw{"s", k}})
+		}
+		return last
+	}
+	word := func(seq uint64, kind Kind) Received {
+		return Received{"b", Message{Run: 1, Words: []Word{{Store: "s", Observer: "b", Kind: kind, Good: 2, Run: 1, Seq: seq}}}}
+	}
+	saw(1100, Slow, Well, Slow, Well, Slow)
+	assert.Zero(t, c.Counts.Said, "late now and then")
+	saw(1200, Slow)
+	assert.Equal(t, 1, c.Counts.Said)
+	assert.Empty(t, c.states, "one observer")
+	assert.Contains(t, c.Step(1300, []Input{word(1, Slow)}), Verdict{Store: "s", Kind: Slow, Was: Well})
+	seen := c.Seen()
+	require.Len(t, seen, 1)
+	assert.Equal(t, "slow", seen[0].Kind)
+	again := c.Step(1300+Repeat, nil)
+	assert.Contains(t, again, Verdict{Store: "s", Kind: Slow, Age: Repeat, Was: Slow}, "it is told again while it holds")
+	assert.Contains(t, saw(2300, Well), Verdict{Store: "s", Kind: Well, Was: Slow})
+	saw(2400, Slow, Slow)
+	assert.NotEmpty(t, c.states)
+	saw(2500, Fails)
+	assert.Empty(t, c.states, "one that sees it fail and one that sees it slow do not agree")
+	// Late is late of each broker's own target times: a jam makes all slow to all, which rests nobody.
+	for _, store := range []string{"s", "t", "u"} {
+		for seq := range uint64(2) {
+			c.Step(3000+float64(seq), []Input{Saw{store, Slow}, Received{"b", Message{Run: 1, Words: []Word{{Store: store, Observer: "b", Kind: Slow, Good: 2, Run: 1, Seq: 9 + seq}}}}})
+		}
+	}
+	for _, x := range c.Seen() {
+		assert.Equal(t, "slow", x.Kind, x.Store)
+		assert.False(t, c.states[x.Store].Kind.bad())
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -245,7 +245,7 @@
 				next = min(next, d.silent)
 			} else if next = min(next, b.now+lookAgain); gone && !d.lostSeen {
 				// Silence of the node itself weighs two failures, and of one long unheard a single one is enough.
-				if d.lostSeen = true; b.judge(n, false) && !passed {
+				if d.lostSeen = true; b.judge(n, false, false) && !passed {
 					if b.history[n] <<= 1; b.now-b.heard[n] > recent {
 						b.history[n] = 2
 					}
@@ -565,7 +565,7 @@
 		typ.mean += typShare * (e.Elapsed - typ.mean)
 		typ.work = min(typ.work*1.01, max(1, e.Elapsed-b.num("layout.callWork")))
 		b.done, b.doneAt = b.done*math.Exp((b.doneAt-b.now)/recent)+p.work, b.now
-		b.judge(n, true)
+		b.judge(n, true, b.due(d.late))
 		if !p.done {
 			p.done, s.heard = true, b.now
 			s.got += p.weight
@@ -575,12 +575,12 @@
 			b.recall(p)
 		}
 	case Errored, Severed:
-		b.judge(n, false)
+		b.judge(n, false, false)
 	case ConnRefused: // nobody is there: no need for more proof
 		b.used[n], b.history[n] = longAgo, 6
 		if d.fresh && b.refusing > slowLinks { // connecting is slow everywhere: it holds for this broker alone
 			b.note(n, false)
-		} else if b.judge(n, false) {
+		} else if b.judge(n, false, false) {
 			b.news[len(b.news)-1] = noteNobody
 		}
 	case Saturated: // full, not ill: it counts as slow
@@ -613,12 +613,12 @@
 // judge keeps the last eight outcomes of a node. One that does poorly rests and then gets one call at a time.
 // What fails at one moment is one failure: a connection that breaks takes all parts on it along, and tells no
 // more than if it had carried one. A node that dies fails again at the next moment, or refuses connections.
-func (b *Broker) judge(n int, good bool) bool {
+func (b *Broker) judge(n int, good, late bool) bool {
 	if !good && b.failAt[n] == b.now {
 		return false
 	}
 	if b.flag("share.verdicts") {
-		b.do(Action{Kind: Judged, Node: b.nodeID[n], Whole: good})
+		b.do(Action{Kind: Judged, Node: b.nodeID[n], Whole: good, Late: late})
 	}
 	if !good {
 		b.news = report(b.news, b.nodeID[n], noteBad)
@@ -925,8 +925,8 @@
 	switch e.Outcome {
 	case Completed: // it is well again: as many successes as let it work
 		b.history[n], b.restEnd[n], b.lateAt[n] = b.history[n]|0x0f, b.now, longAgo
-	case Saturated: // slow or full
-		b.lateAt[n] = b.now
+	case Saturated: // slow or full: it is told again for as long as it holds
+		b.lateAt[n] = max(b.lateAt[n], b.now-recent+2*restTime)
 	default:
 		b.history[n], b.restEnd[n] = 1, b.now+restTime
 	}
--- a/logic/move_test.go
+++ b/logic/move_test.go
@@ -242,3 +242,31 @@
 		assert.Equal(t, c.away, len(kinds(r.acts, Throttle)) > 0, "%v", c)
 	}
 }
+
+// Where verdicts are shared an outcome that comes late is told as such; what others hold of a node's load weighs while they tell it again, and not for longer.
+func TestLoadByVerdict(t *testing.T) {
+	r := play(t, map[string]any{"share.verdicts": true}, ring(4))
+	judged := func(num int64, took float64) Action {
+		t.Helper()
+		r.step(1, scanOf(num, 0, 6000, 0)...)
+		all := kinds(r.step(took, r.ended(1000*num+1, 0, Completed, took)), Judged)
+		assert.Len(t, all, 1)
+		return all[0]
+	}
+	for i := int64(1); i <= 40; i++ {
+		assert.False(t, judged(i, 300+float64(i%3)).Late)
+	}
+	assert.True(t, judged(41, 900).Late)
+	assert.True(t, judged(41+1, 900).Whole, "it counts for the node all the same")
+
+	n := r.b.index[100]
+	before := r.b.weigh(n)
+	held := func(how Outcome) Event { return Event{Kind: VerdictHeard, Node: 100, Outcome: how} }
+	r.step(5000, held(Saturated))
+	assert.Greater(t, r.b.weigh(n), 2*before)
+	assert.False(t, r.b.poor(n))
+	r.step(2*restTime-1, timer(99))
+	assert.Greater(t, r.b.weigh(n), 2*before)
+	r.step(2, timer(99))
+	assert.Less(t, r.b.weigh(n), 2*before, "it is not told any more")
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -116,7 +116,7 @@
 	Note
 	Tell   // all other brokers
 	Short  // a further dispatch was barred by the budget of all brokers
-	Judged // an outcome counts for or against a node, by Whole; only where verdicts are shared
+	Judged // an outcome counts for or against a node, by Whole, or came Late; only where verdicts are shared
 	Fatal
 )
 
@@ -129,6 +129,7 @@
 	After    float64 // time-out of a dispatch, delay of a timer, or when a throttled client may return
 	Timer    int64
 	Whole    bool
+	Late     bool
 	Text     string
 	Note     []byte
 }
