A single scan's token is asked of owners that have room for one at home

Cause: with a burst smaller than the members are many, most owners have no whole token; who asked three of them by chance was told so three times.

Change: owners whose home holds what is asked for go first, the others after them.

TestSingleAsksGoToWhoHasTokens fails without the change.

--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -665,13 +665,19 @@
 
 // sendOnce asks the next owner that answers.
 func (c *Core) sendOnce(a *account, o once, now float64) bool {
-	for range a.loans {
+	n := parts(o.cost / a.limit.Burst)
+	for i := range 2 * len(a.loans) {
 		o.owner = (o.owner + 1) % len(a.loans)
-		if l := &a.loans[o.owner]; l.silent == never {
+		rank := o.owner // among all owners, this member at its own
+		if a.rank >= 0 && rank >= a.rank {
+			rank++
+		}
+		// Whose home has room for it first: of a burst smaller than the owners are many most have none, and who asked them by chance was told so three times.
+		able := a.limit.home(rank, len(a.loans)+1)[depth] >= n || i >= len(a.loans)
+		if l := &a.loans[o.owner]; l.silent == never && able {
 			c.seq++
 			o.seq, o.sent, o.tries = c.seq, now, o.tries+1
 			a.onces = append(a.onces, o)
-			n := parts(o.cost / a.limit.Burst)
 			c.mail[l.from] = append(c.mail[l.from], Message{Kind: Ask, Limit: a.limit.Name, Key: a.key, Boot: c.rules.Boot, Seq: o.seq, Share: Part{depth: n}, Once: true})
 			c.wake(a, c.now) // it goes out with the next Step
 			return true
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -594,6 +594,35 @@
 	assert.Greater(t, float64(sum[flow]), 0.9*home, "and all of it is lent")
 }
 
+// A single scan's token is asked of an owner that has room for one at home, wherever chance begins.
+func TestSingleAsksGoToWhoHasTokens(t *testing.T) {
+	roster := []string{"a", "b", "c", "d", "e", "f"}
+	for _, self := range roster {
+		for _, chance := range []float64{0, 0.3, 0.6, 0.99} {
+			c := New(Rules{Self: self, Boot: 1, Roster: roster, Drift: 0.01, Most: 100, Loans: true}, []Limit{{Name: "x", Kind: Rate, Size: 1, Burst: 1, Term: 1000}}, func() float64 { return chance })
+			c.Step(1000, nil)
+			v := c.Take(5000, []Use{{Limit: 0, Cost: 1}}, 10)
+			a := c.accounts[id{0, ""}]
+			if a.home[depth] == Whole {
+				continue // it is the owner itself
+			}
+			require.Positive(t, v.Wait, self)
+			var to []string
+			for _, s := range c.Step(5000, nil) {
+				for _, m := range s.Messages {
+					if m.Once {
+						to = append(to, s.To)
+					}
+				}
+			}
+			require.Len(t, to, 1)
+			other := New(Rules{Self: to[0], Boot: 1, Roster: roster, Most: 100}, []Limit{{Name: "x", Kind: Rate, Size: 1, Burst: 1, Term: 1000}}, half)
+			other.Take(5000, []Use{{Limit: 0, Cost: 1}}, 10)
+			assert.EqualValues(t, Whole, other.accounts[id{0, ""}].home[depth], "%s at %g asks %s", self, chance, to[0])
+		}
+	}
+}
+
 func BenchmarkTake(b *testing.B) {
 	for _, limits := range [][]Limit{{{Name: "r", Size: 1e9, Burst: 1e9, Term: 1000}}, {{Name: "r", Size: 1e9, Burst: 1e9, Term: 1000}, {Name: "s", Kind: Stock, Size: 1e9, Term: 1000}}} {
 		b.Run(fmt.Sprint(len(limits)), func(b *testing.B) {
