Who comes in while the front ends is answered: the listener closes before nobody is looked for

Cause: TestStopAtWork stood still for five minutes in one of some ten runs of the process tests. A dump of its goroutines: eight connections in front.(*client).one at the watch of a scan that is out (front.go, the second Peek), no actor of the broker any more. broker.Stop ended the actor once the front had seen a moment without any connection, and closed the listener after that; clients that were sent away a moment before came in again in between, their scans were read and handed to a mailbox that nobody emptied. In the program the end of the process resets them: scans taken and lost, a window of about a millisecond in each planned end.

The tests' client has a time limit.

Result: TestCameAtTheVeryEnd (a client that comes just after 'front stopped') gets 504; before, nothing within its 5 s. TestStopAtWork, TestRenew and TestServe six times each.

--- a/cmd/gullstair/main_test.go
+++ b/cmd/gullstair/main_test.go
@@ -102,6 +102,9 @@
 	return path
 }
 
+// asker does not wait for ever: a scan that was never answered once kept a test, and all behind it, for as long as tests may take.
+var asker = &http.Client{Timeout: 2 * patience}
+
 func ask(at, path string, shards ...int) (int, string, error) {
 	return askAs("q1", at, path, shards...)
 }
@@ -118,7 +121,7 @@
 	req.Header.Set("X-Correlation-Id", id)
 	req.Header.Set("Idempotency-Key", "k1") // sent again once where the broker closed a connection between requests
 	req.Header.Set("X-Time-Left-Ms", "3000")
-	res, err := http.DefaultClient.Do(req)
+	res, err := asker.Do(req)
 	if err != nil {
 		return 0, "", err
 	}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -63,19 +63,20 @@
 
 // Broker is one running broker.
 type Broker struct {
-	told  *config.Told
-	clock Clock
-	core  *core.Core
-	turn  float64
-	mail  chan core.Input
-	stop  chan struct{} // closed: the actor ends
-	ended sync.WaitGroup
-	front *front.Front
-	fleet *node.Fleet
-	watch *discovery.Watch
-	ln    net.Listener
-	log   zerolog.Logger
-	fatal chan error
+	told   *config.Told
+	clock  Clock
+	core   *core.Core
+	turn   float64
+	mail   chan core.Input
+	served chan struct{} // closed when nobody comes in any more
+	stop   chan struct{} // closed: the actor ends
+	ended  sync.WaitGroup
+	front  *front.Front
+	fleet  *node.Fleet
+	watch  *discovery.Watch
+	ln     net.Listener
+	log    zerolog.Logger
+	fatal  chan error
 
 	listed bool // the actor's: the module has a list with nodes
 
@@ -103,7 +104,7 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	b := &Broker{told: t, clock: NewClock(), turn: t.Site.Turn, mail: make(chan core.Input, mailboxSize),
-		stop: make(chan struct{}), ln: ln, log: log, fatal: make(chan error, 1), features: f, clocks: clocks}
+		stop: make(chan struct{}), served: make(chan struct{}), ln: ln, log: log, fatal: make(chan error, 1), features: f, clocks: clocks}
 	nodeConns := t.Sockets / 4
 	b.fleet = node.NewFleet(node.Reach{PerConn: t.Site.PerConn, MaxConns: nodeConns,
 		ConnectTimeout: ms(t.Site.ConnectTimeout), Idle: ms(t.Site.ConnIdle)}, b.clock.Now,
@@ -126,6 +127,7 @@
 	b.watch = discovery.Follow(t.Discovery, t.Known.Seq, t.Site.AskList, func(l core.List) { b.put(l) }, log)
 	b.ended.Go(b.run)
 	go func() {
+		defer close(b.served)
 		if err := b.front.Serve(ln); err != nil {
 			select {
 			case b.fatal <- fmt.Errorf("accepting: %w", err):
@@ -286,15 +288,18 @@
 	for _, typ := range b.told.Site.Types {
 		longest = max(longest, typ.Timeout)
 	}
-	if !b.front.Stop(ending.Begin(longest, float64(patience)/1e6)) { // no scan goes without an answer, even a bad one
+	done := b.front.Stop(ending.Begin(longest, float64(patience)/1e6))
+	// Nobody comes in any more before it is looked whether nobody is left: who came in between the two was read, and never answered, since nothing decided any more.
+	b.ln.Close()
+	<-b.served
+	if !done || !b.front.Flush(lastWords, lastWords/2) { // no scan goes without an answer, even a bad one
 		b.put(core.Closing{})
-		b.front.Flush(lastWords)
+		b.front.Flush(lastWords, 0)
 	}
 	b.watch.Stop()
 	<-leaving
 	close(b.stop)
 	b.ended.Wait()
-	b.ln.Close()
 	b.tally()
 	b.log.Info().Msg("stopped")
 }
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -132,3 +132,55 @@
 	b.Stop(0)
 	assert.Equal(t, 504, <-status)
 }
+
+// atWord calls a function, once, when a line of the log says a word.
+type atWord struct {
+	word string
+	do   func()
+}
+
+func (w *atWord) Write(line []byte) (int, error) {
+	if do := w.do; do != nil && strings.Contains(string(line), w.word) {
+		w.do = nil
+		do()
+	}
+	return len(line), nil
+}
+
+// Who comes in after nobody was left, and before the listener closes, is answered too: its scan was read once, and nobody was there to decide on it.
+func TestCameAtTheVeryEnd(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer silent.Close()
+	text, err := os.ReadFile("../config/testdata/start.json")
+	require.NoError(t, err)
+	told, err := config.Parse(text, func(string) string { return "" })
+	require.NoError(t, err)
+	for i := range told.Known.Hosts {
+		told.Known.Hosts[i].Dial = silent.Addr().String()
+	}
+	status := make(chan int, 1)
+	var b *Broker
+	word := &atWord{word: "front stopped", do: func() {
+		go func() {
+			req, _ := http.NewRequest("POST", "http://"+b.Addr()+"/board", strings.NewReader(`{"segments":[{"segment":0,"boost":1}],"text":"t"}`))
+			req.Header = http.Header{"X-Time-Left-Ms": {"3900"}, "X-Correlation-Id": {"q1"}}
+			client := http.Client{Timeout: patience}
+			res, err := client.Do(req)
+			if err != nil {
+				status <- 0
+				return
+			}
+			res.Body.Close()
+			status <- res.StatusCode
+		}()
+		conn, err := silent.Accept() // its part is on its way
+		if err == nil {
+			t.Cleanup(func() { conn.Close() })
+		}
+	}}
+	b, err = Start(told, nil, zerolog.New(word))
+	require.NoError(t, err)
+	b.Stop(10 * time.Second)
+	assert.Equal(t, 504, <-status)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -209,14 +209,16 @@
 	}
 }
 
-// Flush waits until the last answers are out and nobody is connected any more, and not for longer than within.
-func (f *Front) Flush(within time.Duration) {
+// Flush waits until the last answers are out and nobody is connected any more, and not for longer than within; it says whether that is so. Connections that have been
+// idle for so long are closed.
+func (f *Front) Flush(within, idleFor time.Duration) bool {
 	for begun := time.Now(); f.Conns() > 0 && time.Since(begun) < within; time.Sleep(5 * time.Millisecond) {
 		f.mu.Lock()
-		for f.closeOldest(idle, 0, false) {
+		for f.closeOldest(idle, idleFor, false) {
 		}
 		f.mu.Unlock()
 	}
+	return f.Conns() == 0
 }
 
 // took keeps what answers took of late: the slowest of some hundred.
