--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -100,6 +100,19 @@
 	ln.Close()
 }
 
+// board asks a broker for one shard and returns the status; 0: there was no answer.
+func board(b *Broker) int {
+	req, _ := http.NewRequest("POST", "http://"+b.Addr()+"/board", strings.NewReader(`{"segments":[{"segment":0,"boost":1}],"text":"t"}`))
+	req.Header = http.Header{"X-Time-Left-Ms": {"3900"}, "X-Correlation-Id": {"q1"}}
+	client := http.Client{Timeout: patience}
+	res, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	res.Body.Close()
+	return res.StatusCode
+}
+
 // A scan that is still open when patience ends is answered all the same, though its node says nothing.
 func TestLastWords(t *testing.T) {
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
@@ -115,17 +128,7 @@
 	b, err := Start(told, nil, zerolog.Nop())
 	require.NoError(t, err)
 	status := make(chan int, 1)
-	go func() {
-		req, _ := http.NewRequest("POST", "http://"+b.Addr()+"/board", strings.NewReader(`{"segments":[{"segment":0,"boost":1}],"text":"t"}`))
-		req.Header = http.Header{"X-Time-Left-Ms": {"3900"}, "X-Correlation-Id": {"q1"}}
-		res, err := http.DefaultClient.Do(req)
-		if err != nil {
-			status <- 0
-			return
-		}
-		res.Body.Close()
-		status <- res.StatusCode
-	}()
+	go func() { status <- board(b) }()
 	conn, err := silent.Accept()
 	require.NoError(t, err)
 	defer conn.Close()
@@ -162,18 +165,7 @@
 	status := make(chan int, 1)
 	var b *Broker
 	word := &atWord{word: "front stopped", do: func() {
-		go func() {
-			req, _ := http.NewRequest("POST", "http://"+b.Addr()+"/board", strings.NewReader(`{"segments":[{"segment":0,"boost":1}],"text":"t"}`))
-			req.Header = http.Header{"X-Time-Left-Ms": {"3900"}, "X-Correlation-Id": {"q1"}}
-			client := http.Client{Timeout: patience}
-			res, err := client.Do(req)
-			if err != nil {
-				status <- 0
-				return
-			}
-			res.Body.Close()
-			status <- res.StatusCode
-		}()
+		go func() { status <- board(b) }()
 		conn, err := silent.Accept() // its part is on its way
 		if err == nil {
 			t.Cleanup(func() { conn.Close() })
