--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -136,16 +137,16 @@
 	assert.Equal(t, 504, <-status)
 }
 
-// atWord calls a function, once, when a line of the log says a word.
+// atWord calls a function, once, when a line of the log says a word. The log is several goroutines'.
 type atWord struct {
 	word string
 	do   func()
+	once sync.Once
 }
 
 func (w *atWord) Write(line []byte) (int, error) {
-	if do := w.do; do != nil && strings.Contains(string(line), w.word) {
-		w.do = nil
-		do()
+	if strings.Contains(string(line), w.word) {
+		w.once.Do(w.do)
 	}
 	return len(line), nil
 }
