--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -101,6 +101,21 @@
 	ln.Close()
 }
 
+// silentStores are stores that take connections and say nothing, and a start file that names them.
+func silentStores(t *testing.T) (net.Listener, *config.Told) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { silent.Close() })
+	text, err := os.ReadFile("../config/testdata/start.json")
+	require.NoError(t, err)
+	told, err := config.Parse(text, func(string) string { return "" })
+	require.NoError(t, err)
+	for i := range told.Known.Hosts {
+		told.Known.Hosts[i].Dial = silent.Addr().String()
+	}
+	return silent, told
+}
+
 // board asks a broker for one shard and returns the status; 0: there was no answer.
 func board(b *Broker) int {
 	req, _ := http.NewRequest("POST", "http://"+b.Addr()+"/board", strings.NewReader(`{"segments":[{"segment":0,"boost":1}],"text":"t"}`))
@@ -116,16 +131,7 @@
 
 // A scan that is still open when patience ends is answered all the same, though its node says nothing.
 func TestLastWords(t *testing.T) {
-	silent, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer silent.Close()
-	text, err := os.ReadFile("../config/testdata/start.json")
-	require.NoError(t, err)
-	told, err := config.Parse(text, func(string) string { return "" })
-	require.NoError(t, err)
-	for i := range told.Known.Hosts {
-		told.Known.Hosts[i].Dial = silent.Addr().String()
-	}
+	silent, told := silentStores(t)
 	b, err := Start(told, nil, zerolog.Nop())
 	require.NoError(t, err)
 	status := make(chan int, 1)
@@ -153,18 +159,10 @@
 
 // Who comes in after nobody was left, and before the listener closes, is answered too: its scan was read once, and nobody was there to decide on it.
 func TestCameAtTheVeryEnd(t *testing.T) {
-	silent, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer silent.Close()
-	text, err := os.ReadFile("../config/testdata/start.json")
-	require.NoError(t, err)
-	told, err := config.Parse(text, func(string) string { return "" })
-	require.NoError(t, err)
-	for i := range told.Known.Hosts {
-		told.Known.Hosts[i].Dial = silent.Addr().String()
-	}
+	silent, told := silentStores(t)
 	status := make(chan int, 1)
 	var b *Broker
+	var err error
 	word := &atWord{word: "front stopped", do: func() {
 		go func() { status <- board(b) }()
 		conn, err := silent.Accept() // its part is on its way
