A copy of a keyed part is never written past the repeat window

Cause: the last moment to write a further attempt of a keyed part was counted from the first attempt that had ended (core.finish sets ranAt); a copy sent beside an open first one had none, so a connection that came up late could carry it past the window. Seen by reading; ruled out: the module's own gate (barred) counts open attempts, but decides before the connection is up. Change: notAfter counts open attempts too. Result: TestKeyedCopy, which finds NotAfter 0 without the change.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -508,11 +508,18 @@
 // notAfter is the latest moment at which a further dispatch of a keyed part may be written: while repeats are
 // dropped, counted from the first dispatch that may have run. The module keeps to it when it decides; a
 // connection that has to come up first would carry the frame past it. 0: there is no such moment.
+// A dispatch that is still out counts as one that ran.
 func (c *Core) notAfter(p *part) float64 {
-	if p.ranAt == 0 {
+	first := p.ranAt
+	for _, d := range p.outstanding {
+		if d.n < p.tries-1 && (first == 0 || d.at < first) {
+			first = d.at
+		}
+	}
+	if first == 0 {
 		return 0
 	}
-	return p.ranAt + c.site.Types[p.scan.TableType].RepeatWindow
+	return first + c.site.Types[p.scan.TableType].RepeatWindow
 }
 
 // probe asks a node for its load. A probe waits as long as a connection may take to come up.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -290,6 +290,22 @@
 	assert.Empty(t, parts(r.until(begun+5000)), "and not again after that time")
 }
 
+// The first dispatch of a keyed part may be the one that runs though it is still out: a second copy beside it must be
+// written while repeats are dropped too, counted from the first.
+func TestKeyedCopy(t *testing.T) {
+	r := play(t, map[string]any{"limit.secondCopies": true})
+	r.step(10, core.List{Kind: logic.ListChanges, Nodes: []core.Node{{Host: "s-c", Addr: "127.0.0.1:4", Zone: "west",
+		Kind: "std", Readiness: logic.Ready, Units: 1}}}) // another holder of the shard
+	begun := r.now
+	sent := parts(r.step(0, r.scan(2, 4000, 0)))
+	require.Len(t, sent, 1)
+	copies := parts(r.until(begun + 2400)) // its node says nothing
+	require.NotEmpty(t, copies)
+	for _, p := range copies {
+		assert.InDelta(t, begun+2500, p.NotAfter, 1)
+	}
+}
+
 // The id of an open scan is its own: another request that comes under it is not taken, and the open one goes on.
 func TestSameID(t *testing.T) {
 	r := play(t)
