A peer never waits for a node that reads nothing; nothing unsent outlives its client or a drain

Causes, found by reading internal/node: flush wrote in the peer's actor with the connect timeout as its deadline, so one connection whose node reads nothing held up that node's others, and the frames had their deadlines in them by then; a full mailbox dropped a word of giving up, and a call that waited for a connection went out though its client had left; a call that waited for a connection went out though its node had begun to drain or had gone meanwhile (the list's word reached no peer but for gone). Change: frames are put into bytes at the moment of writing and written without waiting, what the system does not take waits as it was; words of giving up and moves go past the mailbox and are carried out behind the mail before them; a drain ends what has not begun as withdrawn, which never ran.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,7 +25,7 @@
 	Limited                                                  int // throttled by limits that brokers share
 	Short                                                    int // further dispatches barred by the fleet's budget
 	Dispatches, Late                                         int // Late: ends of dispatches that had ended
-	Ends                                                     [NeverSent + 1]int
+	Ends                                                     [Withdrawn + 1]int
 	Differs                                                  map[string]int // by kind, where watched settings decide otherwise; nil: none are
 }
 
@@ -692,13 +692,7 @@
 			c.nodes[n.Host], c.hosts[num] = num, &place{host: n.Host}
 		}
 		named[num] = true
-		c.hosts[num].ready, c.hosts[num].node = n.Readiness == logic.Ready, listed
-		c.hosts[num].zone, c.hosts[num].cell, c.hosts[num].born = n.Zone, n.Cell, n.Born
-		at, gone := c.hosts[num], n.Readiness == logic.Gone
-		if at.addr != n.Addr && n.Addr != "" || at.gone != gone {
-			at.addr, at.gone = cmp.Or(n.Addr, at.addr), gone
-			c.do(Move{Host: at.host, Addr: at.addr, Gone: gone})
-		}
+		c.place(c.hosts[num], n, listed)
 		e.Entries = append(e.Entries, logic.Entry{Node: num, Zone: c.index(c.site.Zones, n.Zone),
 			Kind: c.index(c.site.Kinds, n.Kind), Cell: n.Cell, Readiness: n.Readiness, Units: n.Units, Born: n.Born})
 	}
@@ -718,6 +712,18 @@
 	}
 }
 
+// place takes up what a list says of a node, and tells the node's peer if it concerns that: where the node is, that it
+// drains, or that it is gone.
+func (c *Core) place(at *place, n, listed Node) {
+	ready, gone := n.Readiness == logic.Ready, n.Readiness == logic.Gone
+	moved := n.Addr != "" && at.addr != n.Addr || at.gone != gone || at.ready && !ready
+	at.node, at.zone, at.cell, at.born = listed, n.Zone, n.Cell, n.Born
+	at.addr, at.ready, at.gone = cmp.Or(n.Addr, at.addr), ready, gone
+	if moved {
+		c.do(Move{Host: at.host, Addr: at.addr, Draining: !ready && !gone, Gone: gone})
+	}
+}
+
 // listed names the nodes that may be probed, in order.
 func (c *Core) listed() Listed {
 	var l Listed
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -355,6 +355,8 @@
 		"nothing new": {core.List{Kind: logic.ListChanges, Nodes: []core.Node{node("s-a", "127.0.0.1:2", logic.Ready)}}, nil},
 		"moved": {core.List{Kind: logic.ListChanges, Nodes: []core.Node{node("s-a", "127.0.0.1:9", logic.Ready)}},
 			[]core.Move{{Host: "s-a", Addr: "127.0.0.1:9"}}},
+		"draining": {core.List{Kind: logic.ListChanges, Nodes: []core.Node{node("s-a", "127.0.0.1:2", logic.Draining)}},
+			[]core.Move{{Host: "s-a", Addr: "127.0.0.1:2", Draining: true}}},
 		"gone": {core.List{Kind: logic.ListChanges, Nodes: []core.Node{node("s-a", "", logic.Gone)}},
 			[]core.Move{{Host: "s-a", Addr: "127.0.0.1:2", Gone: true}}},
 		"left out of a whole list": {core.List{Kind: logic.ListWhole, Nodes: []core.Node{node("s-a", "127.0.0.1:2", logic.Ready)}},
--- a/internal/core/ends.go
+++ b/internal/core/ends.go
@@ -23,6 +23,7 @@
 	OutOfTime                    // its time-out passed
 	TakenBack                    // the module recalled it, or its scan ended
 	NeverSent                    // its scan was over, its time was up, or it was one too many
+	Withdrawn                    // its node began to drain, or went, before the frame's first byte was written
 )
 
 var ends = [...]struct {
@@ -45,6 +46,7 @@
 	OutOfTime:     {"out of time", logic.Overdue},
 	TakenBack:     {"recalled", logic.Recalled},
 	NeverSent:     {"never sent", logic.Superseded},
+	Withdrawn:     {"withdrawn", logic.Superseded},
 }
 
 // Outcome is the module's word for e.
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -168,9 +168,10 @@
 	Value string
 }
 
-// Move says where a node is to be reached from now on, or that it is gone.
+// Move says where a node is to be reached from now on, that it drains and may be sent nothing new, or that it is gone.
 type Move struct {
 	Host, Addr string
+	Draining   bool
 	Gone       bool
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -220,13 +222,58 @@
 	assert.Zero(t, f.Conns())
 }
 
-// still is a peer whose actor does not run: the test hands it its mail.
+// still is a peer whose actor does not run: the test carries out its turns.
 func still(f *Fleet, host, addr string) *peer {
-	p := &peer{f: f, host: host, addr: addr, mail: make(chan any, 2), ended: make(chan struct{}), out: map[int64]*link{}}
+	p := newPeer(f, host, addr)
+	p.mail = make(chan any, 2)
 	f.peers[host] = p
 	return p
 }
 
+// connect takes in the outcome of the dial that is under way; a turn may carry on from there.
+func (p *peer) connect(t *testing.T) {
+	for over := time.After(patience); ; {
+		select {
+		case m := <-p.mail:
+			p.handle(m)
+			if _, up := m.(dialed); up {
+				return
+			}
+		case <-over:
+			require.Fail(t, "no connection came up")
+		}
+	}
+}
+
+// fill sends so much on a connection to a node that reads nothing that the system takes no more, until two calls wait.
+func (p *peer) fill(t *testing.T, n *fake) (*talk, *connection) {
+	p.handle(call("a", n.addr(), 1))
+	c := p.conns[0]
+	p.connect(t)
+	k := n.accept()
+	require.NoError(t, k.conn.(*net.TCPConn).SetReadBuffer(1<<16))
+	again := func() {
+		c.stalled = false
+		p.flush(c)
+	}
+	p.turn()
+	for ref, still := int64(2), 0; still < 3; {
+		for ; len(c.queue) < 2; ref++ {
+			v := call("a", n.addr(), ref)
+			v.Parts[0].ID, v.Parts[0].Text = fmt.Sprint("q.", ref), strings.Repeat("x", 60000)
+			c.stalled, still = false, 0
+			p.handle(v)
+			p.flush(c)
+		}
+		before := len(c.queue) + len(c.rest)
+		time.Sleep(retryWrite) // it may have room again: only what stays full is full
+		if again(); len(c.queue)+len(c.rest) == before {
+			still++
+		}
+	}
+	return k, c
+}
+
 func TestWaitingForAConnection(t *testing.T) {
 	n := fakeNode(t)
 	f, ends := fleet(t, Reach{})
@@ -234,27 +281,115 @@
 	c := call("a", n.addr(), 1, 2, 3)
 	c.Parts[1].NotAfter = 999 // the clock stands at 1000
 	p.handle(c)
-	p.handle(core.GiveUp{Host: "a", Ref: 1})
+	f.GiveUp(core.GiveUp{Host: "a", Ref: 1})
 	p.handle(call("a", n.addr(), 4))
-	p.handle(core.GiveUp{Host: "a", Ref: 4})
-	p.handle(<-p.mail) // the connection is up
+	f.GiveUp(core.GiveUp{Host: "a", Ref: 4})
+	p.connect(t)
+	p.turn()
 	assert.Equal(t, core.Ended{Ref: 2, How: core.TooLate, At: 1000}, next(t, ends))
-	p.flush()
 	k := n.accept()
 	assert.Equal(t, "Rq.3 3 d=240 3\ntxt", k.frame(), "what ended meanwhile, or may not go any more, is not written")
-	p.handle(core.GiveUp{Host: "a", Ref: 3})
-	p.flush()
+	f.GiveUp(core.GiveUp{Host: "a", Ref: 3})
+	p.turn()
 	assert.Equal(t, "Aq.3", k.frame())
 }
 
+// A full mailbox takes no call and keeps nobody waiting; what must not be lost finds its way past it: an attempt that
+// was given up before its connection is up is never written, and a move is taken up.
 func TestFullMailbox(t *testing.T) {
+	n := fakeNode(t)
 	f, _ := fleet(t, Reach{})
-	still(f, "a", "127.0.0.1:1")
+	p := still(f, "a", n.addr())
 	assert.True(t, f.Call(call("a", "", 1)))
 	assert.True(t, f.Call(call("a", "", 2)))
-	assert.False(t, f.Call(call("a", "", 3)), "a full mailbox takes nothing and keeps nobody waiting")
-	f.Move(core.Move{Host: "a", Gone: true})
+	assert.False(t, f.Call(call("a", "", 3)))
 	f.GiveUp(core.GiveUp{Host: "a", Ref: 1})
+	p.turn()
+	p.connect(t)
+	p.turn()
+	assert.Contains(t, n.accept().frame(), "q.2")
+	f.Call(call("a", "", 4))
+	f.Call(call("a", "", 5))
+	f.Move(core.Move{Host: "a", Gone: true})
+	p.turn()
+	assert.True(t, p.gone)
+}
+
+// What waits for a connection when its node begins to drain, or goes, is never written: it would reach the node as a
+// new attempt long after the list told of it. It ends as not sent, and may go elsewhere.
+func TestDrainWithdraws(t *testing.T) {
+	for name, m := range map[string]core.Move{
+		"draining": {Host: "a", Draining: true},
+		"gone":     {Host: "a", Gone: true},
+	} {
+		n := fakeNode(t)
+		f, ends := fleet(t, Reach{})
+		p := still(f, "a", n.addr())
+		p.handle(call("a", n.addr(), 1, 2))
+		f.Move(m)
+		p.connect(t)
+		p.turn()
+		for ref := range int64(2) {
+			assert.Equal(t, core.Ended{Ref: ref + 1, How: core.Withdrawn, At: 1000}, next(t, ends), name)
+		}
+		if m.Gone {
+			assert.Empty(t, n.accept().frame(), name)
+			continue
+		}
+		f.Move(core.Move{Host: "a"}) // it serves again
+		p.handle(call("a", n.addr(), 3))
+		p.turn()
+		assert.Contains(t, n.accept().frame(), "q.3", name)
+	}
+}
+
+// A node that reads nothing holds up nobody: its other connections go on, what waits for it can still be given up, and
+// what is written once it reads again tells it the time that is left then.
+func TestNodeThatReadsNothing(t *testing.T) {
+	n := fakeNode(t)
+	f, ends := fleet(t, Reach{PerConn: 1 << 20})
+	now := 1000.0
+	f.now = func() float64 { return now }
+	p := still(f, "a", n.addr())
+	p.mail = make(chan any, mailboxSize)
+	k, hung := p.fill(t, n)
+	waits := hung.unsent()
+	require.Len(t, waits, 2)
+	p.handle(call("a", n.addr(), 900))
+	p.connect(t)
+	p.turn()
+	assert.Contains(t, n.accept().frame(), "q.", "another connection")
+	f.GiveUp(core.GiveUp{Host: "a", Ref: waits[0]})
+	now = 1100
+	require.NoError(t, k.conn.(*net.TCPConn).SetReadBuffer(1<<22))
+	go p.run()
+	var last string
+	for want := fmt.Sprintf("Rq.%d ", waits[1]); !strings.HasPrefix(last, want); {
+		last = k.frame()
+		require.NotEmpty(t, last)
+		assert.False(t, strings.HasPrefix(last, fmt.Sprintf("Rq.%d ", waits[0])), "nobody waits for it")
+	}
+	assert.Contains(t, last[:min(40, len(last))], " d=140 ", "what is left when it is written")
+	k.say(fmt.Sprintf("Yq.%d OK 0 -\nv", waits[1]))
+	assert.Equal(t, core.Answered, next(t, ends).How)
+}
+
+// A connection that takes no byte for as long as one may take to come up has broken: what was not written whole never
+// ran, the rest may have.
+func TestStalledForLong(t *testing.T) {
+	n := fakeNode(t)
+	f, ends := fleet(t, Reach{PerConn: 1 << 20, ConnectTimeout: 50 * time.Millisecond})
+	p := still(f, "a", n.addr())
+	p.mail = make(chan any, mailboxSize)
+	_, c := p.fill(t, n)
+	out := len(c.attempts)
+	got := map[core.End]int{}
+	go p.run()
+	for range out {
+		got[next(t, ends).How]++
+	}
+	assert.Equal(t, 3, got[core.WriteBroke], "one that had begun, and two that waited")
+	assert.Equal(t, out-3, got[core.ReadBroke])
 }
 
 func TestRoom(t *testing.T) {
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -1,113 +1,80 @@
 package node
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net"
-	"os"
-	"slices"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"gullstair/internal/buffers"
 	"gullstair/internal/core"
 )
 
-// Reach is what binds the connections to nodes.
-type Reach struct {
-	PerConn        int // parts at the same time on one connection
-	MaxConns       int // connections to all nodes together
-	ConnectTimeout time.Duration
-	Idle           time.Duration // after which a node closes a connection
-}
-
 const (
 	mailboxSize = 512
-	pastMost    = 8
 	sweepEvery  = time.Second
+	// retryWrite is how long a peer waits before it tries again to write to a connection that takes no more bytes.
+	retryWrite = 10 * time.Millisecond
 )
 
-// Fleet holds the peers. Only the goroutine that carries out the core's outputs may call it.
-type Fleet struct {
-	reach Reach
-	tell  func(core.Ended)
-	now   func() float64
-	log   zerolog.Logger
-	conns atomic.Int64
-	peers map[string]*peer
-	share atomic.Int64 // connections that a peer may hold beyond its first
-	Stats Stats
-}
-
-// Stats count what the peers saw.
-type Stats struct{ Dials, DialsFailed, Broken, Unknown, Malformed atomic.Int64 }
-
-// NewFleet makes an empty fleet; tell gets each end of a dispatch and may block.
-func NewFleet(reach Reach, now func() float64, tell func(core.Ended), log zerolog.Logger) *Fleet {
-	return &Fleet{reach: reach, tell: tell, now: now, log: log, peers: map[string]*peer{}}
-}
+var (
+	errUnasked = errors.New("an answer that was never asked for")
+	errStalled = errors.New("the node reads nothing")
+)
 
-// Conns is how many connections to nodes are open or being opened.
-func (f *Fleet) Conns() int { return int(f.conns.Load()) }
+// peer is the actor of one node: it alone owns the connections to it.
+type peer struct {
+	f     *Fleet
+	host  string
+	addr  string
+	gone  bool
+	mail  chan any
+	wake  chan struct{} // holds one when there are orders
+	ended chan struct{}
+	conns []*connection
+	out   map[int64]*connection // by attempt: the connection it is on or waits for
+	frame []byte                // the bytes of the frames that are being written
+	log   zerolog.Logger
 
-// Move tells the peer of a node where it is to be reached, or that it is gone. It never waits: each call names
-// its address too, so that a full mailbox loses nothing but haste.
-func (f *Fleet) Move(m core.Move) {
-	for host, p := range f.peers { // those of nodes that went
-		if p.closed() {
-			delete(f.peers, host)
-		}
-	}
-	f.share.Store(int64(f.reach.MaxConns / (len(f.peers) + 1)))
-	p := f.peers[m.Host]
-	if p == nil && m.Gone {
-		return
-	}
-	if p == nil {
-		p = f.start(m.Host, m.Addr)
-	}
-	p.offer(m)
+	mu      sync.Mutex
+	over    bool // no message is taken any more
+	pending orders
 }
 
-func (f *Fleet) start(host, addr string) *peer {
-	p := &peer{f: f, host: host, addr: addr, mail: make(chan any, mailboxSize), ended: make(chan struct{}),
-		out: map[int64]*link{}, log: f.log.With().Str("node", host).Logger()}
-	f.peers[host] = p
-	f.share.Store(int64(f.reach.MaxConns / (len(f.peers) + 1)))
-	go p.run()
-	return p
+// orders are what must not be lost, however full the mailbox is. They are carried out after all the mail that came
+// before them.
+type orders struct {
+	move    *core.Move
+	givenUp []int64 // at most as many as there are attempts out
 }
 
-// Call hands a frame to its node's peer. It never waits: where the mailbox is full, false comes back and the
-// parts count as not sent.
-func (f *Fleet) Call(c core.Call) bool {
-	return f.peerOf(c.Host, c.Addr).offer(c)
+func newPeer(f *Fleet, host, addr string) *peer {
+	return &peer{f: f, host: host, addr: addr, mail: make(chan any, mailboxSize), wake: make(chan struct{}, 1),
+		ended: make(chan struct{}), out: map[int64]*connection{}, log: f.log.With().Str("node", host).Logger()}
 }
 
-func (f *Fleet) peerOf(host, addr string) *peer {
-	if p := f.peers[host]; p != nil && !p.closed() {
-		return p
+// The mail of a peer's own goroutines.
+type (
+	dialed struct {
+		c    *connection
+		conn net.Conn
+		err  error
 	}
-	return f.start(host, addr)
-}
-
-// Probe hands a probe to its node's peer, as Call does a frame.
-func (f *Fleet) Probe(v core.Probe) bool { return f.peerOf(v.Host, v.Addr).offer(v) }
-
-// GiveUp tells the peer that nobody waits for a dispatch any more. It never waits; what a full mailbox drops
-// the node finds out from the dispatch's own wait.
-func (f *Fleet) GiveUp(g core.GiveUp) {
-	if p := f.peers[g.Host]; p != nil {
-		p.offer(g)
+	arrived struct {
+		c     *connection
+		probe bool
+		a     answer
 	}
-}
+	broke struct {
+		c   *connection
+		how core.End
+		err error
+	}
+	// writeAgain says that a stalled connection may take bytes again.
+	writeAgain struct{ c *connection }
+)
 
 // offer puts a message in the mailbox unless that is full or the peer has ended.
 func (p *peer) offer(m any) bool {
@@ -124,13 +91,27 @@
 	}
 }
 
+// order adds to what the peer is to do; one that has ended has nothing out.
+func (p *peer) order(add func(*orders)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.over {
+		return
+	}
+	add(&p.pending)
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
 func (p *peer) closed() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.over
 }
 
-// post is for the peer's own readers and dialers: it waits for room.
+// post is for the peer's own readers, dialers and timers: it waits for room.
 func (p *peer) post(m any) {
 	select {
 	case p.mail <- m:
@@ -142,74 +123,10 @@
 func (p *peer) leave() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.over = len(p.mail) == 0
+	p.over = len(p.mail) == 0 && p.pending.move == nil && len(p.pending.givenUp) == 0
 	return p.over
 }
 
-// peer is the actor of one node.
-type peer struct {
-	mu    sync.Mutex
-	over  bool // under mu: no message is taken any more
-	f     *Fleet
-	host  string
-	addr  string
-	gone  bool
-	mail  chan any
-	ended chan struct{}
-	links []*link
-	out   map[int64]*link // by dispatch: the connection it is on or waits for
-	log   zerolog.Logger
-}
-
-// link is one connection. Until it is up, its frames wait in queue.
-type link struct {
-	conn    net.Conn
-	addr    string
-	up      bool
-	ids     map[string]int64 // parts that are out, by id
-	refs    map[int64]string
-	queue   []core.Call
-	probes  []int64 // that are out or, before the connection is up, wait; they are answered in their order
-	wbuf    []byte
-	frames  []written // what stands in wbuf
-	lastUse time.Time
-	// retired: nothing more goes out on it, and it is closed when nothing is out. A part was given up on it, whose
-	// answer may never come and holds a place on the node's side until the node reads that it was; a node that finds
-	// all places taken reads no more. Or more came than was asked for, and what comes next is anybody's guess.
-	retired bool
-	past    [pastMost]string // ids that were out last: a late answer or a second copy is no spoilt one
-	pasts   int
-}
-
-// known says whether id was out on l a short while ago.
-func (l *link) known(id string) bool { return slices.Contains(l.past[:], id) }
-
-// written is one frame in a link's buffer: where it ends, and the dispatches in it.
-type written struct {
-	end  int
-	refs []int64
-}
-
-var errUnasked = errors.New("an answer that was never asked for")
-
-type dialed struct {
-	l    *link
-	conn net.Conn
-	err  error
-}
-
-type arrived struct {
-	l     *link
-	probe bool
-	a     answer
-}
-
-type broke struct {
-	l   *link
-	how core.End
-	err error
-}
-
 func (p *peer) run() {
 	defer close(p.ended)
 	sweep := time.NewTicker(sweepEvery)
@@ -218,40 +135,77 @@
 		select {
 		case m := <-p.mail:
 			p.handle(m)
-			for range len(p.mail) { // what has gathered is written together
-				p.handle(<-p.mail)
-			}
-			p.flush()
-			p.sweep()
+			p.turn()
+		case <-p.wake:
+			p.turn()
 		case <-sweep.C:
 			p.sweep()
 		}
-		if p.gone && len(p.links) == 0 && p.leave() {
+		if p.gone && len(p.conns) == 0 && p.leave() {
 			return
 		}
 	}
 }
 
+// turn carries out all that has gathered, and then writes. Orders are taken before the mail is read and carried out
+// after it: whatever an order refers to was in the mailbox before it.
+func (p *peer) turn() {
+	todo := p.takeOrders()
+	for range len(p.mail) {
+		p.handle(<-p.mail)
+	}
+	if todo.move != nil {
+		p.move(*todo.move)
+	}
+	for _, ref := range todo.givenUp {
+		p.giveUp(ref)
+	}
+	for i := len(p.conns) - 1; i >= 0; i-- {
+		p.flush(p.conns[i])
+	}
+	p.sweep()
+}
+
+func (p *peer) takeOrders() orders {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	todo := p.pending
+	p.pending = orders{}
+	return todo
+}
+
 func (p *peer) handle(m any) {
 	switch v := m.(type) {
 	case core.Call:
 		p.call(v)
 	case core.Probe:
 		p.probe(v)
-	case core.GiveUp:
-		p.giveUp(v.Ref)
-	case core.Move:
-		p.gone = v.Gone
-		if v.Addr != "" {
-			p.addr = v.Addr
-		}
-		p.sweep()
 	case dialed:
 		p.dialed(v)
 	case arrived:
 		p.arrived(v)
 	case broke:
-		p.drop(v.l, v.how, v.err)
+		p.drop(v.c, v.how, v.err)
+	case writeAgain:
+		v.c.stalled = false
+	}
+}
+
+// move takes up where the node is and what it may be sent. What has not begun to go out when a node drains or goes
+// never does: it would arrive as a new attempt, long after the list said that there may be none.
+func (p *peer) move(m core.Move) {
+	p.gone = m.Gone
+	if m.Addr != "" {
+		p.addr = m.Addr
+	}
+	if !m.Gone && !m.Draining {
+		return
+	}
+	for _, c := range p.conns {
+		for _, ref := range c.unsent() {
+			p.forget(c, ref)
+			p.end(ref, core.Withdrawn, answer{})
+		}
 	}
 }
 
@@ -260,104 +214,75 @@
 }
 
 // call puts a frame on a connection that has room for its parts, or on a new one.
-func (p *peer) call(c core.Call) {
-	if c.Addr != "" {
-		p.addr = c.Addr
+func (p *peer) call(v core.Call) {
+	if v.Addr != "" {
+		p.addr = v.Addr
 	}
-	best := p.pick(func(l *link) bool {
-		return len(l.refs)+len(c.Parts) <= max(p.f.reach.PerConn, len(c.Parts)) && !p.clash(l, c)
+	best := p.pick(func(c *connection) bool {
+		return len(c.attempts)+len(v.Parts) <= max(p.f.reach.PerConn, len(v.Parts)) && !c.clash(v)
 	})
 	if best == nil {
-		for i := range c.Parts {
-			p.end(c.Parts[i].Ref, core.NoRoom, answer{})
+		for i := range v.Parts {
+			p.end(v.Parts[i].Ref, core.NoRoom, answer{})
 		}
 		return
 	}
-	for i := range c.Parts {
-		best.ids[c.Parts[i].ID], best.refs[c.Parts[i].Ref] = c.Parts[i].Ref, c.Parts[i].ID
-		p.out[c.Parts[i].Ref] = best
+	for i := range v.Parts {
+		best.add(v.Parts[i].Ref, v.Parts[i].ID)
+		p.out[v.Parts[i].Ref] = best
 	}
-	if best.up {
-		p.write(best, c)
-	} else {
-		best.queue = append(best.queue, c)
+	best.queue = append(best.queue, message{call: &v})
+}
+
+// probe asks for the node's load on any connection.
+func (p *peer) probe(v core.Probe) {
+	p.addr = v.Addr
+	c := p.pick(func(*connection) bool { return true })
+	if c == nil {
+		p.end(v.Ref, core.NoRoom, answer{})
+		return
 	}
+	c.probes = append(c.probes, v.Ref)
+	c.queue = append(c.queue, message{})
 }
 
 // pick finds the connection on which the least is out, and of idle ones the longest idle; nil: there is no room for
 // another. What ends a connection takes all parts on it along, so a further one comes up for the next call as soon as
 // none is idle. Nobody waits for it where one is up: a node may be slow to accept.
-func (p *peer) pick(do func(*link) bool) (best *link) {
+func (p *peer) pick(fits func(*connection) bool) (best *connection) {
 	rising := false
-	for _, l := range p.links {
-		if l.addr != p.addr || l.retired {
+	for _, c := range p.conns {
+		if c.addr != p.addr || c.retired || c.stalled {
 			continue
 		}
-		rising = rising || !l.up
-		if do(l) && (best == nil || l.before(best)) {
-			best = l
+		rising = rising || !c.up
+		if fits(c) && (best == nil || c.before(best)) {
+			best = c
 		}
 	}
-	if best == nil || best.up && len(best.refs) > 0 && !rising && int64(len(p.links)) < p.f.share.Load() {
-		if l := p.open(); best == nil {
-			best = l
+	if best == nil || best.up && len(best.attempts) > 0 && !rising && int64(len(p.conns)) < p.f.share.Load() {
+		if c := p.open(); best == nil {
+			best = c
 		}
 	}
 	return best
 }
 
-// before says whether a call should rather go to l than to m.
-func (l *link) before(m *link) bool {
-	if l.up != m.up {
-		return l.up
-	}
-	return len(l.refs) < len(m.refs) || len(l.refs) == len(m.refs) && l.lastUse.Before(m.lastUse)
-}
-
-// probe asks for the node's load on any connection.
-func (p *peer) probe(v core.Probe) {
-	p.addr = v.Addr
-	l := p.pick(func(*link) bool { return true })
-	if l == nil {
-		p.end(v.Ref, core.NoRoom, answer{})
-		return
-	}
-	l.probes = append(l.probes, v.Ref)
-	if l.up {
-		l.addProbe()
-	}
-}
-
-func (l *link) addProbe() {
-	at := len(l.wbuf)
-	l.wbuf = finish(begin(l.wbuf, probeLetter), at)
-}
-
-// clash says whether a part of c is out on l already: answers go by its id.
-func (p *peer) clash(l *link, c core.Call) bool {
-	for i := range c.Parts {
-		if _, out := l.ids[c.Parts[i].ID]; out {
-			return true
-		}
-	}
-	return false
-}
-
-func (p *peer) open() *link {
+func (p *peer) open() *connection {
 	if p.f.conns.Add(1) > int64(p.f.reach.MaxConns) {
 		p.f.conns.Add(-1)
 		return nil
 	}
-	l := &link{addr: p.addr, ids: map[string]int64{}, refs: map[int64]string{}, lastUse: time.Now()}
-	p.links = append(p.links, l)
+	c := newConnection(p.addr)
+	p.conns = append(p.conns, c)
 	p.f.Stats.Dials.Add(1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), p.f.reach.ConnectTimeout)
 		defer cancel()
-		conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", l.addr)
-		p.post(dialed{l, conn, err})
+		conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", c.addr)
+		p.post(dialed{c, conn, err})
 	}()
-	return l
+	return c
 }
 
 func (p *peer) dialed(d dialed) {
@@ -367,208 +292,191 @@
 		if ne, ok := errors.AsType[net.Error](d.err); ok && ne.Timeout() {
 			how = core.DialTimedOut
 		}
-		p.drop(d.l, how, d.err)
+		p.drop(d.c, how, d.err)
 		return
 	}
-	d.l.conn, d.l.up, d.l.lastUse = d.conn, true, time.Now()
-	go p.read(d.l)
-	queue := d.l.queue
-	d.l.queue = nil
-	for _, c := range queue {
-		p.write(d.l, c)
-	}
-	for range d.l.probes {
-		d.l.addProbe()
-	}
+	d.c.conn, d.c.up, d.c.lastUse = d.conn, true, time.Now()
+	go p.read(d.c)
 }
 
-// write adds a frame with those parts of c that are still wanted.
-func (p *peer) write(l *link, c core.Call) {
-	at := len(l.wbuf)
-	b := begin(l.wbuf, callLetter)
-	var refs []int64
-	for i := range c.Parts {
-		cp := &c.Parts[i]
-		if _, wanted := l.refs[cp.Ref]; !wanted {
-			continue
-		} else if cp.NotAfter > 0 && p.f.now() > cp.NotAfter {
-			p.forget(l, cp.Ref)
-			p.end(cp.Ref, core.TooLate, answer{})
-			continue
-		}
-		b = addCall(b, cp, p.f.now())
-		refs = append(refs, cp.Ref)
-	}
-	if len(refs) == 0 {
-		return
-	}
-	l.wbuf = finish(b, at)
-	l.frames = append(l.frames, written{len(l.wbuf), refs})
-}
-
-// forget takes a dispatch off its connection and returns its part's id.
-func (p *peer) forget(l *link, ref int64) string {
-	id := l.refs[ref]
-	l.past[l.pasts%pastMost] = id
-	l.pasts++
+// forget takes an attempt off its connection and returns its part's id.
+func (p *peer) forget(c *connection, ref int64) string {
 	delete(p.out, ref)
-	delete(l.refs, ref)
-	delete(l.ids, id)
-	return id
+	return c.remove(ref)
 }
 
-// giveUp forgets a dispatch and, if its frame was written, tells the node.
+// giveUp forgets an attempt and, if any of its frame was written, tells the node.
 func (p *peer) giveUp(ref int64) {
-	l := p.out[ref]
-	if l == nil {
+	c := p.out[ref]
+	if c == nil {
 		return
 	}
-	id := p.forget(l, ref)
-	if l.up {
-		l.wbuf, l.retired = addGiveUp(l.wbuf, id), true
+	begun := c.attempts[ref].begun
+	id := p.forget(c, ref)
+	if begun {
+		c.queue = append(c.queue, message{givenUp: id})
+		c.retired = true
 	}
 }
 
 func (p *peer) arrived(v arrived) {
 	if v.probe {
-		if len(v.l.probes) == 0 {
-			p.f.Stats.Unknown.Add(1)
-			return
-		}
-		p.end(v.l.probes[0], v.a.how, v.a)
-		v.l.probes, v.l.lastUse = v.l.probes[1:], time.Now()
+		p.probeArrived(v)
 		return
 	}
-	ref, out := v.l.ids[v.a.id]
+	ref, out := v.c.refs[v.a.id]
 	if !out { // nobody waits for it
 		p.f.Stats.Unknown.Add(1)
-		if v.l.retired = true; !v.l.known(v.a.id) {
-			p.drop(v.l, core.BadFrame, errUnasked) // one that waits has had its answer under this name
+		if v.c.retired = true; !v.c.known(v.a.id) {
+			p.drop(v.c, core.BadFrame, errUnasked) // one that waits has had its answer under this name
 		}
 		return
 	}
-	p.forget(v.l, ref)
-	v.l.lastUse = time.Now()
+	p.forget(v.c, ref)
+	v.c.lastUse = time.Now()
 	p.end(ref, v.a.how, v.a)
 }
 
-// flush writes what has gathered. A frame that did not get out whole has not been sent.
-func (p *peer) flush() {
-	for i := len(p.links) - 1; i >= 0; i-- {
-		l := p.links[i]
-		if !l.up || len(l.wbuf) == 0 {
-			continue
-		}
-		l.conn.SetWriteDeadline(time.Now().Add(p.f.reach.ConnectTimeout))
-		n, err := l.conn.Write(l.wbuf)
-		l.lastUse = time.Now()
-		if err != nil {
-			l.frames = slices.DeleteFunc(l.frames, func(w written) bool { return w.end <= n })
-			p.drop(l, core.ReadBroke, err)
-			continue
+func (p *peer) probeArrived(v arrived) {
+	if len(v.c.probes) == 0 {
+		p.f.Stats.Unknown.Add(1)
+		return
+	}
+	p.end(v.c.probes[0], v.a.how, v.a)
+	v.c.probes, v.c.lastUse = v.c.probes[1:], time.Now()
+}
+
+// flush writes what waits on a connection, as far as the system takes it now: the actor never waits for a node that
+// reads nothing. Each frame is put into bytes at this moment, with the time that is left now and without the parts
+// that nobody wants any more.
+func (p *peer) flush(c *connection) {
+	if !c.up || c.stalled || len(c.queue)+len(c.rest) == 0 {
+		return
+	}
+	buf, frames := p.encode(c)
+	n, err := c.write(buf)
+	c.lastUse = time.Now()
+	c.sent(buf, frames, n)
+	if cap(buf) > frameMost {
+		buf = nil
+	}
+	p.frame = buf[:0]
+	switch {
+	case err != nil:
+		p.drop(c, core.ReadBroke, err)
+	case len(c.queue)+len(c.rest) == 0:
+		c.stalledAt = time.Time{}
+	case !c.stalledAt.IsZero() && time.Since(c.stalledAt) > p.f.reach.ConnectTimeout:
+		p.drop(c, core.ReadBroke, errStalled)
+	default:
+		p.stall(c, n > 0)
+	}
+}
+
+// stall keeps a connection that takes no more bytes out of use for a moment.
+func (p *peer) stall(c *connection, moved bool) {
+	p.f.Stats.Stalled.Add(1)
+	if c.stalledAt.IsZero() || moved {
+		c.stalledAt = time.Now()
+	}
+	c.stalled = true
+	time.AfterFunc(retryWrite, func() { p.post(writeAgain{c}) })
+}
+
+// encode puts what waits on c into bytes. A part whose last moment has passed ends here instead.
+func (p *peer) encode(c *connection) (buf []byte, frames []frame) {
+	buf = append(p.frame, c.rest...)
+	if len(c.rest) > 0 {
+		frames = append(frames, frame{end: len(buf), refs: c.restOf, begun: true})
+	}
+	for _, m := range c.queue {
+		at := len(buf)
+		var refs []int64
+		switch {
+		case m.call != nil:
+			buf, refs = p.encodeCall(buf, c, m.call)
+		case m.givenUp != "":
+			buf = addGiveUp(buf, m.givenUp)
+		default:
+			buf = finish(begin(buf, probeLetter), at)
 		}
-		l.frames = l.frames[:0]
-		if l.wbuf = l.wbuf[:0]; cap(l.wbuf) > buffers.Size {
-			l.wbuf = nil
+		if len(buf) > at {
+			frames = append(frames, frame{message: m, end: len(buf), refs: refs})
 		}
 	}
+	return buf, frames
 }
 
-// drop ends a connection and all that is out on it.
-func (p *peer) drop(l *link, how core.End, err error) {
-	for i, x := range p.links {
-		if x != l {
+// encodeCall adds a frame with those parts of v that are still wanted; nothing, if none is.
+func (p *peer) encodeCall(buf []byte, c *connection, v *core.Call) ([]byte, []int64) {
+	at, now := len(buf), p.f.now()
+	buf = begin(buf, callLetter)
+	var refs []int64
+	for i := range v.Parts {
+		part := &v.Parts[i]
+		if c.attempts[part.Ref] == nil {
 			continue
 		}
-		p.links = append(p.links[:i], p.links[i+1:]...)
-		p.f.conns.Add(-1)
-		if l.conn != nil {
-			l.conn.Close()
-		}
-		if len(l.refs) > 0 {
-			p.f.Stats.Broken.Add(1)
-			p.log.Debug().Str("end", how.String()).Int("out", len(l.refs)).AnErr("cause", err).Msg("connection ended")
-		}
-		for _, w := range l.frames { // not written yet
-			for _, ref := range w.refs {
-				if _, out := l.refs[ref]; out {
-					p.forget(l, ref)
-					p.end(ref, core.WriteBroke, answer{})
-				}
-			}
+		if part.NotAfter > 0 && now > part.NotAfter {
+			p.forget(c, part.Ref)
+			p.end(part.Ref, core.TooLate, answer{})
+			continue
 		}
-		for ref := range l.refs {
-			delete(p.out, ref)
+		buf = addCall(buf, part, now)
+		refs = append(refs, part.Ref)
+	}
+	if len(refs) == 0 {
+		return buf[:at], nil
+	}
+	return finish(buf, at), refs
+}
+
+// drop ends a connection and all that is out on it.
+func (p *peer) drop(c *connection, how core.End, err error) {
+	if !p.remove(c) {
+		return // it has ended already
+	}
+	p.f.conns.Add(-1)
+	if c.conn != nil {
+		c.conn.Close()
+	}
+	if len(c.attempts) > 0 {
+		p.f.Stats.Broken.Add(1)
+		p.log.Debug().Str("end", how.String()).Int("out", len(c.attempts)).AnErr("cause", err).Msg("connection ended")
+	}
+	for ref, a := range c.attempts {
+		delete(p.out, ref)
+		if c.up && !a.whole {
+			p.end(ref, core.WriteBroke, answer{})
+		} else {
 			p.end(ref, how, answer{})
 		}
-		for _, ref := range l.probes {
-			p.end(ref, how, answer{})
+	}
+	for _, ref := range c.probes {
+		p.end(ref, how, answer{})
+	}
+	c.clear()
+}
+
+// remove takes c off the peer's connections; false: it was none of them.
+func (p *peer) remove(c *connection) bool {
+	for i, x := range p.conns {
+		if x == c {
+			p.conns = append(p.conns[:i], p.conns[i+1:]...)
+			return true
 		}
-		l.refs, l.ids, l.probes, l.up = nil, nil, nil, false
-		return
 	}
+	return false
 }
 
 // sweep closes connections that nothing is out on: before the node's idle time is up, with a margin so that
 // no frame crosses its close, and at once where the node has moved or is gone.
 func (p *peer) sweep() {
 	idle := p.f.reach.Idle - max(p.f.reach.Idle/10, 2*sweepEvery)
-	for i := len(p.links) - 1; i >= 0; i-- {
-		l := p.links[i]
-		if l.up && len(l.refs) == 0 && len(l.probes) == 0 && len(l.wbuf) == 0 &&
-			(p.gone || l.retired || l.addr != p.addr || time.Since(l.lastUse) >= idle) {
-			p.drop(l, core.TakenBack, nil)
-		}
-	}
-}
-
-// read passes on what comes from the node until the connection ends. It alone reads; it owns nothing else.
-func (p *peer) read(l *link) {
-	r := bufio.NewReaderSize(l.conn, 4<<10)
-	for {
-		// A frame that has begun comes at once; the rest of a spoilt one never does.
-		l.conn.SetReadDeadline(time.Time{})
-		_, err := r.Peek(1)
-		l.conn.SetReadDeadline(time.Now().Add(p.f.reach.ConnectTimeout))
-		buf := buffers.Get()
-		var letter byte
-		var rest []byte
-		if err == nil {
-			letter, rest, err = readFrame(r, buf)
-		}
-		var a answer
-		if err == nil && letter == answerLetter {
-			a, err = readAnswer(rest)
-		}
-		if err == nil && letter == probeLetter {
-			a = readProbe(rest)
-		}
-		words := ""
-		if err == nil && letter == refuseLetter {
-			words = string(rest[:min(len(rest), 200)])
-		}
-		buffers.Put(buf)
-		switch {
-		case errors.Is(err, errFrame), errors.Is(err, os.ErrDeadlineExceeded):
-			p.f.Stats.Malformed.Add(1)
-			p.post(broke{l, core.BadFrame, err})
-			return
-		case errors.Is(err, io.EOF):
-			p.post(broke{l, core.PeerClosed, err})
-			return
-		case err != nil:
-			p.post(broke{l, core.ReadBroke, err})
-			return
-		case letter == answerLetter || letter == probeLetter:
-			p.post(arrived{l, letter == probeLetter, a})
-		case letter == refuseLetter:
-			p.f.Stats.Malformed.Add(1)
-			p.post(broke{l, core.NotUsable, fmt.Errorf("%w: %s", syscall.EPROTO, words)})
-			return
-		default: // nothing else was asked for
-			p.f.Stats.Malformed.Add(1)
-			p.post(broke{l, core.BadFrame, errFrame})
-			return
+	for i := len(p.conns) - 1; i >= 0; i-- {
+		c := p.conns[i]
+		if c.idle() && (p.gone || c.retired || c.addr != p.addr || time.Since(c.lastUse) >= idle) {
+			p.drop(c, core.TakenBack, nil)
 		}
 	}
 }
