Each client connection ends by its own goroutine, shut and read out before it closes

Causes, found by reading internal/front: closeOldest closed a connection from outside while its goroutine might just have read a request's first bytes (read, then no answer; the goroutine found itself out of the map and ended); after an answer that said close, an eviction or a time-out the connection was closed over whatever was unread, which resets it and takes an unread answer along; while a request was at work its connection was watched by Peek(1), which returns at once where bytes of a further request lie in the buffer, so a close behind them went unseen and those requests were begun for nobody; such a request's time counted from when the one before it was answered; a request whose client had closed before it was read was begun. Change: others ask a connection to end and its goroutine decides; every connection is shut, read on for a second at most, then closed, at most 16 of them beside those in service; while a request is at work its connection is read on, up to 256 KiB and a sixteenth of the memory for all, with the time at which each part came; requests that have been read are answered before a connection that is asked to end does.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -34,7 +34,9 @@
 	readWithin  = 2500 * time.Millisecond // clients are owed an error or a close within 3 s; open connections, 2 s
 	lastWords   = 200 * time.Millisecond  // for the answers to scans that outlast the end
 	listenFor   = 15 * time.Second
-	spareFiles  = 24 // descriptors for the listener, discovery, standard streams and the runtime
+	// readAheadShare is which part of the memory clients may fill with requests behind one that is at work.
+	readAheadShare = 16
+	spareFiles     = 24 // descriptors for the listener, discovery, standard streams and the runtime
 )
 
 // Clocks are a machine's: ns since some moment, suspended or not, and the wall clock.
@@ -110,8 +112,8 @@
 		ConnectTimeout: ms(t.Site.ConnectTimeout), Idle: ms(t.Site.ConnIdle)}, b.clock.Now,
 		func(e core.Ended) { b.put(e) }, log)
 	b.front = &front.Front{Site: t.Site, Now: b.clock.Now, Take: func(s *core.Scan) { b.put(s) },
-		Left: func(s *core.Scan) { b.put(core.Left{Scan: s}) }, Most: t.Sockets - nodeConns - spareFiles, Ample: t.Sockets / 6, // half of what clients hold for requests
-		ReadWithin: readWithin, Log: log}
+		Left: func(s *core.Scan) { b.put(core.Left{Scan: s}) }, Most: t.Sockets - nodeConns - front.ClosingMost - spareFiles, Ample: t.Sockets / 6, // half of what clients hold for requests
+		ReadAhead: t.MemoryMB << 20 / readAheadShare, ReadWithin: readWithin, Log: log}
 	odd := func(host, why string) { log.Warn().Str("node", host).Msg(why) }
 	known := t.Known.Nodes(odd)
 	flat := maps.Clone(t.Flat)
--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -129,7 +129,7 @@
 			return nil, answer{status: http.StatusBadRequest, fatal: true}
 		}
 	}
-	c.quota.left = 2*bodyMost + headMost // chunks bring framing of their own
+	c.input.quota = 2*bodyMost + headMost // chunks bring framing of their own
 	buf := buffers.Get()
 	defer buffers.Put(buf)
 	n, err := fill(req.Body, buf[:])
