Nothing is sent by an old list before the agent was asked; an ended watch asks for all

Change: the first call is answered at once, and clients are accepted when it has ended, half a second later at most where the agent says nothing; an ended watch asks for the whole list; changes for a whole list are a failed call. Result: TestFirstMoment (a request that comes first is answered by the agent's list; without the change it reaches the draining store), TestReadyWithoutDiscovery, TestFirst, and TestWatch, whose two lines on an ended watch and on the first call now ask for the stricter thing.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -71,6 +71,7 @@
 	turn   float64
 	mail   chan core.Input
 	served chan struct{} // closed when nobody comes in any more
+	ending chan struct{} // closed: the broker was told to end
 	stop   chan struct{} // closed: the actor ends
 	ended  sync.WaitGroup
 	front  *front.Front
@@ -106,7 +107,7 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	b := &Broker{told: t, clock: NewClock(), turn: t.Site.Turn, mail: make(chan core.Input, mailboxSize),
-		stop: make(chan struct{}), served: make(chan struct{}), ln: ln, log: log, fatal: make(chan error, 1), features: f, clocks: clocks}
+		stop: make(chan struct{}), served: make(chan struct{}), ending: make(chan struct{}), ln: ln, log: log, fatal: make(chan error, 1), features: f, clocks: clocks}
 	nodeConns := t.Sockets / 4
 	b.fleet = node.NewFleet(node.Reach{PerConn: t.Site.PerConn, MaxConns: nodeConns,
 		ConnectTimeout: ms(t.Site.ConnectTimeout), Idle: ms(t.Site.ConnIdle)}, b.clock.Now,
@@ -130,6 +131,11 @@
 	b.ended.Go(b.run)
 	go func() {
 		defer close(b.served)
+		// Nobody is served by a list that the agent knows to be old; who comes meanwhile waits in the machine's queue.
+		select {
+		case <-b.watch.First():
+		case <-b.ending:
+		}
 		if err := b.front.Serve(ln); err != nil {
 			select {
 			case b.fatal <- fmt.Errorf("accepting: %w", err):
@@ -285,6 +291,7 @@
 // planned restart leaves.
 func (b *Broker) Stop(patience time.Duration) {
 	b.log.Info().Msg("stopping")
+	close(b.ending)
 	leaving := b.stopFeatures()
 	longest := 0.0
 	for _, typ := range b.told.Site.Types {
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -23,53 +23,121 @@
 
 const patience = 5 * time.Second
 
-// A broker that knows of no node is not ready before the list names one: the front would send it scans that
-// it can only throttle.
-func TestReadyWithList(t *testing.T) {
-	agent, err := net.Listen("tcp", "127.0.0.1:0")
+// agent is a discovery that a test plays: each call is announced in asked and answered with the next of say.
+type agent struct {
+	addr  string
+	asked chan string
+	say   chan string
+}
+
+func newAgent(t *testing.T) *agent {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer agent.Close()
-	asked, say := make(chan struct{}), make(chan struct{})
+	a := &agent{ln.Addr().String(), make(chan string, 100), make(chan string, 100)}
+	t.Cleanup(func() {
+		ln.Close()
+		close(a.say)
+	})
 	go func() {
-		conn, err := agent.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		in := bufio.NewReader(conn)
-		for range 2 {
-			if _, err := http.ReadRequest(in); err != nil {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
 				return
 			}
-			asked <- struct{}{}
-			<-say
-			body := `{"seq":42,"whole":true,"hosts":[{"host":"s-a","dial":"127.0.0.1:2","site":"west","class":"std","block":0,"health":"SERVING","share":1,"born_ms":0}]}`
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			go a.serve(conn)
 		}
 	}()
+	return a
+}
+
+func (a *agent) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		a.asked <- req.URL.String()
+		list, more := <-a.say
+		if !more {
+			return
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+	}
+}
+
+// startFile is what a broker is told in these tests, with changes to its environment.
+func startFile(t *testing.T, env map[string]string) *config.Told {
 	text, err := os.ReadFile("../config/testdata/start.json")
 	require.NoError(t, err)
-	told, err := config.Parse(text, func(key string) string {
-		return map[string]string{"GW_DISCOVERY": agent.Addr().String()}[key]
-	})
+	told, err := config.Parse(text, func(key string) string { return env[key] })
+	require.NoError(t, err)
+	return told
+}
+
+func health(t *testing.T, b *Broker) int {
+	client := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := client.Get("http://" + b.Addr() + "/healthz")
 	require.NoError(t, err)
+	res.Body.Close()
+	return res.StatusCode
+}
+
+const empty = `{"seq":41,"whole":false,"hosts":[]}`
+
+// A broker that knows of no node is not ready before the list names one: the front would send it scans that
+// it can only throttle.
+func TestReadyWithList(t *testing.T) {
+	a := newAgent(t)
+	told := startFile(t, map[string]string{"GW_DISCOVERY": a.addr})
 	told.Known.Hosts = nil
 	b, err := Start(told, nil, zerolog.Nop())
 	require.NoError(t, err)
-	health := func() int {
-		res, err := http.Get("http://" + b.Addr() + "/healthz")
-		require.NoError(t, err)
-		res.Body.Close()
-		return res.StatusCode
-	}
-	<-asked
-	assert.Equal(t, 503, health())
-	say <- struct{}{}
-	<-asked
-	assert.Eventually(t, func() bool { return health() == 200 }, patience, time.Millisecond)
-	http.DefaultClient.CloseIdleConnections()
+	<-a.asked
+	a.say <- empty
+	<-a.asked
+	assert.Equal(t, 503, health(t, b))
+	a.say <- `{"seq":42,"whole":true,"hosts":[{"host":"s-a","dial":"127.0.0.1:2","site":"west","class":"std","block":0,"health":"SERVING","share":1,"born_ms":0}]}`
+	<-a.asked
+	assert.Eventually(t, func() bool { return health(t, b) == 200 }, patience, time.Millisecond)
 	b.Stop(patience)
-	close(say)
+}
+
+// What the agent holds counts from a process's first moment: nothing is sent by an older list before the agent has
+// been asked once. A request that comes meanwhile waits and is answered by what the agent said.
+func TestFirstMoment(t *testing.T) {
+	stores, told := silentStores(t)
+	a := newAgent(t)
+	told.Discovery = a.addr
+	b, err := Start(told, nil, zerolog.Nop())
+	require.NoError(t, err)
+	status := make(chan int, 1)
+	<-a.asked
+	go func() { status <- board(b) }()
+	stores.(*net.TCPListener).SetDeadline(time.Now().Add(200 * time.Millisecond)) // the agent has half a second
+	_, err = stores.Accept()
+	assert.Error(t, err, "nothing goes out before the agent has said what it holds")
+	a.say <- `{"seq":42,"whole":false,"hosts":[{"host":"s-a","dial":"` + stores.Addr().String() +
+		`","site":"west","class":"std","block":0,"health":"DRAINING","share":1,"born_ms":0}]}`
+	assert.Equal(t, 429, <-status)
+	stores.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Millisecond))
+	_, err = stores.Accept()
+	assert.Error(t, err, "nothing went to a store that the agent knew to drain")
+	b.Stop(patience)
+}
+
+// Where discovery is down a restarted broker serves by the list that it was started with, and soon.
+func TestReadyWithoutDiscovery(t *testing.T) {
+	a := newAgent(t)
+	for name, addr := range map[string]string{"silent": a.addr, "refused": "127.0.0.1:1"} {
+		begun := time.Now()
+		b, err := Start(startFile(t, map[string]string{"GW_DISCOVERY": addr}), nil, zerolog.Nop())
+		require.NoError(t, err, name)
+		assert.Equal(t, 200, health(t, b), name)
+		assert.Less(t, time.Since(begun), 3*time.Second, name)
+		b.Stop(patience)
+	}
 }
 
 // A call for which its peer's mailbox has no room comes back as dispatches that were not sent, and keeps nobody
@@ -106,10 +174,7 @@
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { silent.Close() })
-	text, err := os.ReadFile("../config/testdata/start.json")
-	require.NoError(t, err)
-	told, err := config.Parse(text, func(string) string { return "" })
-	require.NoError(t, err)
+	told := startFile(t, nil)
 	for i := range told.Known.Hosts {
 		told.Known.Hosts[i].Dial = silent.Addr().String()
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -25,6 +25,7 @@
 
 const (
 	watchFor    = 3 * time.Second        // how long the agent may hold a watch open
+	quickFor    = time.Millisecond       // the same, of the first call
 	connectFor  = 500 * time.Millisecond // the agent is on this machine
 	grace       = 500 * time.Millisecond // an answer that is due comes within it, or the call has failed
 	retryFirst  = 100 * time.Millisecond // wait after a failed call; doubled up to retryMost
@@ -92,8 +93,11 @@
 	conn  net.Conn
 	used  bool // the connection has brought an answer before
 	whole bool // the next call asks for the whole list
+	quick bool // the next call is answered at once, whether anything is new or not
 	wait  time.Duration
 	retry *time.Timer
+	first chan struct{} // closed once the first call has ended
+	heard bool          // it is closed
 }
 
 // Its mail.
@@ -111,13 +115,17 @@
 	}
 )
 
-var errNothing = errors.New("discovery closed the connection")
+var (
+	errNothing = errors.New("discovery closed the connection")
+	errPart    = errors.New("discovery answered a call for the whole list with changes")
+	errTooLong = errors.New("too long")
+)
 
 // Follow starts a watch from the version seq; tell gets what the agent says, in its order, and may wait. Where
 // the list comes only when asked for, nothing happens before Ask.
 func Follow(addr string, seq int64, onAsk bool, tell func(core.List), log zerolog.Logger) *Watch {
 	w := &Watch{addr: addr, seq: seq, tell: tell, log: log, mail: make(chan any, mailboxSize), stop: make(chan struct{}),
-		wait: retryFirst, retry: time.NewTimer(time.Hour)}
+		wait: retryFirst, retry: time.NewTimer(time.Hour), quick: true, first: make(chan struct{})}
 	w.retry.Stop()
 	if !onAsk {
 		w.Ask()
@@ -126,6 +134,17 @@
 	return w
 }
 
+// First is closed once what the agent holds has been told, or could not be had: what it holds counts as told from a
+// process's first moment, so nothing may go out by an older list before.
+func (w *Watch) First() <-chan struct{} { return w.first }
+
+func (w *Watch) over() {
+	if !w.heard {
+		w.heard = true
+		close(w.first)
+	}
+}
+
 // Ask begins the watch. One that has begun asks again by itself after a failure, and goes on until Stop: a
 // further Ask adds no call, or a discovery that is down would get one more for each that failed.
 func (w *Watch) Ask() {
@@ -172,13 +191,7 @@
 				if v.conn != w.conn {
 					continue
 				}
-				reused := w.used
-				w.hangUp()
-				if reused && errors.Is(v.err, errNothing) {
-					w.call() // it was closed between two calls: the call goes out again at once
-				} else {
-					w.failed(v.err)
-				}
+				w.lost(v.err)
 			}
 		case <-w.retry.C:
 			w.call()
@@ -195,22 +208,49 @@
 	}
 }
 
-// answered hands on an answer. The next call leaves first: a watch goes on only if it comes at once.
+// lost takes up that the connection has ended. One that was closed between two calls, or while a watch was open on it,
+// is replaced at once; what the watch had to tell may be lost with it, so the whole list is asked for.
+func (w *Watch) lost(err error) {
+	ended := w.used && errors.Is(err, errNothing)
+	w.hangUp()
+	if !ended {
+		w.failed(err)
+		return
+	}
+	w.whole = true
+	w.call()
+}
+
+// answered hands on an answer. Where the connection goes on the next call leaves first: a watch goes on only if it
+// comes at once.
 func (w *Watch) answered(v answered) {
+	if w.whole && !v.l.Whole {
+		w.failed(errPart)
+		return
+	}
 	l, had := v.l, w.seq
-	w.used, w.wait = true, retryFirst
-	w.whole = !l.Whole && (l.Seq < had || w.whole)
+	w.used, w.quick, w.wait = true, false, retryFirst
+	w.whole = !l.Whole && l.Seq < had
 	if !w.whole {
 		w.seq = l.Seq
 	}
 	if v.last {
 		w.hangUp()
+		w.hand(l, had)
+		w.call()
+		return
 	}
 	w.call()
+	w.hand(l, had)
+}
+
+// hand tells what an answer holds.
+func (w *Watch) hand(l Listing, had int64) {
 	if w.whole { // changes to a list that this is not: they say nothing
 		w.log.Warn().Int64("seq", l.Seq).Int64("had", had).Msg("the list's version went backwards")
 		return
 	}
+	defer w.over()
 	kind := logic.ListChanges
 	if l.Whole {
 		kind = logic.ListWhole
@@ -229,6 +269,7 @@
 	w.retry.Reset(w.wait)
 	w.wait = min(2*w.wait, retryMost)
 	w.tell(core.List{Kind: logic.ListFailed})
+	w.over()
 }
 
 func (w *Watch) hangUp() {
@@ -249,15 +290,13 @@
 		w.conn = conn
 		go w.read(conn)
 	}
-	query := fmt.Sprintf("?since=%d&timeout_ms=%d", w.seq, watchFor.Milliseconds())
-	if w.whole {
-		query = ""
-	}
 	// An agent that hangs, or whose answer stops coming, looks like a list in which nothing changes: short watches find
-	// out, and the whole list, which is answered at once, finds out soonest.
-	patience := watchFor + grace
+	// out, and a call that is answered at once finds out soonest.
+	query, patience := fmt.Sprintf("?since=%d&timeout_ms=%d", w.seq, watchFor.Milliseconds()), watchFor+grace
 	if w.whole {
-		patience = grace
+		query, patience = "", grace
+	} else if w.quick {
+		query, patience = fmt.Sprintf("?since=%d&timeout_ms=%d", w.seq, quickFor.Milliseconds()), grace
 	}
 	w.conn.SetDeadline(time.Now().Add(patience))
 	_, err := fmt.Fprintf(w.conn, "GET /v1/servers%s HTTP/1.1\r\nHost: %s\r\n\r\n", query, w.addr)
@@ -304,5 +343,3 @@
 	}
 	return l, res.Close, nil
 }
-
-var errTooLong = errors.New("too long")
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -89,7 +89,7 @@
 func TestWatch(t *testing.T) {
 	since := func(seq int) string { return fmt.Sprintf("/v1/servers?since=%d&timeout_ms=3000", seq) }
 	a := watch(t, 41, false)
-	assert.Equal(t, since(41), next(t, a.asked))
+	assert.Equal(t, "/v1/servers?since=41&timeout_ms=1", next(t, a.asked), "the first call is answered at once")
 	a.reply <- body(`{"seq":43,"whole":false,"hosts":[` + fmt.Sprintf(line, "DRAINING") + `]}`)
 	assert.Equal(t, core.List{Kind: logic.ListChanges, Nodes: []core.Node{{Host: "s-1", Addr: "127.0.0.1:8000", Zone: "a",
 		Kind: "m2", Cell: 3, Readiness: logic.Draining, Units: 1.5, Born: 7}}}, next(t, a.told))
@@ -110,8 +110,9 @@
 	a.reply <- body(`{"seq":40,"whole":true,"hosts":[` + fmt.Sprintf(line, "SERVING") + `]}`)
 	assert.Equal(t, logic.ListWhole, next(t, a.told).Kind, "what went backwards was not told")
 	assert.Equal(t, since(40), next(t, a.asked))
-	a.reply <- "" // closed while it waits: asked again at once, nothing has failed yet
-	assert.Equal(t, since(40), next(t, a.asked))
+	a.reply <- "" // closed while it waits: asked again at once, and for all, since what it had to tell may be lost
+	assert.Equal(t, "/v1/servers", next(t, a.asked))
+	assert.Empty(t, a.told, "nothing has failed yet")
 	a.reply <- ""
 	assert.Equal(t, logic.ListFailed, next(t, a.told).Kind)
 	for name, reply := range map[string]string{
@@ -119,6 +120,7 @@
 		"a body cut short":     "!HTTP/1.1 200 OK\r\nContent-Length: 900\r\nConnection: close\r\n\r\n{",
 		"no HTTP":              "hello\r\n\r\n",
 		"a list of wrong type": body(`{"seq":"x"}`),
+		"changes for a list":   body(`{"seq":99,"whole":false,"hosts":[]}`),
 	} {
 		assert.Equal(t, "/v1/servers", next(t, a.asked), name)
 		a.reply <- reply
@@ -147,6 +149,39 @@
 	assert.Empty(t, a.asked)
 }
 
+// First is closed when what the agent holds has been told, or could not be had.
+func TestFirst(t *testing.T) {
+	for name, c := range map[string]struct {
+		reply string
+		told  int
+	}{
+		"nothing new": {body(`{"seq":41,"whole":false,"hosts":[]}`), 0},
+		"a change":    {body(`{"seq":42,"whole":false,"hosts":[` + fmt.Sprintf(line, "DRAINING") + `]}`), 1},
+		"whole":       {body(`{"seq":42,"whole":true,"hosts":[]}`), 1},
+		"closed":      {"", 1},
+	} {
+		a := watch(t, 41, false)
+		next(t, a.asked)
+		select {
+		case <-a.w.First():
+			assert.Fail(t, "nothing has come", name)
+		default:
+		}
+		a.reply <- c.reply
+		select {
+		case <-a.w.First():
+		case <-time.After(patience):
+			assert.Fail(t, "not closed", name)
+		}
+		assert.Len(t, a.told, c.told, name)
+	}
+	silent := watch(t, 41, false)
+	next(t, silent.asked)
+	begun := time.Now()
+	<-silent.w.First()
+	assert.Less(t, time.Since(begun), 2*time.Second, "an agent that says nothing")
+}
+
 // A watch that moves asks the new agent for the whole list at once, and what the old one still sends is not told.
 func TestMove(t *testing.T) {
 	from, to := watch(t, 41, false), watch(t, 0, true)
