Slow start is paced and held within what a cold node bears from the whole fleet

Cause: mayWarm gave each broker the greater of an equal share and of what it completes itself, times 0.8, and let it hold an unused turn for ever (logic.go, the two lines of rate and the cap at a quarter of the fall time). The shares add up to more than one where traffic is uneven, and after a rest every broker of a large fleet may use its turn at the same moment. Seen in virtual time, TestSlowStartOfTheFleet: over N + 2 sqrt(N) + 2 at 30 and 100 brokers with traffic by ranks, at 100 with even traffic after 4 s of silence, and once at 3. Ruled out: the even case at 3 and 30, which kept the bound. Result: the fleet test keeps the bound at 3, 8, 30 and 100 brokers.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -48,7 +48,7 @@
 	fullWeighs  = 4.0      // what nodes without room add to the prediction, for all of them
 	fewBrokers  = 4.0      // among so many, what one sees of a node's load tells of the others' too
 	lookAgain   = 100.0    // wait before looking again at a part that has no holder to go to
-	coldSafety  = 0.8      // part of the cold allowance that is used
+	coldPaced   = 0.5      // of what a cold node bears, at least so much is paced; the rest may be held unused
 	golden      = 0.618034 // its multiples spread evenly
 	lateWeighs  = 4.0      // load of a node that has kept a call waiting and said nothing since, times this
 	askMost     = 4000.0   // longest wait before a list that could not be had is asked for again
@@ -351,10 +351,6 @@
 	return fresh
 }
 
-func (b *Broker) tried(p *part, n int) bool {
-	return slices.ContainsFunc(p.tries, func(d dispatch) bool { return d.node == n })
-}
-
 // cover chooses a node for each part: of the smallest sets that hold them all and those a few larger, the
 // one with the least load. Cells hold shards in a row: parts are swept in shard order, cut at the widest gap,
 // and each node takes a run of them: exact on a row, one call over the smallest at most round a full ring.
@@ -493,11 +489,6 @@
 	return k[0], k[1]
 }
 
-// gap is the time between two answers of one node, as seen by this broker: what it knows ages by that.
-func (b *Broker) gap() float64 {
-	return (b.now - b.startAt) * float64(len(b.nodeID)) / max(1, b.answers)
-}
-
 // send dispatches p to node n in this turn's call and returns when the dispatch will be late.
 func (b *Broker) send(p *part, n int) float64 {
 	s, typ, c := p.scan, &b.types[p.scan.typ], b.turn[n]
@@ -663,18 +654,29 @@
 	return 1
 }
 
-// mayWarm says whether node n may get work as far as the cold allowance goes. A broker's share of what a node
-// that has just started can bear may be less than a call, so it saves up for one, from a start by its own
-// number: the calls of all brokers come in turn. One core is assumed, or what nodes of like size complete.
+// mayWarm says whether node n may get a part as far as slow start goes; docs/design.md derives it. In the
+// fall time a node bears so many parts of all brokers, and some more by chance. What brokers are paced at
+// adds up to no more than the first, half of it in equal shares and half by what each completes at nodes
+// of like size; one core is assumed. What they hold unused adds up to the rest: where that is under a part
+// for each, a broker's turns come by its own number, and one that is not used in time lapses.
 func (b *Broker) mayWarm(n int) bool {
 	if b.cold(n) == 1 {
 		return true
 	}
-	rate := max(1/b.num("brokers"), b.done*math.Exp((b.doneAt-b.now)/recent)/recent*b.units[n]/b.allUnits)
-	rate *= coldSafety * b.num("rules.fallMultiple") * b.cold(n)
-	b.allowed[n] = min(b.allowed[n]+rate*(b.now-b.allowAt[n]), rate*b.num("rules.fall")/4)
+	all, brokers := b.num("rules.fallMultiple")*b.cold(n), b.num("brokers")
+	bears := all * b.num("rules.fall") / b.meanWork
+	chance := 2*math.Sqrt(bears) + 2
+	paced := min(1, max(coldPaced, (bears+chance-brokers)/bears))
+	held := b.meanWork * min(1, (chance+(1-paced)*bears)/brokers)
+	by := b.done * math.Exp((b.doneAt-b.now)/recent) / recent * b.units[n] / b.allUnits
+	b.allowed[n] += paced * all * (1/brokers + by) / 2 * (b.now - b.allowAt[n])
 	b.allowAt[n] = b.now
-	return b.allowed[n] > 0
+	if over := b.allowed[n] - held; held == b.meanWork {
+		b.allowed[n] = min(b.allowed[n], 0)
+	} else if over > 0 {
+		b.allowed[n] -= b.meanWork * math.Ceil(over/b.meanWork)
+	}
+	return b.allowed[n] >= 0
 }
 
 // turnedAway throttles by chance when the scan's nodes are predicted to miss its target time.
@@ -731,13 +733,6 @@
 	b.end(s)
 }
 
-func (b *Broker) end(s *scan) {
-	s.ended = true
-	delete(b.scans, s.id)
-	delete(b.byNum, s.num)
-	b.dropParts(s)
-}
-
 func (b *Broker) dropParts(s *scan) {
 	for _, p := range s.parts {
 		b.recall(p)
--- a/logic/state.go
+++ b/logic/state.go
@@ -42,3 +42,21 @@
 		b.changed = append(b.changed, s)
 	}
 }
+
+// tried says whether p has been dispatched to node n.
+func (b *Broker) tried(p *part, n int) bool {
+	return slices.ContainsFunc(p.tries, func(d dispatch) bool { return d.node == n })
+}
+
+// gap is the time between two answers of one node, as seen by this broker: what it knows ages by that.
+func (b *Broker) gap() float64 {
+	return (b.now - b.startAt) * float64(len(b.nodeID)) / max(1, b.answers)
+}
+
+// end forgets s, which has ended.
+func (b *Broker) end(s *scan) {
+	s.ended = true
+	delete(b.scans, s.id)
+	delete(b.byNum, s.num)
+	b.dropParts(s)
+}
