Nothing is begun once the broker has given up what is open; every order of ends is tried

Causes, found by reading: a query that a connection had read just before it was given up reached the core behind Closing, was begun and found nobody to answer it (core.take); a start that waited for its address took a word to end only after up to 15 s (broker.listen), when the platform's kill is long past. Change: after Closing the core turns away what still comes; the wait for an address ends with the word to end. Result: TestAfterClosing, TestListenAgain, TestEndsBeforeItIsReady; TestEveryOrder plays 648 orders of answer, error, broken connection, client gone, list and end before, at and after the client's time: one answer at most, each attempt ends once, nothing is sent afterwards. TestDeploymentsKeepApart, in core and front: two sets of settings in one process decide as each alone.

--- a/cmd/gullstair/serve.go
+++ b/cmd/gullstair/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"os"
 	"os/signal"
 	"syscall"
@@ -55,7 +56,20 @@
 			return err
 		}
 	}
-	b, err := broker.StartBy(clocks(), told, f, log)
+	end, over := make(chan struct{}), make(chan struct{})
+	defer close(over)
+	go func() {
+		select {
+		case <-signals: // further ones change nothing
+			close(end)
+		case <-over:
+		}
+	}()
+	b, err := broker.StartBy(clocks(), end, told, f, log)
+	if errors.Is(err, broker.ErrAbandoned) {
+		log.Info().Msg(err.Error())
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -81,8 +95,8 @@
 					log.Error().Err(err).Msg("the new features were not taken up")
 				}
 			}
-		case <-signals:
-			b.Stop(c.Patience) // further signals change nothing
+		case <-end:
+			b.Stop(c.Patience)
 			return nil
 		}
 	}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -34,6 +34,7 @@
 	readWithin  = 2500 * time.Millisecond // clients are owed an error or a close within 3 s; open connections, 2 s
 	lastWords   = 200 * time.Millisecond  // for the answers to scans that outlast the end
 	listenFor   = 15 * time.Second
+	listenAgain = 10 * time.Millisecond
 	// readAheadShare is which part of the memory clients may fill with requests behind one that is at work.
 	readAheadShare = 16
 	spareFiles     = 24 // descriptors for the listener, discovery, standard streams and the runtime
@@ -92,17 +93,21 @@
 // Start brings a broker up: it listens, has told the module its start and its cached list, and follows
 // the list. Features are what the installation has beyond the platform; nil is none.
 func Start(t *config.Told, f *features.Document, log zerolog.Logger) (*Broker, error) {
-	return StartBy(MachineClocks(), t, f, log)
+	return StartBy(MachineClocks(), nil, t, f, log)
 }
 
-// StartBy is Start with other clocks for what brokers share.
-func StartBy(clocks Clocks, t *config.Told, f *features.Document, log zerolog.Logger) (*Broker, error) {
+// ErrAbandoned says that a start was given up before anything was taken.
+var ErrAbandoned = errors.New("told to end before the start")
+
+// StartBy is Start with other clocks for what brokers share, and given up with ErrAbandoned once abandon is closed
+// while the address is still another's.
+func StartBy(clocks Clocks, abandon <-chan struct{}, t *config.Told, f *features.Document, log zerolog.Logger) (*Broker, error) {
 	if f == nil {
 		f = &features.Document{}
 	}
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(t.MemoryMB) << 20 * 3 / 4)
-	ln, err := listen(t.Listen, listenFor)
+	ln, err := listen(t.Listen, listenFor, abandon)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -155,12 +160,18 @@
 
 // listen waits for an address that is in use: after a planned restart the broker that had it may still be
 // answering what it took. Where something else holds it the start fails so much later.
-func listen(addr string, patience time.Duration) (net.Listener, error) {
-	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+func listen(addr string, patience time.Duration, abandon <-chan struct{}) (net.Listener, error) {
+	begun := time.Now()
+	for {
 		ln, err := net.Listen("tcp", addr)
 		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(begun) > patience {
 			return ln, err
 		}
+		select {
+		case <-abandon:
+			return nil, ErrAbandoned
+		case <-time.After(listenAgain):
+		}
 	}
 }
 
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -161,12 +161,16 @@
 func TestListenAgain(t *testing.T) {
 	old, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	_, err = listen(old.Addr().String(), 0)
+	_, err = listen(old.Addr().String(), 0, nil)
 	assert.ErrorIs(t, err, syscall.EADDRINUSE)
 	time.AfterFunc(20*time.Millisecond, func() { old.Close() })
-	ln, err := listen(old.Addr().String(), patience)
+	ln, err := listen(old.Addr().String(), patience, nil)
 	require.NoError(t, err)
-	ln.Close()
+	defer ln.Close()
+	abandon := make(chan struct{})
+	close(abandon)
+	_, err = listen(ln.Addr().String(), time.Hour, abandon)
+	assert.ErrorIs(t, err, ErrAbandoned, "told to end while it waits")
 }
 
 // silentStores are stores that take connections and say nothing, and a start file that names them.
@@ -208,6 +212,20 @@
 	assert.Equal(t, 504, <-status)
 }
 
+// A broker that is told to end before its agent has said anything answers who has come all the same.
+func TestEndsBeforeItIsReady(t *testing.T) {
+	_, told := silentStores(t)
+	a := newAgent(t)
+	told.Discovery = a.addr
+	b, err := Start(told, nil, zerolog.Nop())
+	require.NoError(t, err)
+	<-a.asked
+	status := make(chan int, 1)
+	go func() { status <- board(b) }()
+	b.Stop(patience)
+	assert.Contains(t, []int{429, 503, 504}, <-status)
+}
+
 // atWord calls a function, once, when a line of the log says a word. The log is several goroutines'.
 type atWord struct {
 	word string
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -106,6 +106,7 @@
 	judges  bool            // outcomes are told on
 	said    []int64         // nodes of which something bad was told in this step
 	drained map[string]bool // by an operator's order
+	closing bool            // nothing is begun any more
 	guard   *guard
 	limiter Limiter
 	waits   []waiting // scans that the shared limits may still take
@@ -216,6 +217,7 @@
 		case AskCells:
 			v.Reply <- c.Cells()
 		case Closing:
+			c.closing = true
 			for len(c.waits) > 0 {
 				w := c.waits[0]
 				c.waits = c.waits[1:]
@@ -290,6 +292,11 @@
 // take gives a scan and its parts their numbers and tells the module, unless it would be too many at once.
 func (c *Core) take(r *Scan) {
 	c.Counts.Scans++
+	if c.closing { // it was read while the others were given up: nobody would be there for its answer
+		c.Counts.Throttled++
+		c.do(Reply{Scan: r, Kind: logic.Throttle, Why: "stopping"})
+		return
+	}
 	size := 1 + len(r.Parts)
 	left := r.TimeLeft - max(0, c.now-r.At)
 	if c.site.OpenCap > 0 && c.open+size > c.site.OpenCap {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"os"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -254,6 +255,75 @@
 	assert.Greater(t, len(givenUp), 2, "parts were asked again")
 }
 
+// What is read after the broker has given up what was open is turned away at once, and nothing of it is sent.
+func TestAfterClosing(t *testing.T) {
+	r := play(t)
+	open, late := r.scan(1, 3000, 0), r.scan(1, 3000, 1)
+	r.step(0, open)
+	out := r.step(1, core.Closing{}, late)
+	replies := pick[core.Reply](out)
+	require.Len(t, replies, 2)
+	assert.Equal(t, [2]any{open, logic.Abandon}, [2]any{replies[0].Scan, replies[0].Kind})
+	assert.Equal(t, [2]any{late, logic.Throttle}, [2]any{replies[1].Scan, replies[1].Kind})
+	assert.Empty(t, parts(out))
+	assert.Equal(t, logic.Throttle, pick[core.Reply](r.step(1, r.scan(1, 3000, 1)))[0].Kind)
+	assert.Zero(t, r.c.Open())
+}
+
+// Whatever comes in one turn, and in whatever order: a scan gets one answer at most and none after its client left, its
+// dispatches end once each, and nothing is sent for it once it is over.
+func TestEveryOrder(t *testing.T) {
+	events := map[string]func(r *rig, s *core.Scan, p core.CallPart) core.Input{
+		"answer": func(r *rig, _ *core.Scan, p core.CallPart) core.Input { return r.ok(p, 0) },
+		"error": func(r *rig, _ *core.Scan, p core.CallPart) core.Input {
+			return core.Ended{Ref: p.Ref, How: core.AnsweredError, At: r.now}
+		},
+		"broke": func(r *rig, _ *core.Scan, p core.CallPart) core.Input {
+			return core.Ended{Ref: p.Ref, How: core.ReadBroke, At: r.now}
+		},
+		"left": func(_ *rig, s *core.Scan, _ core.CallPart) core.Input { return core.Left{Scan: s} },
+		"gone": func(*rig, *core.Scan, core.CallPart) core.Input { return core.List{Kind: logic.ListWhole} },
+		"end":  func(*rig, *core.Scan, core.CallPart) core.Input { return core.Closing{} },
+	}
+	names := slices.Sorted(maps.Keys(events))
+	for _, wait := range []float64{10, 2999, 3000} { // before the client's time is up, just then, and after
+		for order := range len(names) * len(names) * len(names) {
+			chosen := []string{names[order%6], names[order/6%6], names[order/36]}
+			label := fmt.Sprint(chosen, " after ", wait)
+			r := play(t)
+			s := r.scan(1, 3000, 0)
+			sent := parts(r.step(0, s))
+			require.Len(t, sent, 1, label)
+			r.now += wait
+			var in []core.Input
+			for _, name := range chosen {
+				in = append(in, events[name](r, s, sent[0]))
+			}
+			out := r.step(0, in...)
+			r.until(r.now + 10000)
+			replies := pick[core.Reply](r.all)
+			if chosen[0] == "left" {
+				assert.Empty(t, replies, label)
+				assert.Len(t, parts(r.all), 1, label)
+			} else if slices.Contains(chosen, "left") {
+				assert.LessOrEqual(t, len(replies), 1, label)
+				assert.Empty(t, parts(out), label)
+			} else {
+				assert.Len(t, replies, 1, label)
+			}
+			if slices.Contains(chosen, "end") {
+				assert.Empty(t, parts(out), label)
+			}
+			ends := 0
+			for _, n := range r.c.Counts.Ends {
+				ends += n
+			}
+			assert.Equal(t, len(parts(r.all)), ends, label)
+			assert.Zero(t, r.c.Open(), label)
+		}
+	}
+}
+
 func TestOpenCap(t *testing.T) {
 	r := play(t) // 20 scans and parts
 	for i := range 7 {
@@ -389,6 +459,63 @@
 	assert.NotZero(t, a.c.Number("s-x"))
 }
 
+// Brokers of two deployments in one process keep apart: each does what it does alone, step by step, though the other
+// one's classes have other effects, times and limits and its steps fall between.
+func TestDeploymentsKeepApart(t *testing.T) {
+	others := map[string]any{"tableType.1.effect": "non-replayable", "tableType.2.effect": "replayable", "tableType.0.timeout": 900.0,
+		"tableType.1.target": 200.0, "limit.dispatches": 1.0, "limit.secondCopies": true, "rules.cold": 1000.0, "layout.callWork": 1.0}
+	day := func(r *rig) []func() {
+		var steps []func()
+		for i := range 60 {
+			steps = append(steps, func() {
+				s := r.scan(i%3, 2500, i%6, (i+2)%6)
+				sent := parts(r.step(7, s))
+				if len(sent) > 0 && i%4 == 0 {
+					r.step(3, core.Ended{Ref: sent[0].Ref, How: core.ReadBroke, At: r.now})
+				}
+				if len(sent) > 1 && i%3 > 0 {
+					r.step(11, r.ok(sent[1], 1))
+				}
+				r.until(r.now + 20)
+			})
+		}
+		return steps
+	}
+	alone := func(changes ...map[string]any) []core.Output {
+		r := play(t, changes...)
+		for _, step := range day(r) {
+			step()
+		}
+		r.until(r.now + 10000)
+		return r.all
+	}
+	first, second := play(t), play(t, others)
+	steps := [2][]func(){day(first), day(second)}
+	for i := range steps[0] {
+		steps[0][i]()
+		steps[1][i]()
+	}
+	first.until(first.now + 10000)
+	second.until(second.now + 10000)
+	plain := func(out []core.Output) string { return fmt.Sprintf("%+v", calls(out)) }
+	assert.Equal(t, plain(alone()), plain(first.all))
+	assert.Equal(t, plain(alone(others)), plain(second.all))
+	assert.NotEqual(t, plain(first.all), plain(second.all))
+}
+
+// calls keeps what a core sent and answered, in its order.
+func calls(out []core.Output) (kept []any) {
+	for _, o := range out {
+		switch v := o.(type) {
+		case core.Call, core.GiveUp:
+			kept = append(kept, v)
+		case core.Reply:
+			kept = append(kept, [4]any{v.Scan.ID, v.Kind, v.Whole, v.RetryAfter})
+		}
+	}
+	return kept
+}
+
 // Watching: the same outputs, and what the watched settings would have done otherwise is counted.
 func TestWatched(t *testing.T) {
 	run := func(watch bool) *rig {
--- a/internal/front/client_test.go
+++ b/internal/front/client_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gullstair/internal/core"
+	"gullstair/internal/terms"
 	"gullstair/logic"
 )
 
@@ -222,3 +223,22 @@
 		}, patience, time.Millisecond)
 	}
 }
+
+// Two fronts in one process know their own deployment's classes and no other's.
+func TestDeploymentsKeepApart(t *testing.T) {
+	one, other := open(t, 10), open(t, 10)
+	other.f.Site = terms.Site{Shards: 4, Types: []terms.TableType{{Name: "lookup", Keyed: true}}, TypeIndex: map[string]int{"lookup": 0}}
+	small := `{"segments":[{"segment":3,"boost":1}],"text":"t"}`
+	status, _, _ := other.dial().say(ask("/board", "", small)).hear()
+	assert.Equal(t, 404, status)
+	status, _, _ = one.dial().say(ask("/lookup", "", small)).hear()
+	assert.Equal(t, 404, status)
+	status, _, _ = other.dial().say(ask("/lookup", "", small)).hear()
+	assert.Equal(t, 400, status, "it needs a key there")
+	other.dial().say(ask("/lookup", "Idempotency-Key: k\r\n", small))
+	assert.Equal(t, 0, receive(t, other.took).TableType)
+	status, _, _ = other.dial().say(ask("/lookup", "Idempotency-Key: k\r\n", good)).hear()
+	assert.Equal(t, 400, status, "segment 9 is out of its range")
+	one.dial().say(ask("/board", "", good))
+	assert.Len(t, receive(t, one.took).Parts, 2)
+}
