Late answers of discovery are waited for, and its refusals spread, where lists are asked for

Change: where the list is asked for, a call that is answered at once may take 2.5 s, the first call of a watch is held for 1 s, waits are drawn by chance between half and all of at most 0.8 s, and a refused call is made again as it was, since it had nothing to tell. Where lists are pushed only the waits are spread.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -132,7 +132,7 @@
 		ln.Close()
 		return nil, err
 	}
-	b.watch = discovery.Follow(t.Discovery, t.Known.Seq, t.Site.AskList, func(l core.List) { b.put(l) }, log)
+	b.watch = discovery.Follow(t.Discovery, discovery.Options{Since: t.Known.Seq, OnAsk: t.Site.AskList, Seed: t.Seed}, func(l core.List) { b.put(l) }, log)
 	b.ended.Go(b.run)
 	go func() {
 		defer close(b.served)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -23,13 +24,20 @@
 	"gullstair/logic"
 )
 
+// A change counts as told six seconds after discovery had it and could be reached, whatever became of a call. Of that
+// the times here leave room for a watch that falls silent as it begins, a wait, and one more call that is answered.
 const (
-	watchFor    = 3 * time.Second        // how long the agent may hold a watch open
-	quickFor    = time.Millisecond       // the same, of the first call
-	connectFor  = 500 * time.Millisecond // the agent is on this machine
-	grace       = 500 * time.Millisecond // an answer that is due comes within it, or the call has failed
-	retryFirst  = 100 * time.Millisecond // wait after a failed call; doubled up to retryMost
-	retryMost   = 1600 * time.Millisecond
+	watchFor   = 3 * time.Second        // how long the agent may hold a watch open
+	connectFor = 500 * time.Millisecond // the agent is on this machine
+	grace      = 500 * time.Millisecond // an answer that is due comes within it, or the call has failed
+	retryFirst = 100 * time.Millisecond // longest wait after a failed call; doubled up to retryMost
+	retryMost  = 1600 * time.Millisecond
+	// Where the list has to be asked for, discovery itself answers, and not at once: within this time, or it refuses.
+	askedWithin   = 2 * time.Second
+	openAskedFor  = time.Second // how long it may hold the first call of a watch, which it may be late to begin
+	retryAskedTop = 800 * time.Millisecond
+	// openFor is how long the agent may hold the first call of a process: it tells what is there.
+	openFor     = time.Millisecond
 	answerMost  = 4 << 20
 	mailboxSize = 16
 )
@@ -89,13 +97,15 @@
 	mail chan any
 	stop chan struct{}
 
+	asked bool // the list has to be asked for, or else it is pushed to the agent
 	begun bool
 	conn  net.Conn
 	used  bool // the connection has brought an answer before
 	whole bool // the next call asks for the whole list
-	quick bool // the next call is answered at once, whether anything is new or not
+	open  bool // the next call goes on with a watch
 	wait  time.Duration
 	retry *time.Timer
+	rand  *rand.Rand
 	first chan struct{} // closed once the first call has ended
 	heard bool          // it is closed
 }
@@ -118,24 +128,34 @@
 var (
 	errNothing = errors.New("discovery closed the connection")
 	errPart    = errors.New("discovery answered a call for the whole list with changes")
+	errRefused = errors.New("discovery refused the call")
 	errTooLong = errors.New("too long")
 )
 
-// Follow starts a watch from the version seq; tell gets what the agent says, in its order, and may wait. Where
-// the list comes only when asked for, nothing happens before Ask.
-func Follow(addr string, seq int64, onAsk bool, tell func(core.List), log zerolog.Logger) *Watch {
-	w := &Watch{addr: addr, seq: seq, tell: tell, log: log, mail: make(chan any, mailboxSize), stop: make(chan struct{}),
-		wait: retryFirst, retry: time.NewTimer(time.Hour), quick: true, first: make(chan struct{})}
+// Options say how a list is followed.
+type Options struct {
+	Since int64  // the version of the list that is known
+	OnAsk bool   // the list comes only when asked for: nothing happens before Ask
+	Seed  uint64 // of the chance by which failed calls of many brokers spread
+}
+
+// Follow starts a watch; tell gets what the agent says, in its order, and may wait.
+func Follow(addr string, o Options, tell func(core.List), log zerolog.Logger) *Watch {
+	w := &Watch{addr: addr, seq: o.Since, asked: o.OnAsk, tell: tell, log: log, mail: make(chan any, mailboxSize),
+		stop: make(chan struct{}), wait: retryFirst, retry: time.NewTimer(time.Hour), rand: rand.New(rand.NewPCG(o.Seed, 0)),
+		first: make(chan struct{})}
 	w.retry.Stop()
-	if !onAsk {
+	if o.OnAsk {
+		w.over() // what discovery holds is told when it has been asked for
+	} else {
 		w.Ask()
 	}
 	go w.run()
 	return w
 }
 
-// First is closed once what the agent holds has been told, or could not be had: what it holds counts as told from a
-// process's first moment, so nothing may go out by an older list before.
+// First is closed once what the agent holds has been told, or could not be had: where lists are pushed, what it holds
+// counts as told from a process's first moment, so nothing may go out by an older list before.
 func (w *Watch) First() <-chan struct{} { return w.first }
 
 func (w *Watch) over() {
@@ -229,7 +249,7 @@
 		return
 	}
 	l, had := v.l, w.seq
-	w.used, w.quick, w.wait = true, false, retryFirst
+	w.used, w.wait, w.open = true, retryFirst, !w.whole
 	w.whole = !l.Whole && l.Seq < had
 	if !w.whole {
 		w.seq = l.Seq
@@ -262,12 +282,19 @@
 	})})
 }
 
+// failed takes up that a call came to nothing. What it had to tell may be lost, unless it was refused: then it had
+// nothing, and the same call is good again.
 func (w *Watch) failed(err error) {
 	w.hangUp()
-	w.whole = true // what the broken call had to tell may be lost
+	w.whole = w.whole || !errors.Is(err, errRefused)
+	w.open = false
 	w.log.Warn().Err(err).Msg("the list could not be followed")
-	w.retry.Reset(w.wait)
-	w.wait = min(2*w.wait, retryMost)
+	w.retry.Reset(w.wait/2 + time.Duration(w.rand.Int64N(int64(w.wait/2)+1)))
+	most := retryMost
+	if w.asked {
+		most = retryAskedTop
+	}
+	w.wait = min(2*w.wait, most)
 	w.tell(core.List{Kind: logic.ListFailed})
 	w.over()
 }
@@ -284,20 +311,13 @@
 	if w.conn == nil {
 		conn, err := net.DialTimeout("tcp", w.addr, connectFor)
 		if err != nil {
-			w.failed(fmt.Errorf("connecting to discovery: %w", err))
+			w.failed(fmt.Errorf("connecting to discovery: %w: %w", errRefused, err))
 			return
 		}
 		w.conn = conn
 		go w.read(conn)
 	}
-	// An agent that hangs, or whose answer stops coming, looks like a list in which nothing changes: short watches find
-	// out, and a call that is answered at once finds out soonest.
-	query, patience := fmt.Sprintf("?since=%d&timeout_ms=%d", w.seq, watchFor.Milliseconds()), watchFor+grace
-	if w.whole {
-		query, patience = "", grace
-	} else if w.quick {
-		query, patience = fmt.Sprintf("?since=%d&timeout_ms=%d", w.seq, quickFor.Milliseconds()), grace
-	}
+	query, patience := w.query()
 	w.conn.SetDeadline(time.Now().Add(patience))
 	_, err := fmt.Fprintf(w.conn, "GET /v1/servers%s HTTP/1.1\r\nHost: %s\r\n\r\n", query, w.addr)
 	if err != nil && !w.used { // else its reader tells how it ended
@@ -305,6 +325,27 @@
 	}
 }
 
+// query is what the next call asks for, and how long its answer may take. An agent that hangs, or whose answer stops
+// coming, looks like a list in which nothing changes: short watches find out, and a call that is answered at once finds
+// out soonest.
+func (w *Watch) query() (string, time.Duration) {
+	within, hold := grace, watchFor
+	if w.asked {
+		within += askedWithin
+	}
+	switch {
+	case w.whole:
+		return "", within
+	case w.open:
+		within = grace // the watch has begun
+	case w.asked:
+		hold = openAskedFor
+	case !w.heard:
+		hold = openFor
+	}
+	return fmt.Sprintf("?since=%d&timeout_ms=%d", w.seq, hold.Milliseconds()), hold + within
+}
+
 // read passes on what comes on one connection, until its end.
 func (w *Watch) read(conn net.Conn) {
 	in := bufio.NewReaderSize(conn, 4<<10)
@@ -335,6 +376,9 @@
 	if n, err := text.ReadFrom(io.LimitReader(res.Body, answerMost)); err != nil || n == answerMost {
 		return l, true, fmt.Errorf("reading discovery's answer, %d bytes so far: %w", n, cmp.Or(err, errTooLong))
 	}
+	if res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests {
+		return l, true, fmt.Errorf("%w: %s", errRefused, res.Status)
+	}
 	if res.StatusCode != http.StatusOK {
 		return l, true, fmt.Errorf("discovery answered %s", res.Status)
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -42,7 +42,7 @@
 			a.serve(conn)
 		}
 	}()
-	a.w = Follow(ln.Addr().String(), seq, onAsk, func(l core.List) { a.told <- l }, zerolog.Nop())
+	a.w = Follow(ln.Addr().String(), Options{Since: seq, OnAsk: onAsk}, func(l core.List) { a.told <- l }, zerolog.Nop())
 	t.Cleanup(func() {
 		a.w.Stop()
 		close(a.reply)
@@ -182,6 +182,32 @@
 	assert.Less(t, time.Since(begun), 2*time.Second, "an agent that says nothing")
 }
 
+// Where the list has to be asked for discovery answers late, and refuses calls when it has too many. A late answer is
+// waited for: each call that is given up costs discovery as much, and if all brokers do so none of them gets a list. A
+// refused call had nothing to tell, so the same one is made again.
+func TestLateAndRefused(t *testing.T) {
+	a := watch(t, 41, true)
+	a.w.Ask()
+	opening := "/v1/servers?since=41&timeout_ms=1000"
+	assert.Equal(t, opening, next(t, a.asked))
+	a.reply <- "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	assert.Equal(t, logic.ListFailed, next(t, a.told).Kind)
+	assert.Equal(t, opening, next(t, a.asked))
+	a.reply <- "!HTTP/1.1 200 OK\r\nContent-Length: 900\r\nConnection: close\r\n\r\n{"
+	assert.Equal(t, logic.ListFailed, next(t, a.told).Kind)
+	assert.Equal(t, "/v1/servers", next(t, a.asked), "a broken answer may have had something to tell")
+	select {
+	case l := <-a.told:
+		assert.Fail(t, "given up", "%+v", l)
+	case <-time.After(3 * grace): // the answer is late
+	}
+	a.reply <- body(`{"seq":44,"whole":true,"hosts":[]}`)
+	assert.Equal(t, logic.ListWhole, next(t, a.told).Kind)
+	assert.Equal(t, "/v1/servers?since=44&timeout_ms=1000", next(t, a.asked), "a watch may be late to begin")
+	a.reply <- body(`{"seq":44,"whole":false,"hosts":[]}`)
+	assert.Equal(t, "/v1/servers?since=44&timeout_ms=3000", next(t, a.asked), "it goes on")
+}
+
 // A watch that moves asks the new agent for the whole list at once, and what the old one still sends is not told.
 func TestMove(t *testing.T) {
 	from, to := watch(t, 41, false), watch(t, 0, true)
