--- /dev/null
+++ b/cmd/gullstair/ready_test.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gullstair/internal/rig"
+)
+
+// Many brokers that start at once on the same cores are ready soon, also when discovery says nothing: they serve by the
+// list that they were started with. Nine in ten have to be within ten seconds.
+func TestManyAreReadySoon(t *testing.T) {
+	takesRoom(t, 1)
+	const brokers, soon = 20, 10 * time.Second
+	f, err := rig.New(rig.Plan{Dir: t.TempDir(), Members: brokers, Program: []string{os.Args[0], "serve", "--log", "error"},
+		Env: []string{"GULLSTAIR_TEST_CHILD=1"}, Start: startTree(t), Seed: 1, Features: func(*rig.Member) (string, string) {
+			return "  key \"1\" {\n    secret = \"5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e5e\"\n  }\n", ""
+		}})
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, what := range []string{"first start", "after a kill of all"} {
+		begun := time.Now()
+		require.NoError(t, f.LaunchAll(), what)
+		ready := map[string]time.Duration{}
+		rig.Until(2*soon, func() bool {
+			for _, m := range f.Members {
+				if _, is := ready[m.Name]; is {
+					continue
+				}
+				if res, err := client.Get("http://" + m.Listen + "/healthz"); err == nil {
+					if res.Body.Close(); res.StatusCode == http.StatusOK {
+						ready[m.Name] = time.Since(begun)
+					}
+				}
+			}
+			return len(ready) == brokers
+		})
+		within := 0
+		for _, took := range ready {
+			if took <= soon {
+				within++
+			}
+		}
+		assert.GreaterOrEqual(t, within, brokers*9/10, "%s: %v", what, ready)
+		for _, m := range f.Members {
+			m.Kill()
+		}
+	}
+}
--- /dev/null
+++ b/cmd/measure/capacity_test.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// The measured core serves the queries that it is measured by, and costs more with a longer list.
+func TestMeasureCore(t *testing.T) {
+	small, err := measureCore(30, 50)
+	require.NoError(t, err)
+	large, err := measureCore(900, 50)
+	require.NoError(t, err)
+	assert.Greater(t, large.listKB, 2*small.listKB)
+	assert.Greater(t, large.wholeMs, small.wholeMs)
+	assert.Positive(t, small.queryUs)
+	assert.Positive(t, small.openKB)
+}
+
+func TestMeasureMap(t *testing.T) {
+	bytes, ns := measureMap(100000)
+	assert.Greater(t, bytes, 16.0, "a key and a place at least")
+	assert.Positive(t, ns)
+}
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -25,6 +25,8 @@
 	Limits    limitsCmd    `cmd:"" help:"Ways to share a limit among members on the same days: used, over, followed, messages, in virtual time."`
 	Verdicts  verdictsCmd  `cmd:"" help:"Scenarios of verdicts with brokers that tell each other nothing, notes, verdicts and both, over seeds, in virtual time."`
 	Duties    dutiesCmd    `cmd:"" help:"Probes saved, items moved, takeover and traffic of shared probing, in virtual time."`
+	Capacity  capacityCmd  `cmd:"" help:"State and time of the core by nodes, limits of many tenants by members, and a plain map of kept blocks: slopes of docs/CAPACITY.md."`
+	Fleet     fleetCmd     `cmd:"" help:"Control traffic, processor time and memory of real brokers beside hollow ones that share a process, by members, on loopback."`
 }
 
 type membersCmd struct {
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -258,3 +258,65 @@
 	b.Stop(10 * time.Second)
 	assert.Equal(t, 504, <-status)
 }
+
+// Idle clients may fill the descriptors while discovery is down: the watch, the nodes' connections and a new client
+// still get theirs.
+func TestIdleClientsFillTheDescriptors(t *testing.T) {
+	stores, told := silentStores(t)
+	a := newAgent(t)
+	told.Discovery, told.Sockets = a.addr, 64
+	b, err := Start(told, nil, zerolog.Nop())
+	require.NoError(t, err)
+	<-a.asked // and says nothing
+	for range 3 * told.Sockets {
+		conn, err := net.Dial("tcp", b.Addr())
+		require.NoError(t, err)
+		defer conn.Close()
+	}
+	go board(b)
+	stores.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+	part, err := stores.Accept()
+	require.NoError(t, err)
+	defer part.Close()
+	assert.Equal(t, 200, health(t, b))
+	select {
+	case <-a.asked:
+	case <-time.After(patience):
+		assert.Fail(t, "the list is not asked for any more")
+	}
+	assert.LessOrEqual(t, b.front.Conns()+b.fleet.Conns(), told.Sockets-spareFiles)
+	b.Stop(0)
+}
+
+// A client that has left gets no further attempt, though its first one fails just then and could be sent again.
+func TestNoRetryForWhoHasLeft(t *testing.T) {
+	stores, told := silentStores(t)
+	for i := range told.Known.Hosts { // both hold the shard
+		told.Known.Hosts[i].Block = 0
+	}
+	b, err := Start(told, nil, zerolog.Nop())
+	require.NoError(t, err)
+	client, err := net.Dial("tcp", b.Addr())
+	require.NoError(t, err)
+	body := `{"segments":[{"segment":0,"boost":1}],"text":"t"}`
+	fmt.Fprintf(client, "POST /board HTTP/1.1\r\nHost: x\r\nX-Time-Left-Ms: 3900\r\nX-Correlation-Id: q1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	stores.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+	store, err := stores.Accept()
+	require.NoError(t, err)
+	defer store.Close()
+	store.SetReadDeadline(time.Now().Add(patience))
+	in := bufio.NewReader(store)
+	head, err := in.Peek(9)
+	require.NoError(t, err)
+	assert.Equal(t, "Rq1.0", string(head[4:]))
+	in.Discard(in.Buffered())
+	require.NoError(t, client.Close())
+	head, err = in.Peek(9)
+	require.NoError(t, err)
+	assert.Equal(t, "Aq1.0", string(head[4:]), "it is told that nobody waits")
+	store.Write([]byte("\x00\x00\x00\x10Yq1.0 ERROR - -\n"))
+	stores.(*net.TCPListener).SetDeadline(time.Now().Add(300 * time.Millisecond))
+	_, err = stores.Accept()
+	assert.Error(t, err, "no further attempt")
+	b.Stop(0)
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -236,3 +236,18 @@
 		{Host: "c", Readiness: logic.Gone}, {Host: "d", Addr: "127.0.0.1:1", Readiness: logic.Ready}}, nodes)
 	assert.Equal(t, 3, odd)
 }
+
+// A watch that falls silent as it begins is broken and opened anew: what it missed is known within six seconds.
+func TestSilentWatch(t *testing.T) {
+	a := watch(t, 41, false)
+	next(t, a.asked)
+	a.reply <- body(`{"seq":41,"whole":false,"hosts":[]}`)
+	assert.Contains(t, next(t, a.asked), "since=41")
+	begun := time.Now() // from now on this connection says nothing
+	assert.Equal(t, logic.ListFailed, next(t, a.told).Kind)
+	a.reply <- "" // the agent's side of it
+	assert.Equal(t, "/v1/servers", next(t, a.asked))
+	a.reply <- body(`{"seq":42,"whole":true,"hosts":[` + fmt.Sprintf(line, "DRAINING") + `]}`)
+	assert.Equal(t, logic.Draining, next(t, a.told).Nodes[0].Readiness)
+	assert.Less(t, time.Since(begun), 6*time.Second)
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	settle     = 100 * time.Millisecond // a connection that came a moment ago has its request on the way
 	stopStep   = 20 * time.Millisecond
 	flushStep  = 5 * time.Millisecond
+	yieldMost  = 10 // how often the acceptor lets others run before it turns a connection away
 )
 
 // ClosingMost is how many connections may be on their way out at once beside Most in service.
@@ -150,10 +152,17 @@
 	if f.inService() >= f.Most && !f.askOldest(idle, 0, false) && !f.askOldest(reading, settle, false) {
 		return false
 	}
-	for len(f.conns) >= f.Most+ClosingMost {
-		if !f.cutOldest() {
+	for tries := 0; len(f.conns) >= f.Most+ClosingMost; tries++ {
+		if f.cutOldest() {
+			continue
+		}
+		if tries == yieldMost {
 			return false
 		}
+		// Those that were asked to end have not run since: a flood of connections is accepted faster than that.
+		f.mu.Unlock()
+		runtime.Gosched()
+		f.mu.Lock()
 	}
 	f.conns[c] = struct{}{}
 	return true
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,7 +7,7 @@
 // hold all its shards, one call a node, and of those sets to the one with the least load. Beside it:
 //  1. further dispatches: late or failed parts take the cover path again, through one gate (mayDispatch)
 //  2. health: successes among a node's last few outcomes; a node that does poorly rests, then is tried
-//  3. cold allowance: this broker's share of what a node that has just started can bear
+//  3. slow start: this broker's part of what a node that has just started bears from the whole fleet
 //  4. throttling: when target times are about to be missed, by chance, cheaper scans more often
 //  5. answering early: from a part of a scan where its table type allows it and waiting pays less
 //  6. following the list, late, stale or cached, and what other brokers tell where they may
@@ -83,7 +83,7 @@
 	latency, under                        []float64 // recent; under how much work; both by target time
 	latAt, heard, restEnd, failAt         []float64 // latency seen, answer heard, rest ends, it failed
 	passed, listed                        []float64 // sending of the newest dispatch answered; not gone then
-	allowed, allowAt                      []float64 // work that may go to it while it is cold; as of
+	allowed, allowAt                      []float64 // work that may go to it in slow start; as of
 	lateAt, used                          []float64 // late, nothing heard since; a connection carried an answer
 	others, othersAt                      []float64 // work that other brokers told of sending, fading; as of
 	inCell                                [][]int   // the holder table: ready nodes by cell
