--- a/cmd/measure/fleet.go
+++ b/cmd/measure/fleet.go
@@ -39,7 +39,9 @@
 
 const (
 	hollowNodes  = 12
-	clockTicks   = 100 // of a second, in /proc
+	realMB       = 256
+	hollowMB     = 8192 // the process's: all hollow brokers share it
+	clockTicks   = 100  // of a second, in /proc
 	pageKB       = 4
 	memoryFields = 24
 )
@@ -136,13 +138,12 @@
 			return r, fmt.Errorf("member %d: %w", i, err)
 		}
 	}
-	runtime.GOMAXPROCS(max(1, runtime.NumCPU()/2)) // each hollow broker has set it to its own one
 	return r, nil
 }
 
 func (r *fleetRun) startReal(c *fleetCmd, i int, text string) error {
 	path := filepath.Join(r.dir, fmt.Sprint("n", i))
-	start, err := r.startFile(c.Nodes, i)
+	start, err := r.startFile(c.Nodes, realMB, i)
 	if err != nil {
 		return err
 	}
@@ -162,7 +163,7 @@
 }
 
 func (r *fleetRun) startHollow(i int, text string) error {
-	start, err := r.startFile(hollowNodes, i)
+	start, err := r.startFile(hollowNodes, hollowMB, i)
 	if err != nil {
 		return err
 	}
@@ -175,18 +176,21 @@
 		return err
 	}
 	b, err := broker.Start(told, doc, zerolog.Nop())
-	if err == nil {
-		r.hollow = append(r.hollow, b)
+	if err != nil {
+		return err
 	}
-	return err
+	r.hollow = append(r.hollow, b)
+	runtime.GOMAXPROCS(max(1, runtime.NumCPU()/2)) // the broker has set it to its own one
+	return nil
 }
 
-func (r *fleetRun) startFile(nodes, i int) ([]byte, error) {
+func (r *fleetRun) startFile(nodes, memoryMB, i int) ([]byte, error) {
 	listen, err := rig.Loopback("tcp")
 	if err != nil {
 		return nil, err
 	}
 	tree := startTree(nodes)
+	tree["limits"] = map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": 8192}
 	tree["name"], tree["listen"], tree["discovery"], tree["seed"] = fmt.Sprint("n", i), listen, r.agent.Addr().String(), fmt.Sprintf("%016x", i+1)
 	return json.Marshal(tree)
 }
