Failed calls of a pushed list follow each other closely: a drain told at discovery's return

Cause, from the 309 brokers' logs: discovery is down from the start and comes back at 10.47 s; calls that were open then are not answered (n10 called at 10.47 and timed out at 10.97), and the next one went out after a wait of 0.8 to 1.6 s (discovery.failed, retryMost). What the agent gets at the return counts as told at once, so the list had to be there by 11.02 s. The chance drawn into the waits spread them over that moment. Change: where lists are pushed a call that is due at once may take 0.25 s and is followed by the next within 0.1 s; it costs nothing at an agent on the same machine. Repeated failures are logged at the first, second, fourth and so on.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -24,16 +24,19 @@
 	"gullstair/logic"
 )
 
-// A change counts as told six seconds after discovery had it and could be reached, whatever became of a call. Of that
-// the times here leave room for a watch that falls silent as it begins, a wait, and one more call that is answered.
+// Where lists are pushed, what the agent gets when discovery comes back counts as told at once, and a call that was open
+// before is not answered then: so calls that fail follow each other closely, which costs nothing at an agent on the same
+// machine. Elsewhere a change counts as told six seconds after discovery had it and could be reached; the times leave
+// room for a watch that falls silent as it begins, a wait, and one more call that is answered.
 const (
 	watchFor   = 3 * time.Second        // how long the agent may hold a watch open
-	connectFor = 500 * time.Millisecond // the agent is on this machine
-	grace      = 500 * time.Millisecond // an answer that is due comes within it, or the call has failed
-	retryFirst = 100 * time.Millisecond // longest wait after a failed call; doubled up to retryMost
-	retryMost  = 1600 * time.Millisecond
+	connectFor = 250 * time.Millisecond // the agent is on this machine
+	grace      = 500 * time.Millisecond // a watch is answered within it after its time
+	atOnce     = 250 * time.Millisecond // an agent's answer that waits for nothing comes within it
+	retryFirst = 100 * time.Millisecond // longest wait after a failed call
 	// Where the list has to be asked for, discovery itself answers, and not at once: within this time, or it refuses.
-	askedWithin   = 2 * time.Second
+	// There the waits double.
+	askedWithin   = 2500 * time.Millisecond
 	openAskedFor  = time.Second // how long it may hold the first call of a watch, which it may be late to begin
 	retryAskedTop = 800 * time.Millisecond
 	// openFor is how long the agent may hold the first call of a process: it tells what is there.
@@ -104,6 +107,7 @@
 	whole bool // the next call asks for the whole list
 	open  bool // the next call goes on with a watch
 	wait  time.Duration
+	fails int // calls that failed in a row
 	retry *time.Timer
 	rand  *rand.Rand
 	first chan struct{} // closed once the first call has ended
@@ -249,7 +253,7 @@
 		return
 	}
 	l, had := v.l, w.seq
-	w.used, w.wait, w.open = true, retryFirst, !w.whole
+	w.used, w.wait, w.open, w.fails = true, retryFirst, !w.whole, 0
 	w.whole = !l.Whole && l.Seq < had
 	if !w.whole {
 		w.seq = l.Seq
@@ -288,13 +292,13 @@
 	w.hangUp()
 	w.whole = w.whole || !errors.Is(err, errRefused)
 	w.open = false
-	w.log.Warn().Err(err).Msg("the list could not be followed")
+	if w.fails++; w.fails&(w.fails-1) == 0 { // while discovery is down one call follows the other
+		w.log.Warn().Err(err).Int("in_a_row", w.fails).Msg("the list could not be followed")
+	}
 	w.retry.Reset(w.wait/2 + time.Duration(w.rand.Int64N(int64(w.wait/2)+1)))
-	most := retryMost
 	if w.asked {
-		most = retryAskedTop
+		w.wait = min(2*w.wait, retryAskedTop)
 	}
-	w.wait = min(2*w.wait, most)
 	w.tell(core.List{Kind: logic.ListFailed})
 	w.over()
 }
@@ -329,9 +333,9 @@
 // coming, looks like a list in which nothing changes: short watches find out, and a call that is answered at once finds
 // out soonest.
 func (w *Watch) query() (string, time.Duration) {
-	within, hold := grace, watchFor
+	within, hold := atOnce, watchFor
 	if w.asked {
-		within += askedWithin
+		within = askedWithin
 	}
 	switch {
 	case w.whole:
@@ -342,6 +346,8 @@
 		hold = openAskedFor
 	case !w.heard:
 		hold = openFor
+	default:
+		within = grace
 	}
 	return fmt.Sprintf("?since=%d&timeout_ms=%d", w.seq, hold.Milliseconds()), hold + within
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -208,6 +208,25 @@
 	assert.Equal(t, "/v1/servers?since=44&timeout_ms=3000", next(t, a.asked), "it goes on")
 }
 
+// What an agent gets when discovery comes back counts as told at once, and a call that was open before is not answered
+// then. Calls that fail follow each other so closely that the list is known within the half second that is left.
+func TestReturnOfDiscovery(t *testing.T) {
+	a := watch(t, 41, false)
+	next(t, a.asked)
+	for range 6 { // the agent is silent, and closes each call when it has been given up
+		assert.Equal(t, logic.ListFailed, next(t, a.told).Kind)
+		a.reply <- ""
+		next(t, a.asked)
+	}
+	back := time.Now() // just now: the open call is not answered
+	assert.Equal(t, logic.ListFailed, next(t, a.told).Kind)
+	a.reply <- ""
+	next(t, a.asked)
+	a.reply <- body(`{"seq":42,"whole":true,"hosts":[]}`)
+	assert.Equal(t, logic.ListWhole, next(t, a.told).Kind)
+	assert.Less(t, time.Since(back), 500*time.Millisecond)
+}
+
 // A watch that moves asks the new agent for the whole list at once, and what the old one still sends is not told.
 func TestMove(t *testing.T) {
 	from, to := watch(t, 41, false), watch(t, 0, true)
