--- /dev/null
+++ b/cmd/gullstair/fleet.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+	"github.com/phuslu/log"
+
+	"gullstair/internal/configuration"
+	"gullstair/internal/router"
+	"gullstair/internal/settings"
+)
+
+// fleetCommands are the subcommands of the router fleet.
+var fleetCommands = []string{"broker", "check-settings", "check-configuration", "status"}
+
+const (
+	memoryShare   = 0.7 // of the machine's limit that the heap may take before the collector works harder
+	statusTimeout = 3 * time.Second
+	bytesPerMB    = 1 << 20
+)
+
+// isFleetCommand says whether the command line is one of the router fleet's.
+func isFleetCommand(args []string) bool {
+	return len(args) > 0 && slices.Contains(fleetCommands, args[0])
+}
+
+// runFleet carries out one command line of the router fleet.
+func runFleet(args []string, out io.Writer) error {
+	path := os.Getenv(settings.EnvironmentVariable)
+	var document, address string
+	level := "info"
+	parser := flaggy.NewParser("gullstair")
+	parser.Description = "A router fleet with an index of kept prompts."
+	parser.ShowVersionWithVersionFlag = false
+	parser.String(&path, "s", "settings", "The settings file (default: $"+settings.EnvironmentVariable+").")
+	broker := flaggy.NewSubcommand("broker")
+	broker.Description = "Run one broker of the fleet."
+	broker.String(&level, "l", "log-level", "The least severe log lines that are written: debug, info, warn, error.")
+	checkSettings := flaggy.NewSubcommand("check-settings")
+	checkSettings.Description = "Read and check the settings file."
+	checkConfiguration := flaggy.NewSubcommand("check-configuration")
+	checkConfiguration.Description = "Read and check a configuration of the operator."
+	checkConfiguration.AddPositionalValue(&document, "file", 1, true, "The configuration, as JSON.")
+	status := flaggy.NewSubcommand("status")
+	status.Description = "What a running broker knows of the fleet, as JSON."
+	status.AddPositionalValue(&address, "address", 1, false, "The broker's control address (default: that of the settings).")
+	for _, command := range []*flaggy.Subcommand{broker, checkSettings, checkConfiguration, status} {
+		parser.AttachSubcommand(command, 1)
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		return err
+	}
+	switch {
+	case checkConfiguration.Used:
+		return checkConfigurationFile(document, out)
+	case status.Used && address != "":
+		return printStatus(address, out)
+	}
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	switch {
+	case checkSettings.Used:
+		_, err := fmt.Fprintln(out, "the settings are valid")
+		return err
+	case status.Used:
+		return printStatus(s.ListenControl, out)
+	}
+	return runBroker(s, path, level)
+}
+
+func runBroker(s *settings.Settings, path, level string) error {
+	logger := &log.Logger{Level: log.ParseLevel(level), Writer: log.IOWriter{Writer: os.Stderr}}
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * bytesPerMB))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	broker, err := router.New(s, path, logger)
+	if err != nil {
+		return err
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			broker.Reload()
+		}
+	}()
+	return broker.Run(ctx)
+}
+
+func checkConfigurationFile(path string, out io.Writer) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read the configuration")
+	}
+	c, err := configuration.Parse(raw)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "version %d is valid: %d routes, %d services\n", c.Version, len(c.Routes), len(c.Services))
+	return err
+}
+
+func printStatus(address string, out io.Writer) error {
+	client := &http.Client{Timeout: statusTimeout}
+	response, err := client.Get("http://" + address + "/v1/status")
+	if err != nil {
+		return errors.Wrap(err, "ask the broker")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("the broker answered %s", response.Status)
+	}
+	_, err = io.Copy(out, response.Body)
+	return err
+}
--- a/cmd/gullstair/main.go
+++ b/cmd/gullstair/main.go
@@ -40,7 +40,11 @@
 type versionCmd struct{}
 
 func main() {
-	if err := run(os.Args[1:], os.Stdout); err != nil {
+	command := run
+	if isFleetCommand(os.Args[1:]) {
+		command = runFleet
+	}
+	if err := command(os.Args[1:], os.Stdout); err != nil {
 		if code := exitCode(0); errors.As(err, &code) {
 			os.Exit(int(code))
 		}
--- /dev/null
+++ b/internal/cluster/replica.go
@@ -0,0 +1,152 @@
+package cluster
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+
+	"gullstair/internal/journalfile"
+	"gullstair/internal/register"
+	"gullstair/internal/settings"
+	"gullstair/internal/slots"
+)
+
+// diskWait is how long a call waits for an acceptor whose disk is busy with another call.
+const diskWait = 300 * time.Millisecond
+
+// replica is this machine's acceptor on its disk. One call at a time uses it; others give up soon, so that a disk that
+// hangs holds up nothing but itself.
+type replica struct {
+	turn     chan struct{}
+	acceptor register.Acceptor
+	store    *slots.Store
+	logger   *log.Logger
+	empty    bool // its disk held nothing when it started
+}
+
+// saved is a record of the log: the whole state, or a promise alone.
+type saved struct {
+	Disk     uint64
+	Promise  bool
+	Promised register.Ballot
+	State    register.State
+}
+
+func openReplica(s *settings.Settings, logger *log.Logger) (*replica, error) {
+	disk, err := journalfile.Dir(s.DataDir)
+	if err != nil {
+		return nil, errors.Wrap(err, "data directory")
+	}
+	store, contents, err := slots.Open(disk)
+	if err != nil && !errors.Is(err, slots.ErrEmpty) {
+		return nil, errors.Wrap(err, "open the register's replica")
+	}
+	r := &replica{turn: make(chan struct{}, 1), store: store, logger: logger, empty: err != nil}
+	r.acceptor.Self = register.Replica{Address: s.IP, Disk: rand.Uint64() | 1}
+	if err == nil {
+		if err := r.restore(contents); err != nil {
+			return nil, err
+		}
+	}
+	r.acceptor.Persist = r.persist
+	r.turn <- struct{}{}
+	return r, nil
+}
+
+// restore folds the state from the slot and the records after it.
+func (r *replica) restore(contents slots.Contents) error {
+	for i, body := range append([][]byte{contents.State}, contents.Records...) {
+		record := saved{}
+		if err := decode(body, &record); err != nil {
+			return errors.Wrapf(err, "record %d of the register's replica", i)
+		}
+		r.acceptor.Self.Disk = record.Disk
+		if record.Promise {
+			r.acceptor.State.Promised = record.Promised
+		} else {
+			r.acceptor.State = record.State
+		}
+	}
+	return nil
+}
+
+// persist writes a state before the acceptor answers by it.
+func (r *replica) persist(next register.State) error {
+	record := saved{Disk: r.acceptor.Self.Disk, State: next}
+	if r.store.WantsCheckpoint() {
+		return r.checkpoint(record)
+	}
+	if next.Accepted == r.acceptor.State.Accepted {
+		record = saved{Disk: r.acceptor.Self.Disk, Promise: true, Promised: next.Promised}
+	}
+	if err := r.store.Append(encode(record)); err != nil {
+		r.logger.Warn().Err(err).Msg("the replica's disk refuses a write")
+		return err
+	}
+	return nil
+}
+
+func (r *replica) checkpoint(record saved) error {
+	if err := r.store.Checkpoint(encode(record)); err != nil {
+		r.logger.Warn().Err(err).Msg("the replica's disk refuses a checkpoint")
+		return err
+	}
+	return nil
+}
+
+func (r *replica) id() register.Replica { return r.acceptor.Self }
+
+// use gives the acceptor to f; false: it is busy.
+func (r *replica) use(f func(*register.Acceptor)) bool {
+	select {
+	case <-r.turn:
+	case <-time.After(diskWait):
+		return false
+	}
+	defer func() { r.turn <- struct{}{} }()
+	f(&r.acceptor)
+	return true
+}
+
+func (r *replica) prepare(m register.Prepare) (answer register.Promise) {
+	answer.Foreign = true
+	r.use(func(a *register.Acceptor) { answer = a.Prepare(m) })
+	return answer
+}
+
+func (r *replica) accept(m register.Accept) (answer register.Accepted) {
+	answer.Foreign = true
+	r.use(func(a *register.Acceptor) { answer = a.Accept(m) })
+	return answer
+}
+
+// accepted is the value that this replica accepted last.
+func (r *replica) accepted() (known register.Known) {
+	r.use(func(a *register.Acceptor) { known = register.Known{Ballot: a.State.Accepted, Value: a.State.Value} })
+	return known
+}
+
+// acceptor is what the handler needs of a replica, on a disk or in memory.
+type acceptor interface {
+	prepare(register.Prepare) register.Promise
+	accept(register.Accept) register.Accepted
+}
+
+// nobody answers for replicas that are not here.
+type nobody struct{}
+
+func (nobody) prepare(register.Prepare) register.Promise { return register.Promise{Foreign: true} }
+func (nobody) accept(register.Accept) register.Accepted  { return register.Accepted{Foreign: true} }
+
+// acceptor finds the acceptor that a call is for.
+func (n *Node) acceptor(to register.Replica) acceptor {
+	if to.Disk == foundingDisk {
+		return n.founding
+	}
+	if n.replica == nil {
+		return nobody{}
+	}
+	return n.replica
+}
--- /dev/null
+++ b/internal/controlstate/controlstate.go
@@ -0,0 +1,159 @@
+// Package controlstate is the fleet's control state as the register holds it: the operator's configuration, the
+// versions of weights, and leases with their fencing tokens. Its changes are pure functions from one state to the next.
+package controlstate
+
+import (
+	"bytes"
+	"compress/flate"
+	"crypto/sha256"
+	"encoding/gob"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	mostTaken  = 1024 // orders that are remembered, so that one that was taken is never refused when it is sent again
+	digestSize = 12
+	mostConfig = 64 << 20
+)
+
+// ErrConflict says that a change builds on another version than the one in force.
+var ErrConflict = errors.New("another version is in force")
+
+// ErrOld says that a configuration's version does not rise.
+var ErrOld = errors.New("the version is not above the one in force")
+
+// ErrHeld says that a lease is held by another.
+var ErrHeld = errors.New("the lease is held by another")
+
+// Digest identifies an order of the operator.
+type Digest [digestSize]byte
+
+// Lease is the right to act alone in one role.
+type Lease struct {
+	Holder  string
+	Token   uint64 // rises with each change of holder
+	Renewal uint64 // rises with each renewal
+}
+
+// State is the whole control state.
+type State struct {
+	Version int64  // of the configuration; 0: none yet
+	Config  []byte // as the operator sent it, compressed
+	Taken   []Digest
+	Weights map[string]int64 // newest version of each model
+	Leases  map[string]Lease
+}
+
+// Decode reads a state; an empty payload is the state before the first change.
+func Decode(payload []byte) (State, error) {
+	s := State{}
+	if len(payload) > 0 {
+		if err := gob.NewDecoder(bytes.NewReader(payload)).Decode(&s); err != nil {
+			return State{}, errors.Wrap(err, "decode the control state")
+		}
+	}
+	if s.Weights == nil {
+		s.Weights = map[string]int64{}
+	}
+	if s.Leases == nil {
+		s.Leases = map[string]Lease{}
+	}
+	return s, nil
+}
+
+// Encode writes a state.
+func (s State) Encode() []byte {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(s); err != nil {
+		panic(err) // its types are fixed
+	}
+	return b.Bytes()
+}
+
+// Configuration is the configuration as the operator sent it; nil before the first.
+func (s State) Configuration() ([]byte, error) {
+	if s.Version == 0 {
+		return nil, nil
+	}
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(s.Config)), mostConfig))
+	return raw, errors.Wrap(err, "decompress the configuration")
+}
+
+// DigestOf identifies a configuration and the version that it builds on.
+func DigestOf(base int64, raw []byte) Digest {
+	hash := sha256.New()
+	for shift := 0; shift < 64; shift += 8 {
+		hash.Write([]byte{byte(base >> shift)})
+	}
+	hash.Write(raw)
+	return Digest(hash.Sum(nil)[:digestSize])
+}
+
+// Replace takes a configuration that builds on version base. taken: it had been taken before, and nothing changes.
+func (s State) Replace(base, version int64, raw []byte) (next State, taken bool, err error) {
+	digest := DigestOf(base, raw)
+	if slices.Contains(s.Taken, digest) {
+		return s, true, nil
+	}
+	if base != s.Version {
+		return s, false, ErrConflict
+	}
+	if version <= s.Version {
+		return s, false, ErrOld
+	}
+	next = s
+	next.Version = version
+	next.Config = compress(raw)
+	next.Taken = append(slices.Clone(s.Taken), digest)
+	if len(next.Taken) > mostTaken {
+		next.Taken = next.Taken[len(next.Taken)-mostTaken:]
+	}
+	return next, false, nil
+}
+
+func compress(raw []byte) []byte {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.DefaultCompression)
+	if err != nil {
+		panic(err) // the level is fixed
+	}
+	if _, err := w.Write(raw); err != nil {
+		panic(err) // writing to a buffer does not fail
+	}
+	if err := w.Close(); err != nil {
+		panic(err)
+	}
+	return b.Bytes()
+}
+
+// NameWeights takes a version of a model's weights; one that is not above the newest changes nothing.
+func (s State) NameWeights(model string, version int64) (next State, changed bool) {
+	if version <= s.Weights[model] {
+		return s, false
+	}
+	next = s
+	next.Weights = maps.Clone(s.Weights)
+	next.Weights[model] = version
+	return next, true
+}
+
+// Acquire gives a lease to holder, or renews it. seen is the lease as holder last saw it: one that has been renewed
+// or has changed hands since is not taken away. fresh: the holder's process has not held it yet and gets a new token.
+func (s State) Acquire(role, holder string, seen Lease, fresh bool) (next State, err error) {
+	present := s.Leases[role]
+	if present.Holder != holder && present != seen {
+		return s, ErrHeld
+	}
+	lease := Lease{Holder: holder, Token: present.Token, Renewal: present.Renewal + 1}
+	if present.Holder != holder || fresh {
+		lease.Token++
+	}
+	next = s
+	next.Leases = maps.Clone(s.Leases)
+	next.Leases[role] = lease
+	return next, nil
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,430 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gullstair/internal/balance"
+	"gullstair/internal/configuration"
+	"gullstair/internal/holders"
+	"gullstair/internal/instances"
+	"gullstair/internal/upstream"
+	"gullstair/logic"
+)
+
+// call is one request of a client on its way through the data path.
+type call struct {
+	s       *Server
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+	exit    time.Time // when it must have ended
+	config  *configuration.Configuration
+	route   *configuration.Route
+	tenant  *configuration.Tenant
+	service *configuration.Service
+	prompt  *prompt
+	body    []byte
+	id      string
+
+	exchange *exchange
+	attempts int
+	mayRun   bool    // an instance may have begun to work on it
+	answer   *answer // what is passed on to the client; nil until something is
+	failure  *failed // the last answer of an instance that was a failure
+}
+
+// failed is an instance's own failure, kept to be passed on unchanged if no other attempt follows.
+type failed struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+const (
+	requestDeadline = "X-Deadline-Ms"
+	notExecuted     = "X-Not-Executed"
+	serverStamp     = "X-Server-Stamp"
+	lastEventID     = "Last-Event-Id"
+	versionsHeader  = "Versions"
+
+	mostFailureBody = 256 << 10
+	mostPriority    = 9
+)
+
+func newCall(s *Server, w http.ResponseWriter, r *http.Request) *call {
+	return &call{s: s, w: w, r: r, arrived: time.Now(), id: r.Header.Get(upstream.RequestID)}
+}
+
+func (c *call) serve() {
+	if !c.admit() {
+		return
+	}
+	c.exchange = newExchange()
+	service := c.pickService()
+	c.service = c.config.Services[service]
+	request := balance.Request{Route: c.route, Service: service, Budget: float64(time.Until(c.exit)) / float64(time.Millisecond)}
+	if c.prompt = parsePrompt(c.r.Header); c.prompt != nil {
+		candidates, limited := c.s.candidates(service, c.prompt.model)
+		request.Limited = limited
+		for _, i := range candidates {
+			request.Permitted = append(request.Permitted, i.ID)
+		}
+		request.Prompt = c.s.describe(c.prompt, c.config.Walls(), c.tenant, c.service.Engine, candidates)
+	}
+	c.s.dispatcher.arrive(c.exchange, request)
+	defer c.s.dispatcher.forget(c.exchange)
+	for {
+		select {
+		case <-c.r.Context().Done():
+			return
+		case command := <-c.exchange.commands:
+			if c.carry(command) {
+				return
+			}
+		}
+	}
+}
+
+// admit checks the request against the configuration and reads it; false: it has been answered.
+func (c *call) admit() bool {
+	if c.s.leaving.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
+	c.config = c.s.config.Load()
+	if c.config == nil {
+		c.refuse(notReadyRetry)
+		return false
+	}
+	if c.route = c.config.Route(c.r.Host, c.r.URL.Path); c.route == nil {
+		c.deny(http.StatusNotFound)
+		return false
+	}
+	if !c.authorized() {
+		c.deny(http.StatusUnauthorized)
+		return false
+	}
+	c.exit = c.arrived.Add(c.route.Timeout)
+	if left, err := strconv.ParseFloat(c.r.Header.Get(requestDeadline), 64); err == nil && left >= 0 {
+		if until := c.arrived.Add(time.Duration(left * float64(time.Millisecond))); until.Before(c.exit) {
+			c.exit = until
+		}
+	}
+	return c.readBody()
+}
+
+// authorized finds the tenant by the key; false: the route needs one and there is none.
+func (c *call) authorized() bool {
+	if c.route.Public || !c.config.HasTenants() {
+		return true
+	}
+	key, isBearer := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
+	if !isBearer {
+		return false
+	}
+	c.tenant = c.config.TenantOf(strings.TrimSpace(key))
+	return c.tenant != nil
+}
+
+func (c *call) readBody() bool {
+	limit := c.config.Limits.BodyBytes
+	if c.r.ContentLength > limit {
+		c.deny(http.StatusRequestEntityTooLarge)
+		return false
+	}
+	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	if err != nil {
+		panic(http.ErrAbortHandler) // the client has gone
+	}
+	if int64(len(body)) > limit {
+		c.deny(http.StatusRequestEntityTooLarge)
+		return false
+	}
+	c.body = body
+	return true
+}
+
+// pickService draws one of the route's services by weight.
+func (c *call) pickService() string {
+	sum := 0.0
+	for _, split := range c.route.Splits {
+		sum += split.Weight
+	}
+	at := rand.Float64() * sum
+	for _, split := range c.route.Splits {
+		if at -= split.Weight; at < 0 {
+			return split.Service
+		}
+	}
+	return c.route.Splits[len(c.route.Splits)-1].Service
+}
+
+// carry does what the module wants; true: the request has ended.
+func (c *call) carry(command balance.Command) bool {
+	switch command.Kind {
+	case balance.Send:
+		c.attempt(command)
+		return false
+	case balance.Finish:
+		c.s.Served.Add(1)
+		return true
+	case balance.Refuse:
+		if c.mayRun {
+			c.fail()
+			return true
+		}
+		c.refuse(time.Duration(command.After * float64(time.Millisecond)))
+		return true
+	case balance.Fail:
+		c.fail()
+		return true
+	}
+	return false
+}
+
+// attempt sends the request to one instance and passes its answer on.
+func (c *call) attempt(command balance.Command) {
+	number := c.attempts
+	c.attempts++
+	instance, known := c.s.instance(command.Instance)
+	if !known || instance.State == instances.Gone {
+		c.s.dispatcher.ended(c.exchange, number, logic.Superseded, 0)
+		return
+	}
+	ctx, cancel := c.exchange.begin(c.r.Context())
+	defer cancel()
+	ctx, stop := context.WithDeadline(ctx, c.exit)
+	defer stop()
+	begun := time.Now()
+	request, version := c.request(instance, command.Source)
+	response, progress, err := c.s.pool.Send(ctx, instance.Address, request)
+	outcome := c.take(response, progress, err, instance, version, number, begun)
+	if response != nil {
+		response.Close()
+	}
+	c.s.dispatcher.ended(c.exchange, number, c.cause(outcome), time.Since(begun))
+}
+
+// cause tells apart what this broker or its client broke off, which says nothing of the instance.
+func (c *call) cause(outcome logic.Outcome) logic.Outcome {
+	recalled, ended := c.exchange.end()
+	switch {
+	case outcome != logic.Severed && outcome != logic.ConnRefused:
+		return outcome
+	case !time.Now().Before(c.exit):
+		return logic.Overdue
+	case recalled || ended || c.r.Context().Err() != nil:
+		return logic.Recalled
+	}
+	return outcome
+}
+
+// take reads an answer and says how the attempt ended.
+func (c *call) take(response *upstream.Response, progress upstream.Progress, err error, instance instances.Instance, version int64,
+	number int, begun time.Time) logic.Outcome {
+	if err != nil {
+		if progress == upstream.NotSent {
+			return logic.ConnRefused
+		}
+		c.mayRun = true
+		return logic.Severed
+	}
+	c.learnVersion(instance, response.Header)
+	if rejected, outcome := c.rejected(response, instance); rejected {
+		return outcome
+	}
+	c.mayRun = true
+	if response.Header.Get("Content-Encoding") != "" || response.Status < http.StatusOK {
+		return logic.Errored // not the instance's body
+	}
+	if response.Status >= http.StatusInternalServerError {
+		return c.keepFailure(response)
+	}
+	return c.pass(response, instance, version, number, begun)
+}
+
+// rejected says whether an instance did not run the request.
+func (c *call) rejected(response *upstream.Response, instance instances.Instance) (bool, logic.Outcome) {
+	if response.Status == http.StatusMisdirectedRequest {
+		_, _ = io.Copy(io.Discard, response)
+		if other := response.Header.Get("X-Instance-Id"); other != "" && other != instance.ID {
+			c.s.onStale(instance.ID)
+		}
+		return true, logic.Superseded
+	}
+	if response.Header.Get(notExecuted) == "" {
+		return false, 0
+	}
+	_, _ = io.Copy(io.Discard, response)
+	return true, logic.Saturated
+}
+
+// keepFailure keeps an instance's own failure. Where the request may run again the module decides; else it ends here.
+func (c *call) keepFailure(response *upstream.Response) logic.Outcome {
+	body, err := io.ReadAll(io.LimitReader(response, mostFailureBody))
+	if err != nil {
+		return logic.Severed
+	}
+	c.failure = &failed{status: response.Status, header: response.Header, body: body}
+	return logic.Errored
+}
+
+// pass passes an answer on to the client.
+func (c *call) pass(response *upstream.Response, instance instances.Instance, version int64, number int, begun time.Time) logic.Outcome {
+	if c.answer == nil {
+		c.answer = &answer{w: c.w, resumable: c.route.Kind == configuration.Streaming && c.route.Resumable,
+			stream: c.route.Kind == configuration.Streaming, last: c.r.Header.Get(lastEventID)}
+	}
+	began := false
+	onData := func() {
+		if began || c.route.Kind != configuration.Streaming {
+			return
+		}
+		began = true
+		c.s.dispatcher.began(c.exchange, number, time.Since(begun))
+		c.noteRead(instance.ID, version)
+	}
+	if err := c.answer.copy(response, onData); err != nil {
+		if errors.Is(err, errClientGone) {
+			return logic.Recalled
+		}
+		return logic.Severed
+	}
+	return logic.Completed
+}
+
+// noteRead notes in the holder table that an instance has read the request's prompt.
+func (c *call) noteRead(id string, version int64) {
+	if c.prompt == nil {
+		return
+	}
+	memory := salt(c.prompt.model, version, c.config.Walls(), c.tenant)
+	c.s.holders.with(func(t *holders.Table) { t.Read(id, memory, c.prompt.ids(), c.prompt.counts()) })
+}
+
+// learnVersion takes the version of the weights that an answer tells.
+func (c *call) learnVersion(instance instances.Instance, header http.Header) {
+	if c.prompt == nil {
+		return
+	}
+	version, err := strconv.ParseInt(strings.TrimSpace(header.Get(versionsHeader)), 10, 64)
+	if err != nil || version <= instance.VersionOf(c.prompt.model) {
+		return
+	}
+	c.s.setVersion(instance.ID, c.prompt.model, version)
+}
+
+// setVersion notes a version that an instance was seen to run.
+func (s *Server) setVersion(id, model string, version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, known := s.instances[id]
+	if !known || i.VersionOf(model) >= version {
+		return
+	}
+	models := slices.Clone(i.Models)
+	for at := range models {
+		if models[at].Name == model {
+			models[at].Version = version
+		}
+	}
+	i.Models = models
+	s.instances[id] = i
+}
+
+// request makes the request as it goes to an instance.
+func (c *call) request(instance instances.Instance, source string) (*upstream.Request, int64) {
+	header := forwarded(c.r.Header)
+	header.Set(upstream.RequestID, c.id)
+	header.Set("X-Expect-Instance", instance.ID)
+	priority := c.route.Priority
+	if c.tenant != nil {
+		header.Set("X-Tenant", c.tenant.Name)
+		priority = c.tenant.Priority
+	}
+	header.Set("Priority", strconv.Itoa(min(max(0, priority), mostPriority)))
+	if c.answer != nil && c.answer.last != "" {
+		header.Set(lastEventID, c.answer.last)
+	}
+	version := int64(0)
+	if c.prompt != nil {
+		version = instance.VersionOf(c.prompt.model)
+		header.Set("Expect-Version", strconv.FormatInt(version, 10))
+		header.Set("Cache-Salt", salt(c.prompt.model, version, c.config.Walls(), c.tenant))
+		if from, known := c.s.instance(source); known && from.VersionOf(c.prompt.model) == version {
+			header.Set("Kv-Fetch", from.Address)
+		}
+	}
+	return &upstream.Request{Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body, ID: c.id,
+		Complete: func(h http.Header) {
+			h.Set(requestDeadline, strconv.FormatInt(max(1, time.Until(c.exit).Milliseconds()), 10))
+		}}, version
+}
+
+// ownHeaders are set by the broker, or concern one connection only; what a client sends of them is not passed on.
+var ownHeaders = []string{"Authorization", "Cache-Salt", "Connection", "Content-Length", "Expect", "Expect-Version", "Keep-Alive", "Kv-Fetch",
+	"Kv-Save", "Priority", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"X-Deadline-Ms", "X-Expect-Instance", "X-Tenant"}
+
+// forwarded returns the headers that are passed along.
+func forwarded(h http.Header) http.Header {
+	out := h.Clone()
+	for field := range strings.SplitSeq(h.Get("Connection"), ",") {
+		out.Del(strings.TrimSpace(field))
+	}
+	for _, name := range ownHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// deny answers that the configuration does not allow the request.
+func (c *call) deny(status int) {
+	c.head()
+	c.w.WriteHeader(status)
+}
+
+// refuse answers that the request has not run and never will, and when the client may come back.
+func (c *call) refuse(after time.Duration) {
+	c.s.Refused.Add(1)
+	c.head()
+	c.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	c.w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// fail gives the request up. An answer that has begun is broken off; an instance's own failure is passed on.
+func (c *call) fail() {
+	c.s.Failed.Add(1)
+	if c.answer != nil && c.answer.begun {
+		panic(http.ErrAbortHandler)
+	}
+	c.head()
+	if f := c.failure; f != nil {
+		copyHeader(c.w.Header(), f.header)
+		c.w.WriteHeader(f.status)
+		_, _ = c.w.Write(f.body)
+		return
+	}
+	if !time.Now().Before(c.exit.Add(-time.Duration(endMargin))) {
+		c.w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	c.w.WriteHeader(http.StatusBadGateway)
+}
+
+// endMargin is how long before its end a request is taken to have run out of time.
+const endMargin = 20 * time.Millisecond
+
+func (c *call) head() {
+	if c.id != "" {
+		c.w.Header().Set(upstream.RequestID, c.id)
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,199 @@
+// Package gateway is the data path: it takes clients' requests, has the module choose for each a runner and a source
+// of kept prompt parts, sends it, and passes the answer on.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"gullstair/internal/balance"
+	"gullstair/internal/configuration"
+	"gullstair/internal/holders"
+	"gullstair/internal/instances"
+	"gullstair/internal/settings"
+	"gullstair/internal/upstream"
+	"gullstair/logic"
+)
+
+const (
+	notReadyRetry = 300 * time.Millisecond // when a client may come back to a broker without a configuration
+	refusedRetry  = 150.0                  // ms; the longest that a refused client is told to wait
+	slackShare    = 0.6                    // of the retry budget's fixed part that the brokers use together
+	ratioShare    = 0.8                    // of the retry budget's ratio
+	// versionMargin is how long before the bound on old weights requests stop going to them.
+	versionMargin = 1500 * time.Millisecond
+)
+
+// Server is the data path of one broker.
+type Server struct {
+	settings   *settings.Settings
+	logger     *log.Logger
+	dispatcher *dispatcher
+	pool       upstream.Pool
+	config     atomic.Pointer[configuration.Configuration]
+	leaving    atomic.Bool
+	inFlight   atomic.Int64
+
+	mu        sync.Mutex
+	instances map[string]instances.Instance // that are not gone, by id
+	holders   lockedTable
+	newest    map[string]namedWeights // by model
+	onStale   func(id string)         // an instance was seen to be another one
+
+	// Served counts answers that were passed on whole; Refused and Failed those that were not.
+	Served, Refused, Failed atomic.Int64
+}
+
+// namedWeights is the newest version of a model's weights that has been named, and when this broker learned of it.
+type namedWeights struct {
+	version int64
+	since   time.Time
+}
+
+// lockedTable is the holder table for the goroutines of many requests.
+type lockedTable struct {
+	mu    sync.Mutex
+	table *holders.Table
+	start time.Time
+}
+
+func (t *lockedTable) with(f func(*holders.Table)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.Advance(float64(time.Since(t.start)) / float64(time.Millisecond))
+	f(t.table)
+}
+
+// Held says how many leading tokens of a prompt an instance keeps.
+func (t *lockedTable) Held(instance, salt string, ids []string, tokens []float64) (held float64) {
+	t.with(func(table *holders.Table) { held = table.Held(instance, salt, ids, tokens) })
+	return held
+}
+
+// New makes the data path. onStale is called with the id of an instance whose address answers as another one.
+func New(s *settings.Settings, logger *log.Logger, seed uint64, onStale func(string)) *Server {
+	server := &Server{settings: s, logger: logger, instances: map[string]instances.Instance{}, newest: map[string]namedWeights{},
+		onStale: onStale}
+	server.holders = lockedTable{table: holders.New(), start: time.Now()}
+	server.dispatcher = newDispatcher(seed, server.fleet(1))
+	return server
+}
+
+func (s *Server) fleet(brokers int) balance.Fleet {
+	b := s.settings.Bounds
+	return balance.Fleet{
+		Brokers:      float64(brokers),
+		Zone:         s.settings.Zone,
+		BudgetWindow: float64(b.BudgetWindow / time.Millisecond),
+		BudgetRatio:  b.RetryBudgetRatio * ratioShare,
+		BudgetSlack:  b.RetryBudgetSlack * slackShare / float64(max(1, brokers)),
+		RetryAfter:   refusedRetry,
+	}
+}
+
+// SetBrokers tells how many brokers are alive: they share the retry budget.
+func (s *Server) SetBrokers(n int) { s.dispatcher.setFleet(s.fleet(n)) }
+
+// SetConfiguration puts a configuration in force for the requests that arrive from now on.
+func (s *Server) SetConfiguration(c *configuration.Configuration) {
+	s.dispatcher.setConfiguration(c)
+	s.config.Store(c)
+}
+
+// Configuration is the one in force; nil: none yet.
+func (s *Server) Configuration() *configuration.Configuration { return s.config.Load() }
+
+// SetWeights tells the newest version of each model's weights.
+func (s *Server) SetWeights(weights map[string]int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for model, version := range weights {
+		if version > s.newest[model].version {
+			s.newest[model] = namedWeights{version, time.Now()}
+		}
+	}
+}
+
+// SetInstances tells all instances that are not gone.
+func (s *Server) SetInstances(all []instances.Instance) {
+	list := make([]balance.Instance, 0, len(all))
+	known := make(map[string]instances.Instance, len(all))
+	for _, i := range all {
+		known[i.ID] = i
+		state := logic.Ready
+		if i.State == instances.Draining {
+			state = logic.Draining
+		}
+		list = append(list, balance.Instance{ID: i.ID, Service: i.Service, Address: i.Address, Zone: i.Zone, Slots: i.Slots, State: state})
+	}
+	s.mu.Lock()
+	for id := range s.instances {
+		if _, still := known[id]; !still {
+			s.holders.with(func(t *holders.Table) { t.Forget(id) })
+		}
+	}
+	s.instances = known
+	s.mu.Unlock()
+	s.dispatcher.setInstances(list)
+}
+
+// Leave has the answers from now on tell their clients to use other connections.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// InFlight is the number of requests that have no answer yet.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Run keeps the pool of connections tidy until the context ends.
+func (s *Server) Run(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.pool.Sweep()
+		}
+	}
+}
+
+// candidates returns the instances of a service that are ready and may run a request on a model; limited says whether
+// others are ready that may not.
+func (s *Server) candidates(service, model string) (list []instances.Instance, limited bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	least := int64(1)
+	if newest := s.newest[model]; newest.version > 0 && time.Since(newest.since) > s.settings.Bounds.Version-versionMargin {
+		least = newest.version
+	}
+	for _, i := range s.instances {
+		if i.Service != service || i.State != instances.Ready {
+			continue
+		}
+		if model != "" && i.VersionOf(model) < least {
+			limited = true
+			continue
+		}
+		list = append(list, i)
+	}
+	return list, limited
+}
+
+func (s *Server) instance(id string) (instances.Instance, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, known := s.instances[id]
+	return i, known
+}
+
+// ServeHTTP takes one request of a client.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	newCall(s, w, r).serve()
+}
--- /dev/null
+++ b/internal/gateway/prompt.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"gullstair/internal/balance"
+	"gullstair/internal/configuration"
+	"gullstair/internal/instances"
+)
+
+// promptPart is one part of a prompt: its id and how many tokens it has.
+type promptPart struct {
+	id     string
+	tokens float64
+}
+
+// prompt is what a request says of the prompt that it runs on.
+type prompt struct {
+	model  string
+	tokens float64
+	parts  []promptPart
+}
+
+// parsePrompt reads a request's prompt; nil: it has none.
+func parsePrompt(h http.Header) *prompt {
+	model := h.Get("X-Model")
+	if model == "" {
+		return nil
+	}
+	p := &prompt{model: model}
+	for field := range strings.SplitSeq(h.Get("X-Prompt-Prefix"), ",") {
+		id, count, found := strings.Cut(strings.TrimSpace(field), ":")
+		tokens, err := strconv.ParseFloat(count, 64)
+		if !found || err != nil || tokens < 0 || id == "" {
+			continue
+		}
+		p.parts = append(p.parts, promptPart{id, tokens})
+		p.tokens += tokens
+	}
+	if in, _, _ := strings.Cut(h.Get("X-Token-Count"), ","); in != "" {
+		if tokens, err := strconv.ParseFloat(strings.TrimSpace(in), 64); err == nil && tokens >= p.tokens {
+			p.tokens = tokens
+		}
+	}
+	return p
+}
+
+// shared are the parts that other requests may have in common with this one: all but the last.
+func (p *prompt) shared() []promptPart { return p.parts[:max(0, len(p.parts)-1)] }
+
+// salt names the memory that cached parts belong to: the model, the version of its weights, the set of isolated
+// tenants, and the tenant where it is one of them. Parts are found under the same salt only.
+func salt(model string, version int64, walls uint64, tenant *configuration.Tenant) string {
+	text := fmt.Sprintf("%s/%d/%x", model, version, walls)
+	if tenant != nil && tenant.Isolated {
+		text += "/" + tenant.Name
+	}
+	return text
+}
+
+// placementOrder orders instances for a prompt's shared parts by rendezvous hashing: alike at all brokers, without a
+// word between them, and moved little when an instance comes or goes. The version of the weights is left out, so that
+// a roll-out does not move the parts.
+func placementOrder(p *prompt, wall string, candidates []instances.Instance) []string {
+	key := fnv.New64a()
+	fmt.Fprintf(key, "%s|%s", p.model, wall)
+	for _, part := range p.shared() {
+		key.Write([]byte(part.id))
+		key.Write([]byte{0})
+	}
+	base := key.Sum64()
+	type scored struct {
+		id    string
+		score uint64
+	}
+	order := make([]scored, len(candidates))
+	for i, c := range candidates {
+		order[i] = scored{c.ID, mix(base ^ hashOf(c.ID))}
+	}
+	slices.SortFunc(order, func(a, b scored) int {
+		switch {
+		case a.score > b.score:
+			return -1
+		case a.score < b.score:
+			return 1
+		}
+		return strings.Compare(a.id, b.id)
+	})
+	ids := make([]string, len(order))
+	for i, s := range order {
+		ids[i] = s.id
+	}
+	return ids
+}
+
+func hashOf(text string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
+
+// mix spreads a hash over all bits (the finalizer of MurmurHash3).
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// bitsPerByte and perMs turn a link's Mbit/s into the time that a token's memory takes.
+const (
+	bitsPerByte = 8
+	perMs       = 1000.0
+)
+
+// describe tells the balancer what a request reads and who keeps how much of it.
+func (s *Server) describe(p *prompt, walls uint64, tenant *configuration.Tenant, engine *configuration.Engine,
+	candidates []instances.Instance) *balance.Prompt {
+	out := &balance.Prompt{Tokens: p.tokens, Held: map[string]float64{}, Group: map[string]int64{}}
+	for _, part := range p.shared() {
+		out.Shared += part.tokens
+	}
+	for _, c := range candidates {
+		version := c.VersionOf(p.model)
+		out.Group[c.ID] = version
+		if held := s.holders.Held(c.ID, salt(p.model, version, walls, tenant), p.ids(), p.counts()); held > 0 {
+			out.Held[c.ID] = held
+		}
+	}
+	if len(p.shared()) > 0 && len(candidates) > 0 {
+		out.Home = placementOrder(p, salt("", 0, walls, tenant), candidates)
+		home := out.Home[0]
+		out.Held[home] = max(out.Held[home], out.Shared)
+	}
+	if engine != nil && engine.LinkMbps > 0 {
+		out.FetchTime = engine.TokenBytes * bitsPerByte / (engine.LinkMbps * perMs)
+		out.AcrossTime = 2 * out.FetchTime
+	}
+	return out
+}
+
+func (p *prompt) ids() []string {
+	ids := make([]string, len(p.parts))
+	for i, part := range p.parts {
+		ids[i] = part.id
+	}
+	return ids
+}
+
+func (p *prompt) counts() []float64 {
+	counts := make([]float64, len(p.parts))
+	for i, part := range p.parts {
+		counts[i] = part.tokens
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/peerlink/message.go
@@ -0,0 +1,51 @@
+// Package peerlink carries the brokers' own protocol: calls and their replies as encoding/gob streams in frames, over
+// TCP connections that are kept open. Each connection has one encoder and one decoder, so types are described once.
+package peerlink
+
+import (
+	"gullstair/internal/dissemination"
+	"gullstair/internal/register"
+)
+
+// Message is a call or its reply; one of the pointers is set.
+type Message struct {
+	ID    uint64
+	Reply bool
+
+	Digest   *Digest
+	Headings *Headings
+	Records  *Records
+	Prepare  *register.Prepare
+	Promise  *register.Promise
+	Accept   *register.Accept
+	Accepted *register.Accepted
+	Found    *Found
+}
+
+// Digest opens a reconciliation. View is a sample of the sender's partial view of the fleet.
+type Digest struct {
+	From   string // address of the sender's machine
+	Digest dissemination.Digest
+	View   []string
+}
+
+// Headings answers a Digest with what is held in the parts that differ.
+type Headings struct {
+	Digest   dissemination.Digest
+	Headings []dissemination.Heading
+	View     []string
+}
+
+// Records brings records, and asks for others.
+type Records struct {
+	From    string
+	Records []dissemination.Record
+	Wanted  []dissemination.ID
+}
+
+// Found tells a replica that the register's first set of members has been decided, and answers with what it holds.
+type Found struct {
+	Members register.Members
+	Self    register.Replica // in the reply
+	Taken   bool             // in the reply
+}
--- /dev/null
+++ b/internal/register/look.go
@@ -0,0 +1,39 @@
+package register
+
+// Look finds out whether a value is still the newest one that can have been chosen, without an attempt: a value that
+// was chosen later has been accepted by a majority, so one of any majority holds it.
+type Look struct {
+	value    Value
+	answered map[Replica]bool
+	newer    bool
+}
+
+// NewLook begins a look at whether value is the newest.
+func NewLook(value Value) *Look { return &Look{value: value, answered: map[Replica]bool{}} }
+
+// Inspections returns what is to be asked: Prepares with no ballot, which bind nobody.
+func (l *Look) Inspections(known Ballot) []Prepare {
+	var out []Prepare
+	for _, to := range (&Round{sets: l.value.Members.Sets}).replicas() {
+		out = append(out, Prepare{To: to, Known: known})
+	}
+	return out
+}
+
+// Take takes an answer.
+func (l *Look) Take(m Promise) {
+	if m.Foreign || m.Refused {
+		return
+	}
+	l.answered[m.From] = true
+	l.newer = l.newer || m.Value != nil && m.Value.Sequence > l.value.Sequence
+}
+
+// Done says whether enough replicas have answered.
+func (l *Look) Done() bool {
+	round := Round{sets: l.value.Members.Sets}
+	return l.newer || round.majorities(func(r Replica) bool { return l.answered[r] })
+}
+
+// Current says, once Done, whether the value is the newest.
+func (l *Look) Current() bool { return !l.newer }
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,378 @@
+// Package router puts one broker of the fleet together: settings, its place in the cluster, the registry of instances,
+// the configuration in force, the data path, the control address, and how all of it starts and ends.
+package router
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+
+	"gullstair/internal/cluster"
+	"gullstair/internal/configuration"
+	"gullstair/internal/controlstate"
+	"gullstair/internal/dissemination"
+	"gullstair/internal/gateway"
+	"gullstair/internal/instances"
+	"gullstair/internal/operatorapi"
+	"gullstair/internal/register"
+	"gullstair/internal/rollout"
+	"gullstair/internal/settings"
+)
+
+const (
+	tickEvery       = 200 * time.Millisecond
+	trustWait       = 3 * time.Second // a copy of the configuration that no majority confirms is used after so long
+	headerTimeout   = 10 * time.Second
+	mostHeaderBytes = 1 << 20
+	controlIdle     = 20 * time.Second
+)
+
+// Broker is one broker of the fleet.
+type Broker struct {
+	settings *settings.Settings
+	path     string // of the settings file
+	logger   *log.Logger
+	node     *cluster.Node
+	gateway  *gateway.Server
+	started  time.Time
+
+	mu       sync.Mutex
+	registry *instances.Registry
+	progress map[string]rollout.Progress // of roll-outs, by instance and model
+	draining map[string]time.Time        // instances that said so here, until all brokers know
+	state    controlstate.State          // in force
+	sequence uint64
+	trusted  bool
+	pending  *register.Known // newest value, while it may not be trusted yet
+	leaving  bool
+	roles    *roles
+	idle     idleConns
+}
+
+// New makes a broker from its settings.
+func New(s *settings.Settings, path string, logger *log.Logger) (*Broker, error) {
+	b := &Broker{settings: s, path: path, logger: logger, registry: instances.New(), progress: map[string]rollout.Progress{},
+		draining: map[string]time.Time{}, started: time.Now()}
+	node, err := cluster.New(s, logger)
+	if err != nil {
+		return nil, errors.Wrap(err, "join the cluster")
+	}
+	b.node = node
+	b.gateway = gateway.New(s, logger, seedOf(s.NodeName), b.staleInstance)
+	b.roles = newRoles(b)
+	node.OnRecord(b.takeRecord)
+	return b, nil
+}
+
+func seedOf(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64() ^ uint64(time.Now().UnixNano())
+}
+
+// Run serves until the context ends, and then for as long as answers are owed.
+func (b *Broker) Run(ctx context.Context) error {
+	servers, err := b.listen()
+	if err != nil {
+		return err
+	}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go b.node.Run(running)
+	go b.gateway.Run(running)
+	go b.trust(running)
+	go b.tick(running)
+	go b.roles.run(running)
+	servers.serve(b.logger)
+	b.logger.Info().Str("node", b.settings.NodeName).Str("zone", b.settings.Zone).Msg("broker started")
+	<-ctx.Done()
+	b.end(servers)
+	return nil
+}
+
+// tick keeps the registry and the number of brokers up to date.
+func (b *Broker) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	last := 0
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if members := len(b.node.Members()); members != last {
+			last = members
+			b.gateway.SetBrokers(members)
+		}
+		b.expire()
+		if c := b.gateway.Configuration(); c != nil {
+			b.idle.sweep(c.Limits.IdleTimeout)
+		}
+	}
+}
+
+func (b *Broker) expire() {
+	b.mu.Lock()
+	forgotten, changed := b.registry.Expire(time.Now())
+	for _, id := range forgotten {
+		delete(b.draining, id)
+	}
+	if changed {
+		b.tellInstances()
+	}
+	b.mu.Unlock()
+	for _, id := range forgotten {
+		b.node.Drop(dissemination.ID{Kind: instances.RecordKind, Key: id})
+	}
+}
+
+// takeRecord takes a record that is new here.
+func (b *Broker) takeRecord(r dissemination.Record) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch body := r.Body.(type) {
+	case instances.Instance:
+		if b.registry.Take(body, time.Now()) {
+			b.tellInstances()
+		}
+	case rollout.Progress:
+		b.progress[body.ID+"/"+body.Model] = body
+		b.tellInstances()
+	case register.Known:
+		if b.trusted {
+			b.apply(body)
+		} else if b.pending == nil || body.Value.Sequence > b.pending.Value.Sequence {
+			b.pending = &body
+		}
+	}
+}
+
+// tellInstances tells the data path of all instances, as heartbeats and roll-outs have it; b.mu is held.
+func (b *Broker) tellInstances() { b.gateway.SetInstances(b.effective()) }
+
+// effective are the instances with the versions that roll-outs have brought them to. One that loads new weights takes
+// no requests, as one that drains.
+func (b *Broker) effective() []instances.Instance {
+	all := b.registry.All()
+	for at, i := range all {
+		for _, m := range i.Models {
+			p, known := b.progress[i.ID+"/"+m.Name]
+			if !known || p.Version <= m.Version {
+				continue
+			}
+			if p.Loading {
+				all[at].State = instances.Draining
+				continue
+			}
+			all[at].Models = withVersion(all[at].Models, m.Name, p.Version)
+		}
+	}
+	return all
+}
+
+func withVersion(models []instances.Model, name string, version int64) []instances.Model {
+	out := append([]instances.Model(nil), models...)
+	for i := range out {
+		if out[i].Name == name {
+			out[i].Version = max(out[i].Version, version)
+		}
+	}
+	return out
+}
+
+// staleInstance notes that another instance answers at the address of this one.
+func (b *Broker) staleInstance(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, was := b.registry.Leave(id, time.Now()); was {
+		b.tellInstances()
+	}
+}
+
+// trust waits until the newest value is sure to be that, and puts it in force.
+func (b *Broker) trust(ctx context.Context) {
+	var since time.Time
+	for ctx.Err() == nil {
+		known, changed := b.node.Known()
+		if len(known.Value.Members.Sets) > 0 {
+			if since.IsZero() {
+				since = time.Now()
+			}
+			if b.node.Current(ctx) || time.Since(since) > trustWait {
+				break
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(tickEvery):
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.trusted = true
+	if b.pending != nil {
+		b.apply(*b.pending)
+	}
+}
+
+// apply puts a value in force, unless a newer one is; b.mu is held.
+func (b *Broker) apply(known register.Known) {
+	if known.Value.Sequence <= b.sequence {
+		return
+	}
+	state, err := controlstate.Decode(known.Value.Payload)
+	if err != nil {
+		b.logger.Error().Err(err).Msg("the control state cannot be read")
+		return
+	}
+	if state.Version > b.state.Version {
+		raw, err := state.Configuration()
+		if err != nil {
+			b.logger.Error().Err(err).Msg("the configuration cannot be read")
+			return
+		}
+		c, err := configuration.Parse(raw)
+		if err != nil {
+			b.logger.Error().Err(err).Msg("the configuration in force is not valid")
+			return
+		}
+		b.gateway.SetConfiguration(c)
+		b.logger.Info().Int64("version", c.Version).Int("routes", len(c.Routes)).Msg("configuration in force")
+	}
+	b.gateway.SetWeights(state.Weights)
+	b.state, b.sequence = state, known.Value.Sequence
+	b.roles.wake()
+}
+
+// ready says whether the platform should send clients here.
+func (b *Broker) ready() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.leaving && b.gateway.Configuration() != nil && len(b.registry.All()) > 0
+}
+
+// servers are the HTTP servers of one broker.
+type servers struct {
+	front     *http.Server
+	listeners map[*http.Server]net.Listener
+}
+
+func (b *Broker) listen() (*servers, error) {
+	s := &servers{listeners: map[*http.Server]net.Listener{}}
+	add := func(address string, handler http.Handler) (*http.Server, error) {
+		if address == "" {
+			return nil, nil
+		}
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			return nil, errors.Wrap(err, "listen")
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: mostHeaderBytes, IdleTimeout: controlIdle}
+		s.listeners[server] = listener
+		return server, nil
+	}
+	var err error
+	if s.front, err = add(b.settings.ListenFront, b.gateway); err != nil {
+		return nil, err
+	}
+	if s.front != nil {
+		s.front.IdleTimeout = 0 // the configuration's limit holds; see idleConns
+		s.front.ReadTimeout = 0
+		s.front.ConnState = b.idle.changed
+	}
+	if _, err = add(b.settings.ListenReadiness, http.HandlerFunc(b.serveReadiness)); err != nil {
+		return nil, err
+	}
+	_, err = add(b.settings.ListenControl, operatorapi.New(b, b.logger))
+	return s, err
+}
+
+func (s *servers) serve(logger *log.Logger) {
+	for server, listener := range s.listeners {
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				logger.Error().Err(err).Msg("serving ended")
+			}
+		}()
+	}
+}
+
+func (b *Broker) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if !b.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+const (
+	unreadyFor = 2800 * time.Millisecond // the platform looks once a second and believes the second miss
+	endMargin  = 800 * time.Millisecond  // before the platform kills the process
+)
+
+// end withdraws readiness, serves on until the platform sends no more clients, and waits for what is open.
+func (b *Broker) end(s *servers) {
+	deadline := time.Now().Add(b.settings.Bounds.Grace - endMargin)
+	b.mu.Lock()
+	b.leaving = true
+	b.mu.Unlock()
+	b.gateway.Leave()
+	b.node.Leave()
+	b.logger.Info().Msg("leaving")
+	time.Sleep(min(unreadyFor, time.Until(deadline)/2))
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if s.front != nil {
+		if err := s.front.Shutdown(ctx); err != nil {
+			b.logger.Warn().Int64("open", b.gateway.InFlight()).Msg("ends with open requests")
+		}
+	}
+	b.logger.Info().Msg("broker ended")
+}
+
+// idleConns closes client connections that have been idle for longer than the configuration allows.
+type idleConns struct {
+	mu    sync.Mutex
+	since map[net.Conn]time.Time
+}
+
+func (i *idleConns) changed(c net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.since == nil {
+		i.since = map[net.Conn]time.Time{}
+	}
+	if state == http.StateIdle || state == http.StateNew {
+		i.since[c] = time.Now()
+	} else {
+		delete(i.since, c)
+	}
+}
+
+func (i *idleConns) sweep(limit time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c, since := range i.since {
+		if time.Since(since) > limit {
+			c.Close()
+			delete(i.since, c)
+		}
+	}
+}
+
+// Reload reads the settings file again. Seeds are taken up at once; the rest waits for a restart.
+func (b *Broker) Reload() {
+	s, err := settings.Load(b.path)
+	if err != nil {
+		b.logger.Error().Err(err).Msg("the settings file is not valid; nothing changes")
+		return
+	}
+	b.node.SetSeeds(s.SeedIPs())
+	b.logger.Info().Strs("seeds", s.Seeds).Msg("settings read again")
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,171 @@
+// Package upstream sends requests to service instances over HTTP/1.1 connections that it keeps open.
+//
+// It stands in the place of net/http's Transport because that sends some requests again by itself and offers no way
+// to tell an answer that belongs to an earlier request: both break the promise that a request runs at most once.
+// Here each call of Send writes one request to one connection once, and says how far it got.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gammazero/deque"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	dialTimeout      = time.Second
+	userTimeout      = 2 * time.Second // unacknowledged bytes for longer end a connection
+	keepAliveIdle    = time.Second     // silence for longer is probed,
+	keepAliveProbes  = 2               // and so many probes without an answer end a connection
+	idleDefault      = 10 * time.Second
+	idleMargin       = 700 * time.Millisecond // a connection is given up so long before its peer would
+	readBuffer       = 4 << 10
+	maxIdlePerTarget = 32
+)
+
+// Pool keeps idle connections by address. Its zero value is ready for use.
+type Pool struct {
+	mu     sync.Mutex
+	idle   map[string]*deque.Deque[*Conn]
+	Opened func() // called for each new connection; may be nil
+}
+
+// Conn is one connection to an instance. One request at a time uses it.
+type Conn struct {
+	net.Conn
+	reader  *bufio.Reader
+	address string
+	expires time.Time // it is not to be used any more
+}
+
+// get returns an idle connection, else a new one.
+func (p *Pool) get(ctx context.Context, address string) (*Conn, error) {
+	for {
+		c := p.pop(address)
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.expires) && c.quiet() {
+			return c, nil
+		}
+		c.Close()
+	}
+	return p.dial(ctx, address)
+}
+
+func (p *Pool) pop(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if list == nil || list.Len() == 0 {
+		return nil
+	}
+	return list.PopBack()
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+	if p.Opened != nil {
+		p.Opened()
+	}
+	dialer := Dialer(dialTimeout)
+	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), address: address}, nil
+}
+
+// Dialer makes connections that notice a silent peer within seconds.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveProbes},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) {
+				// Without it a connection behind a cut hangs for minutes; where it is not to be had, probes end it.
+				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
+			})
+		},
+	}
+}
+
+// put keeps a connection whose last answer was read whole.
+func (p *Pool) put(c *Conn, idle time.Duration) {
+	_ = c.SetDeadline(time.Time{})
+	c.expires = time.Now().Add(idle)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = map[string]*deque.Deque[*Conn]{}
+	}
+	list := p.idle[c.address]
+	if list == nil {
+		list = &deque.Deque[*Conn]{}
+		p.idle[c.address] = list
+	}
+	list.PushBack(c)
+	if list.Len() > maxIdlePerTarget {
+		list.PopFront().Close()
+	}
+}
+
+// Sweep closes connections that have been idle for too long. It is called now and then.
+func (p *Pool) Sweep() {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		for list.Len() > 0 && !now.Before(list.Front().expires) {
+			list.PopFront().Close()
+		}
+		if list.Len() == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
+// quiet says whether nothing has come on an idle connection: neither its end nor bytes that belong to no request.
+func (c *Conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// idleTime reads how long the peer keeps an idle connection, less a margin; 0: not at all.
+func idleTime(keepAlive string) time.Duration {
+	for field := range strings.SplitSeq(keepAlive, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		if err != nil {
+			break
+		}
+		return max(0, time.Duration(seconds)*time.Second-idleMargin)
+	}
+	return idleDefault
+}
--- /dev/null
+++ b/logic/prompt.go
@@ -0,0 +1,107 @@
+package logic
+
+import (
+	"math"
+	"slices"
+)
+
+// Requests with a prompt. A cover is the runner and at most one source that it fetches kept parts from; what
+// neither keeps is read. Its cost is the time that takes, beside the load that every cover is weighed by.
+
+const (
+	readStart  = 0.02 // ms to read a token until one has been seen
+	readLeast  = 256  // a first event after fewer tokens tells nothing of the time to read one
+	readForget = 1.01 // what was seen gives way to longer times by this for each event
+	streamLoad = 0.1  // of the work of a request that stays while its stream runs
+	fetchWorth = 1.2  // so many times longer than fetching a part must reading it take
+	awayWeighs = 0.5  // of what the shared parts take to read counts against a first copy elsewhere than home
+
+	resendExtra = 2 // dispatches beyond the limit, for those that never ran
+)
+
+// workAt is what part p costs node n: reading what it lacks, or fetching some of that first.
+func (b *Broker) workAt(p *part, n int) float64 {
+	if p.prompt == nil {
+		return p.work
+	}
+	work, _, _ := b.reading(p.prompt, n)
+	return work
+}
+
+// reading says how long node n needs for a prompt, which source it fetches from, and how many tokens it reads.
+func (b *Broker) reading(q *Prompt, n int) (work float64, source int64, tokens float64) {
+	own := q.Held[b.nodeID[n]]
+	tokens, work = q.Tokens-own, (q.Tokens-own)*b.readTime
+	for id, held := range q.Held {
+		more := held - own
+		if id == b.nodeID[n] || more <= 0 || q.Group[id] != q.Group[b.nodeID[n]] || !b.offers(q, id) {
+			continue
+		}
+		each := q.FetchTime
+		if b.zoneOf(q, id) != b.zone[n] {
+			each = q.AcrossTime
+		}
+		with := (q.Tokens-held)*b.readTime + more*each
+		if each > 0 && more*each*fetchWorth < more*b.readTime && (with < work || with == work && id < source) {
+			work, source, tokens = with, id, q.Tokens-held
+		}
+	}
+	if len(q.Home) > 0 && own < q.Shared && q.Home[0] != b.nodeID[n] {
+		work += awayWeighs * (q.Shared - own) * b.readTime
+	}
+	return work, source, tokens
+}
+
+// offers says whether kept parts may be fetched from a node or store.
+func (b *Broker) offers(q *Prompt, id int64) bool {
+	if slices.Contains(q.Stores, id) {
+		return true
+	}
+	n, known := b.index[id]
+	return known && b.state[n] != Gone && !b.poor(n)
+}
+
+// prepare settles what p costs the node that it is sent to and which source it fetches from.
+func (b *Broker) prepare(p *part, n int) (source int64) {
+	if p.prompt != nil {
+		p.work, source, p.read = b.reading(p.prompt, n)
+	}
+	return source
+}
+
+// streamBegan takes the first event of a stream: its latency counts, and the work before it is done.
+func (b *Broker) streamBegan(e *Event) {
+	p := b.parts[e.ID]
+	if p == nil || e.Dispatch >= len(p.tries) || !p.tries[e.Dispatch].open || p.tries[e.Dispatch].began {
+		return
+	}
+	d, s := &p.tries[e.Dispatch], p.scan
+	n, typ := d.node, &b.types[s.typ]
+	d.began, p.began = true, true
+	d.late, d.silent = math.Inf(1), math.Inf(1) // a stream that has begun may pause
+	b.heard[n], b.used[n], b.passed[n] = b.now, b.now, max(b.passed[n], d.at)
+	b.answers, b.newsAt = b.answers+1, b.now
+	b.sawLatency(d, s, e.Elapsed, false)
+	typ.saw(e.Elapsed, b.num("layout.callWork"))
+	if d.read >= readLeast {
+		b.readTime = min(b.readTime*readForget, e.Elapsed/d.read)
+	}
+	done := p.work * (1 - streamLoad)
+	b.outWork[n] = max(0, b.outWork[n]-done)
+	p.work -= done
+}
+
+// triesLeft says whether p may go to one more node: what may have run counts, and the rest up to a bound.
+func (b *Broker) triesLeft(p *part, t *terms) bool {
+	most := b.types[p.scan.typ].dispatches
+	if most == 0 {
+		return len(p.tries) < int(t.num("limit.dispatches"))
+	}
+	ran := 0
+	for i := range p.tries {
+		if p.tries[i].ran {
+			ran++
+		}
+	}
+	return ran < most && len(p.tries) < most+resendExtra
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -15,6 +15,7 @@
 	StreamBegan
 	PeerNote
 	VerdictHeard // what several brokers, or an operator, hold of a node: Node, Outcome, Age of the newest that it rests on
+	TermsChanged // Terms: the settings as they are now; table types keep their numbers, new ones follow
 	FurtherLeft  // Amount: further dispatches that the budget of all brokers leaves this one now
 )
 
@@ -44,6 +45,8 @@
 	Flags     int64
 	Permitted map[int64]bool // of a scan: the nodes that its parts may go to, by id; nil: all. Nobody changes it
 
+	Prompt *Prompt // of a part: what it reads before it runs; nil: nothing is known of that
+
 	Dispatch int // number of the dispatch among those of its part
 	Node     int64
 	Outcome  Outcome
@@ -57,6 +60,19 @@
 	Note []byte // what another broker told; nil if it could not be read
 }
 
+// Prompt is what a request reads before it runs, and who keeps how much of that.
+type Prompt struct {
+	Tokens     float64           // of the whole prompt
+	Shared     float64           // leading tokens that other requests may have in common with it
+	Held       map[int64]float64 // by node or store: how many of the leading tokens it keeps
+	Home       []int64           // nodes in an order that is the same at all brokers: where a first copy belongs
+	Group      map[int64]int64   // by node or store: parts are fetched within one group only (one version of weights)
+	Stores     []int64           // what may be fetched from but runs nothing
+	FetchTime  float64           // of one token from a node of the same zone
+	AcrossTime float64           // of one token from another zone
+	Zones      map[int64]int     // of the stores
+}
+
 // ListKind says how a node list is to be read.
 type ListKind int
 
@@ -128,6 +144,7 @@
 	Dispatch int
 	After    float64 // time-out of a dispatch, delay of a timer, or when a throttled client may return
 	Timer    int64
+	Source   int64 // of a dispatch: the node or store to fetch kept prompt parts from; 0: none
 	Whole    bool
 	Late     bool
 	Text     string
@@ -141,8 +158,8 @@
 	call                         *call
 	at, late, silent             float64 // when it is late, when silent
 	wait                         float64 // for how long its node may say nothing
-	load                         float64 // work outstanding at the node with it
-	open, ran, fresh             bool    // ran: it may have run
+	load, read                   float64 // work outstanding at the node with it; tokens it reads
+	open, ran, fresh, began      bool    // ran: it may have run; began: its stream has
 	slowSeen, lostSeen, lateSeen bool    // its node has been held slow, or failing, for it
 }
 
@@ -158,7 +175,9 @@
 	shard, open  int
 	nodes        []int // holders that it may go to now
 	weight, work float64
-	done         bool
+	read         float64 // tokens of its prompt that the node of the newest dispatch reads
+	prompt       *Prompt
+	done, began  bool     // began: of its stream something has arrived
 	differs      []string // kinds of difference to the watched terms that have been counted for it
 	tries        []dispatch
 }
@@ -177,6 +196,6 @@
 type tableType struct {
 	target, timeout, benefit, lateBenefit, repeatWindow, need, floor, partial float64
 	effect                                                                    string
-	fetch                                                                     int
+	fetch, dispatches                                                         int
 	mean, dev, work                                                           float64 // as seen
 }
