Latencies of prompts are compared by the work they waited for; fetching weighed by what reading holds up

Cause: a request's runner was weighed by latencies of prompts of all lengths, so a node that had read a long one was avoided. Change: a prompt's latency counts as it would have been with the mean work outstanding; reading weighs three times its time against a move.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -80,6 +80,7 @@
 		}
 		request.Prompt = c.s.describe(c.prompt, c.config.Walls(), c.tenant, c.service.Engine, candidates)
 	}
+	c.s.logger.Debug().Str("request", c.id).Str("route", c.route.Name).Str("service", service).Msg("request arrived")
 	c.s.dispatcher.arrive(c.exchange, request)
 	defer c.s.dispatcher.forget(c.exchange)
 	for {
@@ -169,6 +170,7 @@
 
 // carry does what the module wants; true: the request has ended.
 func (c *call) carry(command balance.Command) bool {
+	c.s.logger.Debug().Str("request", c.id).Int("command", int(command.Kind)).Str("instance", command.Instance).Msg("decided")
 	switch command.Kind {
 	case balance.Send:
 		c.attempt(command)
@@ -210,7 +212,10 @@
 	if response != nil {
 		response.Close()
 	}
-	c.s.dispatcher.ended(c.exchange, number, c.cause(outcome), time.Since(begun))
+	outcome = c.cause(outcome)
+	c.s.logger.Debug().Str("request", c.id).Str("instance", instance.ID).Str("source", command.Source).Int("attempt", number).
+		Int("outcome", int(outcome)).Err(err).Dur("took", time.Since(begun)).Msg("attempt ended")
+	c.s.dispatcher.ended(c.exchange, number, outcome, time.Since(begun))
 }
 
 // cause tells apart what this broker or its client broke off, which says nothing of the instance.
--- a/logic/prompt.go
+++ b/logic/prompt.go
@@ -13,7 +13,8 @@
 	readLeast  = 256  // a first event after fewer tokens tells nothing of the time to read one
 	readForget = 1.01 // what was seen gives way to longer times by this for each event
 	streamLoad = 0.1  // of the work of a request that stays while its stream runs
-	fetchWorth = 1.2  // so many times longer than fetching a part must reading it take
+	readHolds  = 3.0  // reading holds up a node's other requests, a move does not: it weighs so many times its time
+	paceLeast  = 0.25 // of the mean work that a latency is taken to have waited for at least
 	awayWeighs = 0.5  // of what the shared parts take to read counts against a first copy elsewhere than home
 
 	resendExtra = 2 // dispatches beyond the limit, for those that never ran
@@ -32,6 +33,7 @@
 func (b *Broker) reading(q *Prompt, n int) (work float64, source int64, tokens float64) {
 	own := q.Held[b.nodeID[n]]
 	tokens, work = q.Tokens-own, (q.Tokens-own)*b.readTime
+	least := work * readHolds
 	for id, held := range q.Held {
 		more := held - own
 		if id == b.nodeID[n] || more <= 0 || q.Group[id] != q.Group[b.nodeID[n]] || !b.offers(q, id) {
@@ -41,9 +43,9 @@
 		if b.zoneOf(q, id) != b.zone[n] {
 			each = q.AcrossTime
 		}
-		with := (q.Tokens-held)*b.readTime + more*each
-		if each > 0 && more*each*fetchWorth < more*b.readTime && (with < work || with == work && id < source) {
-			work, source, tokens = with, id, q.Tokens-held
+		read, move := (q.Tokens-held)*b.readTime, more*each
+		if with := read*readHolds + move; each > 0 && (with < least || with == least && id < source) {
+			least, work, source, tokens = with, read+move, id, q.Tokens-held
 		}
 	}
 	if len(q.Home) > 0 && own < q.Shared && q.Home[0] != b.nodeID[n] {
@@ -81,7 +83,7 @@
 	d.late, d.silent = math.Inf(1), math.Inf(1) // a stream that has begun may pause
 	b.heard[n], b.used[n], b.passed[n] = b.now, b.now, max(b.passed[n], d.at)
 	b.answers, b.newsAt = b.answers+1, b.now
-	b.sawLatency(d, s, e.Elapsed, false)
+	b.sawLatency(d, s, b.pace(p, d, e.Elapsed), false)
 	typ.saw(e.Elapsed, b.num("layout.callWork"))
 	if d.read >= readLeast {
 		b.readTime = min(b.readTime*readForget, e.Elapsed/d.read)
@@ -91,6 +93,15 @@
 	p.work -= done
 }
 
+// pace is a latency as it would have been with the mean work outstanding: prompts differ too much in length for
+// their latencies to tell of their nodes as they are.
+func (b *Broker) pace(p *part, d *dispatch, elapsed float64) float64 {
+	if p.prompt == nil {
+		return elapsed
+	}
+	return elapsed * b.meanWork / max(d.load, b.meanWork*paceLeast)
+}
+
 // triesLeft says whether p may go to one more node: what may have run counts, and the rest up to a bound.
 func (b *Broker) triesLeft(p *part, t *terms) bool {
 	most := b.types[p.scan.typ].dispatches
