--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -312,7 +312,7 @@
 		return
 	}
 	memory := salt(c.prompt.model, version, c.config.Walls(), c.tenant)
-	c.s.holders.with(func(t *holders.Table) { t.Read(id, memory, c.prompt.ids(), c.prompt.counts()) })
+	c.s.holders.with(func(t *holders.Table) { t.Read(id, c.prompt.keys(memory), c.prompt.counts()) })
 }
 
 // learnVersion takes the version of the weights that an answer tells.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,12 +69,14 @@
 	f(t.table)
 }
 
-// Held says how many leading tokens of a prompt an instance keeps.
-func (t *lockedTable) Held(instance, salt string, ids []string, tokens []float64) (held float64) {
-	t.with(func(table *holders.Table) { held = table.Held(instance, salt, ids, tokens) })
-	return held
+func (t *lockedTable) synced(instance string) (synced bool) {
+	t.with(func(table *holders.Table) { synced = table.Synced(instance) })
+	return synced
 }
 
+// WithHolders gives the holder table to f, alone.
+func (s *Server) WithHolders(f func(*holders.Table)) { s.holders.with(f) }
+
 // New makes the data path. onStale is called with the id of an instance whose address answers as another one.
 func New(s *settings.Settings, logger *log.Logger, seed uint64, onStale func(string)) *Server {
 	server := &Server{settings: s, logger: logger, instances: map[string]instances.Instance{}, newest: map[string]namedWeights{},
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"crypto/sha256"
+	"encoding/base64"
 	"fmt"
 	"hash/fnv"
 	"net/http"
@@ -10,6 +12,7 @@
 
 	"gullstair/internal/balance"
 	"gullstair/internal/configuration"
+	"gullstair/internal/holders"
 	"gullstair/internal/instances"
 )
 
@@ -53,14 +56,18 @@
 // shared are the parts that other requests may have in common with this one: all but the last.
 func (p *prompt) shared() []promptPart { return p.parts[:max(0, len(p.parts)-1)] }
 
+// saltBytes keeps salts short: they are told with every change of what is kept. A collision would take 2^48 memories.
+const saltBytes = 12
+
 // salt names the memory that cached parts belong to: the model, the version of its weights, the set of isolated
 // tenants, and the tenant where it is one of them. Parts are found under the same salt only.
 func salt(model string, version int64, walls uint64, tenant *configuration.Tenant) string {
-	text := fmt.Sprintf("%s/%d/%x", model, version, walls)
+	text := fmt.Sprintf("%s\x00%d\x00%x", model, version, walls)
 	if tenant != nil && tenant.Isolated {
-		text += "/" + tenant.Name
+		text += "\x00" + tenant.Name
 	}
-	return text
+	sum := sha256.Sum256([]byte(text))
+	return base64.RawURLEncoding.EncodeToString(sum[:saltBytes])
 }
 
 // placementOrder orders instances for a prompt's shared parts by rendezvous hashing: alike at all brokers, without a
@@ -122,21 +129,31 @@
 // describe tells the balancer what a request reads and who keeps how much of it.
 func (s *Server) describe(p *prompt, walls uint64, tenant *configuration.Tenant, engine *configuration.Engine,
 	candidates []instances.Instance) *balance.Prompt {
+	counts := p.counts()
 	out := &balance.Prompt{Tokens: p.tokens, Held: map[string]float64{}, Group: map[string]int64{}}
 	for _, part := range p.shared() {
 		out.Shared += part.tokens
 	}
 	for _, c := range candidates {
-		version := c.VersionOf(p.model)
-		out.Group[c.ID] = version
-		if held := s.holders.Held(c.ID, salt(p.model, version, walls, tenant), p.ids(), p.counts()); held > 0 {
-			out.Held[c.ID] = held
-		}
+		out.Group[c.ID] = c.VersionOf(p.model)
 	}
+	s.holders.with(func(t *holders.Table) {
+		keys := map[int64][]holders.Key{} // by version
+		for _, c := range candidates {
+			version := out.Group[c.ID]
+			if keys[version] == nil {
+				keys[version] = p.keys(salt(p.model, version, walls, tenant))
+			}
+			if held := t.Held(c.ID, keys[version], counts); held > 0 {
+				out.Held[c.ID] = held
+			}
+		}
+	})
 	if len(p.shared()) > 0 && len(candidates) > 0 {
 		out.Home = placementOrder(p, salt("", 0, walls, tenant), candidates)
-		home := out.Home[0]
-		out.Held[home] = max(out.Held[home], out.Shared)
+		if home := out.Home[0]; !s.holders.synced(home) { // taken to keep what belongs there
+			out.Held[home] = max(out.Held[home], out.Shared)
+		}
 	}
 	if engine != nil && engine.LinkMbps > 0 {
 		out.FetchTime = engine.TokenBytes * bitsPerByte / (engine.LinkMbps * perMs)
@@ -145,12 +162,12 @@
 	return out
 }
 
-func (p *prompt) ids() []string {
-	ids := make([]string, len(p.parts))
+func (p *prompt) keys(salt string) []holders.Key {
+	keys := make([]holders.Key, len(p.parts))
 	for i, part := range p.parts {
-		ids[i] = part.id
+		keys[i] = holders.KeyOf(salt, part.id)
 	}
-	return ids
+	return keys
 }
 
 func (p *prompt) counts() []float64 {
--- a/internal/router/roles.go
+++ b/internal/router/roles.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -213,13 +212,12 @@
 func (r *roles) send(ctx context.Context, i instances.Instance, method, target string, body []byte) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	id := fmt.Sprintf("%016x", time.Now().UnixNano())
-	header := http.Header{"X-Expect-Instance": {i.ID}, upstream.RequestID: {id}}
+	header := http.Header{"X-Expect-Instance": {i.ID}}
 	if body != nil {
 		header.Set("Content-Type", "application/json")
 	}
 	response, _, err := r.pool.Send(ctx, i.Address, &upstream.Request{Method: method, Target: target, Host: i.Address, Header: header,
-		Body: bytes.Clone(body), ID: id})
+		Body: bytes.Clone(body)})
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,7 @@
 	"gullstair/internal/dissemination"
 	"gullstair/internal/gateway"
 	"gullstair/internal/instances"
+	"gullstair/internal/kvindex"
 	"gullstair/internal/operatorapi"
 	"gullstair/internal/register"
 	"gullstair/internal/rollout"
@@ -52,6 +53,7 @@
 	pending  *register.Known // newest value, while it may not be trusted yet
 	leaving  bool
 	roles    *roles
+	index    *kvindex.Index
 	idle     idleConns
 }
 
@@ -66,6 +68,7 @@
 	b.node = node
 	b.gateway = gateway.New(s, logger, seedOf(s.NodeName), b.staleInstance)
 	b.roles = newRoles(b)
+	b.index = kvindex.New(b.gateway.WithHolders)
 	node.OnRecord(b.takeRecord)
 	return b, nil
 }
@@ -112,12 +115,30 @@
 			b.gateway.SetBrokers(members)
 		}
 		b.expire()
+		b.index.SetTargets(ctx, b.polled())
 		if c := b.gateway.Configuration(); c != nil {
 			b.idle.sweep(c.Limits.IdleTimeout)
 		}
 	}
 }
 
+// polled are the instances and stores that this broker polls for what they keep.
+func (b *Broker) polled() []kvindex.Target {
+	c := b.gateway.Configuration()
+	if c == nil {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var targets []kvindex.Target
+	for _, i := range b.registry.All() {
+		if service := c.Services[i.Service]; service != nil && service.Engine != nil {
+			targets = append(targets, kvindex.Target{ID: i.ID, Name: i.ID, Address: i.Address})
+		}
+	}
+	return targets
+}
+
 func (b *Broker) expire() {
 	b.mu.Lock()
 	forgotten, changed := b.registry.Expire(time.Now())
