Quick recovery: a copy of the instances on disk, quick first exchanges, requests wait for the first configuration

Cause: after all processes were killed the brokers refused requests until a value in doubt was settled (0.55 s) and heartbeats had come (1.2 s); seen in the logs of the closing fault. Change: a restarted replica looks whether its value is chosen, at once; six exchanges 50 ms apart after a start; instances kept in two slots on disk; a request waits up to 0.6 s for the first configuration.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -33,6 +33,8 @@
 	registerKey = "control"
 
 	exchangeEvery  = 300 * time.Millisecond // between reconciliations with one random peer
+	firstExchanges = 6                      // after a start,
+	firstSpacing   = 50 * time.Millisecond  // follow each other so
 	pushDelay      = 3 * time.Millisecond   // what is new in this time is pushed together
 	pushFanout     = 4                      // peers that a new record is pushed to
 	callTimeout    = 600 * time.Millisecond
@@ -123,13 +125,22 @@
 			n.logger.Error().Err(err).Msg("serving peers ended")
 		}
 	}()
-	go n.every(ctx, exchangeEvery, n.exchange)
+	go n.exchanges(ctx)
 	go n.beats(ctx)
 	go n.keepRegister(ctx)
 	<-ctx.Done()
 	n.listener.Close()
 }
 
+// exchanges reconciles with one peer after another, at first in quick succession.
+func (n *Node) exchanges(ctx context.Context) {
+	for range firstExchanges {
+		n.exchange(ctx)
+		time.Sleep(firstSpacing)
+	}
+	n.every(ctx, exchangeEvery, n.exchange)
+}
+
 // every calls f again and again, at intervals that vary by a fifth.
 func (n *Node) every(ctx context.Context, interval time.Duration, f func(context.Context)) {
 	for {
--- a/internal/cluster/rounds.go
+++ b/internal/cluster/rounds.go
@@ -20,6 +20,8 @@
 	joinPatience   = 2500 * time.Millisecond // a newcomer waits so long for a lost replica whose place it can take
 	removeAfter    = 5 * time.Second         // a replica that nobody has reached for so long is taken out
 	leastToRemove  = 4                       // of as many replicas one may be taken out
+	settleTries    = 10                      // looks at the value on the disk after a restart,
+	settleSpacing  = 25 * time.Millisecond   // and what lies between two of them at least
 	spreadDeadline = 400 * time.Millisecond  // how long the proposer waits for a chosen value to be known to all
 )
 
@@ -195,6 +197,7 @@
 	} else if n.settings.Bootstrap {
 		go n.found(ctx)
 	}
+	n.settleFirst(ctx)
 	n.every(ctx, keepEvery, func(ctx context.Context) {
 		n.settleDoubt(ctx)
 		n.keepMembers(ctx)
@@ -210,6 +213,21 @@
 	}
 }
 
+// settleFirst finds out soon after a restart whether the value on the disk is chosen.
+func (n *Node) settleFirst(ctx context.Context) {
+	for range settleTries {
+		accepted := n.replica.accepted()
+		if len(accepted.Value.Members.Sets) == 0 || ctx.Err() != nil || n.founded() {
+			return
+		}
+		if n.look(ctx, accepted, (*register.Look).Chosen).Chosen() {
+			n.publishKnown(accepted)
+			return
+		}
+		time.Sleep(settleSpacing + time.Duration(rand.Int64N(int64(settleSpacing))))
+	}
+}
+
 // settleDoubt chooses the value that this replica accepted, if nobody has said for a while that it is chosen.
 func (n *Node) settleDoubt(ctx context.Context) {
 	accepted := n.replica.accepted()
@@ -239,25 +257,31 @@
 	if len(known.Value.Members.Sets) == 0 {
 		return false
 	}
+	look := n.look(ctx, known, (*register.Look).Done)
+	return look.Done() && look.Current()
+}
+
+// look asks the replicas what they hold until that is enough, or none is left to answer.
+func (n *Node) look(ctx context.Context, known register.Known, enough func(*register.Look) bool) *register.Look {
 	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
 	defer cancel()
-	look := register.NewLook(known.Value)
-	answers := make(chan answer, 64)
-	asked := look.Inspections(known.Ballot)
+	look := register.NewLook(known)
+	asked := look.Inspections()
+	answers := make(chan answer, len(asked))
 	for _, m := range asked {
 		go n.ask(ctx, peerlink.Message{Prepare: &m}, m.To, answers)
 	}
 	for range asked {
 		select {
 		case <-ctx.Done():
-			return false
+			return look
 		case a := <-answers:
-			if look.Take(*a.promise); look.Done() {
-				return look.Current()
+			if look.Take(*a.promise); enough(look) {
+				return look
 			}
 		}
 	}
-	return false
+	return look
 }
 
 // keepMembers finishes a change of the members, has this replica join them, and takes out one that is lost.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -100,8 +100,7 @@
 	if c.s.leaving.Load() {
 		c.w.Header().Set("Connection", "close")
 	}
-	c.config = c.s.config.Load()
-	if c.config == nil {
+	if c.config = c.s.awaitConfiguration(c.r.Context()); c.config == nil {
 		c.refuse(notReadyRetry)
 		return false
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,8 @@
 
 const (
 	notReadyRetry = 300 * time.Millisecond // when a client may come back to a broker without a configuration
+	startWait     = 600 * time.Millisecond // for the first configuration after a start
+	startLook     = 20 * time.Millisecond
 	refusedRetry  = 150.0                  // ms; the longest that a refused client is told to wait
 	slackShare    = 0.6                    // of the retry budget's fixed part that the brokers use together
 	ratioShare    = 0.8                    // of the retry budget's ratio
@@ -107,6 +109,18 @@
 	s.config.Store(c)
 }
 
+// awaitConfiguration returns the configuration in force. A broker that has just started waits a little for its first:
+// clients come back later than that.
+func (s *Server) awaitConfiguration(ctx context.Context) *configuration.Configuration {
+	deadline := time.Now().Add(startWait)
+	for {
+		if c := s.config.Load(); c != nil || ctx.Err() != nil || time.Now().After(deadline) {
+			return c
+		}
+		time.Sleep(startLook)
+	}
+}
+
 // Configuration is the one in force; nil: none yet.
 func (s *Server) Configuration() *configuration.Configuration { return s.config.Load() }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	"gullstair/internal/register"
 	"gullstair/internal/rollout"
 	"gullstair/internal/settings"
+	"gullstair/internal/slots"
 )
 
 const (
@@ -54,6 +55,8 @@
 	leaving  bool
 	roles    *roles
 	index    *kvindex.Index
+	snapshot *slots.Store // of the instances; nil on a machine without a disk
+	unsaved  bool
 	idle     idleConns
 }
 
@@ -92,6 +95,8 @@
 	go b.trust(running)
 	go b.tick(running)
 	go b.roles.run(running)
+	b.restoreInstances()
+	go b.saveInstances(running)
 	servers.serve(b.logger)
 	b.logger.Info().Str("node", b.settings.NodeName).Str("zone", b.settings.Zone).Msg("broker started")
 	<-ctx.Done()
@@ -176,7 +181,10 @@
 }
 
 // tellInstances tells the data path of all instances, as heartbeats and roll-outs have it; b.mu is held.
-func (b *Broker) tellInstances() { b.gateway.SetInstances(b.effective()) }
+func (b *Broker) tellInstances() {
+	b.unsaved = true
+	b.gateway.SetInstances(b.effective())
+}
 
 // effective are the instances with the versions that roll-outs have brought them to. One that loads new weights takes
 // no requests, as one that drains.
