--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -8,6 +8,7 @@
 
 import (
 	"container/heap"
+	"hash/fnv"
 	"maps"
 	"math"
 	"slices"
@@ -79,6 +80,7 @@
 	BudgetWindow float64 // ms
 	BudgetRatio  float64
 	BudgetSlack  float64 // of this broker's share
+	Notes        bool    // brokers tell each other of the work that they send
 	RetryAfter   float64 // ms; the longest that a refused client is told to wait
 }
 
@@ -101,6 +103,7 @@
 	numbers   map[string]int64 // instances and stores, by id
 	ids       map[int64]string
 	instances []Instance
+	notes     [][]byte // for the other brokers
 }
 
 // typeKey tells routes apart as far as the module's figures of them go.
@@ -246,6 +249,18 @@
 	delete(b.scans, request)
 }
 
+// Heard takes what another broker told.
+func (b *Balancer) Heard(now float64, note []byte) []Command {
+	return b.step(now, logic.Event{Kind: logic.PeerNote, Note: note})
+}
+
+// Notes returns what the other brokers are to be told, once.
+func (b *Balancer) Notes() [][]byte {
+	notes := b.notes
+	b.notes = nil
+	return notes
+}
+
 // Due is the moment at which Advance is wanted; +Inf if there is none.
 func (b *Balancer) Due() float64 {
 	if len(b.timers) == 0 {
@@ -286,6 +301,8 @@
 			commands = append(commands, Command{Kind: Refuse, Request: a.ID, After: a.After})
 		case logic.Abandon:
 			commands = append(commands, Command{Kind: Fail, Request: a.ID})
+		case logic.Tell:
+			b.notes = append(b.notes, a.Note)
 		case logic.SetTimer:
 			heap.Push(&b.timers, timer{at: b.now + a.After, number: a.Timer})
 		}
@@ -305,10 +322,13 @@
 	return n
 }
 
+// number is an instance's number, made of its id: brokers tell each other of instances by it.
 func (b *Balancer) number(id string) int64 {
 	n, known := b.numbers[id]
 	if !known {
-		n = int64(len(b.numbers) + 1)
+		h := fnv.New64a()
+		h.Write([]byte(id))
+		n = int64(h.Sum64()>>1) | 1
 		b.numbers[id], b.ids[n] = n, id
 	}
 	return n
--- a/internal/balance/terms.go
+++ b/internal/balance/terms.go
@@ -26,6 +26,7 @@
 		"zone":                  float64(b.zoneNumber(b.fleet.Zone)),
 		"limit.dispatches":      1.0,
 		"limit.cancelling":      true,
+		"limit.peers":           b.fleet.Notes,
 		"limit.maxRetryAfter":   b.fleet.RetryAfter,
 		"tableType.count":       float64(len(b.types)),
 	}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -64,6 +64,8 @@
 	logger   *log.Logger
 	client   *peerlink.Client
 	listener net.Listener
+	notes    *net.UDPConn
+	onNote   func([]byte)
 	random   *rand.Rand
 
 	mu        sync.Mutex
@@ -112,7 +114,7 @@
 		return nil, err
 	}
 	n.listener = listener
-	return n, nil
+	return n, n.openNotes()
 }
 
 // OnRecord has f called for each record that is new here, of whatever origin. It is called before Run.
@@ -126,6 +128,7 @@
 		}
 	}()
 	go n.exchanges(ctx)
+	go n.takeNotes(ctx)
 	go n.beats(ctx)
 	go n.keepRegister(ctx)
 	<-ctx.Done()
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -19,8 +19,17 @@
 	open     map[int64]*exchange
 	timer    *time.Timer
 	timerAt  float64
+	tell     func([]byte) // sends a note to the other brokers
+	unsent   []byte
+	flushing bool
 }
 
+// noteDelay is how long notes wait for others to go with them; mostNote is the most bytes that go together.
+const (
+	noteDelay = 4 * time.Millisecond
+	mostNote  = 255
+)
+
 func newDispatcher(seed uint64, fleet balance.Fleet) *dispatcher {
 	d := &dispatcher{balancer: balance.New(seed, fleet), start: time.Now(), open: map[int64]*exchange{}, timerAt: math.Inf(1)}
 	d.timer = time.AfterFunc(time.Hour, d.advance)
@@ -37,6 +46,9 @@
 			x.deliver(c)
 		}
 	}
+	for _, note := range d.balancer.Notes() {
+		d.queue(note)
+	}
 	due := d.balancer.Due()
 	if due != d.timerAt && !math.IsInf(due, 1) {
 		d.timerAt = due
@@ -44,6 +56,39 @@
 	}
 }
 
+// queue has a note sent soon; d.mu is held.
+func (d *dispatcher) queue(note []byte) {
+	if len(d.unsent)+len(note) > mostNote {
+		d.send()
+	}
+	d.unsent = append(d.unsent, note...)
+	if !d.flushing {
+		d.flushing = true
+		time.AfterFunc(noteDelay, d.flush)
+	}
+}
+
+func (d *dispatcher) flush() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.flushing = false
+	d.send()
+}
+
+func (d *dispatcher) send() {
+	if len(d.unsent) > 0 && d.tell != nil {
+		d.tell(d.unsent)
+	}
+	d.unsent = nil
+}
+
+// heard takes a note of another broker.
+func (d *dispatcher) heard(note []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.carry(d.balancer.Heard(d.now(), note))
+}
+
 func (d *dispatcher) advance() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,9 +24,9 @@
 	notReadyRetry = 300 * time.Millisecond // when a client may come back to a broker without a configuration
 	startWait     = 600 * time.Millisecond // for the first configuration after a start
 	startLook     = 20 * time.Millisecond
-	refusedRetry  = 150.0                  // ms; the longest that a refused client is told to wait
-	slackShare    = 0.6                    // of the retry budget's fixed part that the brokers use together
-	ratioShare    = 0.8                    // of the retry budget's ratio
+	refusedRetry  = 150.0 // ms; the longest that a refused client is told to wait
+	slackShare    = 0.6   // of the retry budget's fixed part that the brokers use together
+	ratioShare    = 0.8   // of the retry budget's ratio
 	// versionMargin is how long before the bound on old weights requests stop going to them.
 	versionMargin = 1500 * time.Millisecond
 )
@@ -96,10 +96,17 @@
 		BudgetWindow: float64(b.BudgetWindow / time.Millisecond),
 		BudgetRatio:  b.RetryBudgetRatio * ratioShare,
 		BudgetSlack:  b.RetryBudgetSlack * slackShare / float64(max(1, brokers)),
+		Notes:        true,
 		RetryAfter:   refusedRetry,
 	}
 }
 
+// SetTell has notes for the other brokers sent by f.
+func (s *Server) SetTell(f func([]byte)) { s.dispatcher.tell = f }
+
+// Heard takes a note of another broker.
+func (s *Server) Heard(note []byte) { s.dispatcher.heard(note) }
+
 // SetBrokers tells how many brokers are alive: they share the retry budget.
 func (s *Server) SetBrokers(n int) { s.dispatcher.setFleet(s.fleet(n)) }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -73,6 +73,8 @@
 	b.roles = newRoles(b)
 	b.index = kvindex.New(b.gateway.WithHolders)
 	node.OnRecord(b.takeRecord)
+	node.OnNote(b.gateway.Heard)
+	b.gateway.SetTell(node.Tell)
 	return b, nil
 }
 
