--- a/internal/balance/terms.go
+++ b/internal/balance/terms.go
@@ -24,6 +24,7 @@
 		"layout.batch":          1.0,
 		"brokers":               max(1, b.fleet.Brokers),
 		"zone":                  float64(b.zoneNumber(b.fleet.Zone)),
+		"prices.zonesUntold":    true,
 		"limit.dispatches":      1.0,
 		"limit.cancelling":      true,
 		"limit.peers":           b.fleet.Notes,
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -65,7 +65,7 @@
 	client   *peerlink.Client
 	listener net.Listener
 	notes    *net.UDPConn
-	onNote   func([]byte)
+	onNote   map[NoteKind]func([]byte)
 	random   *rand.Rand
 
 	mu        sync.Mutex
@@ -95,7 +95,7 @@
 func New(s *settings.Settings, logger *log.Logger) (*Node, error) {
 	n := &Node{settings: s, logger: logger, client: peerlink.NewClient(), store: dissemination.New(), heard: map[string]time.Time{},
 		proposer: rand.Uint64() | 1, started: time.Now(), changed: make(chan struct{}), seeds: s.SeedIPs(),
-		unheard: map[string]time.Time{}}
+		unheard: map[string]time.Time{}, onNote: map[NoteKind]func([]byte){}}
 	n.random = rand.New(rand.NewPCG(n.proposer, 1))
 	n.view = peers.New(s.IP, n.proposer)
 	n.epoch = uint64(time.Now().UnixNano())
@@ -117,6 +117,9 @@
 	return n, n.openNotes()
 }
 
+// Incarnation tells this process from earlier ones of the same broker.
+func (n *Node) Incarnation() uint64 { return n.proposer }
+
 // OnRecord has f called for each record that is new here, of whatever origin. It is called before Run.
 func (n *Node) OnRecord(f func(dissemination.Record)) { n.onRecord = append(n.onRecord, f) }
 
--- a/internal/cluster/notes.go
+++ b/internal/cluster/notes.go
@@ -9,10 +9,22 @@
 
 // Notes are datagrams that brokers send each other about the work in hand. They may be lost; nothing rests on one.
 
-const mostNote = 1 << 10
+// mostNote is the most bytes of one datagram.
+const mostNote = 1 << 11
 
-// OnNote has f called for each note of another broker. It is called before Run.
-func (n *Node) OnNote(f func([]byte)) { n.onNote = f }
+// NoteKind says what a datagram is about.
+type NoteKind byte
+
+const (
+	WorkNote NoteKind = 'w' // work that was sent, and outcomes
+	KeptNote NoteKind = 'k' // what an instance keeps
+)
+
+// wideFleet is the number of brokers from which on notes of work go to the broker's own zone alone.
+const wideFleet = 16
+
+// OnNote has f called for each note of a kind from another broker. It is called before Run.
+func (n *Node) OnNote(kind NoteKind, f func([]byte)) { n.onNote[kind] = f }
 
 // openNotes binds the address for notes.
 func (n *Node) openNotes() error {
@@ -33,21 +45,35 @@
 	buffer := make([]byte, mostNote)
 	for ctx.Err() == nil {
 		size, _, err := n.notes.ReadFromUDPAddrPort(buffer)
-		if err == nil && n.onNote != nil {
-			n.onNote(append([]byte(nil), buffer[:size]...))
+		if err != nil || size == 0 {
+			continue
+		}
+		if f := n.onNote[NoteKind(buffer[0])]; f != nil {
+			f(append([]byte(nil), buffer[1:size]...))
 		}
 	}
 }
 
-// Tell sends a note to all brokers that are alive.
-func (n *Node) Tell(note []byte) {
-	for _, member := range n.Members() {
-		if member.IP == n.self.IP {
+// TellWork sends a note of work to the other brokers: to all in a small fleet, else to those of the same zone.
+func (n *Node) TellWork(note []byte) {
+	members := n.Members()
+	n.tell(WorkNote, note, members, func(m Member) bool { return len(members) <= wideFleet || m.Zone == n.self.Zone })
+}
+
+// TellKept sends a note of what an instance keeps to the brokers outside a zone.
+func (n *Node) TellKept(note []byte, zone string) {
+	n.tell(KeptNote, note, n.Members(), func(m Member) bool { return m.Zone != zone })
+}
+
+func (n *Node) tell(kind NoteKind, note []byte, members []Member, to func(Member) bool) {
+	datagram := append([]byte{byte(kind)}, note...)
+	for _, member := range members {
+		if member.IP == n.self.IP || !to(member) {
 			continue
 		}
 		address, err := netip.ParseAddrPort(net.JoinHostPort(member.IP, strconv.Itoa(n.settings.PortFirst)))
 		if err == nil {
-			_, _ = n.notes.WriteToUDPAddrPort(note, address) // a note may be lost
+			_, _ = n.notes.WriteToUDPAddrPort(datagram, address) // a note may be lost
 		}
 	}
 }
--- a/internal/holders/holders.go
+++ b/internal/holders/holders.go
@@ -5,7 +5,6 @@
 
 import (
 	"hash/fnv"
-	"slices"
 )
 
 const (
@@ -88,6 +87,21 @@
 	}
 }
 
+// Told returns what an instance told that it keeps; false: that is not known whole.
+func (t *Table) Told(instance string) (held map[Key]float64, synced bool) {
+	k := t.instances[instance]
+	if k == nil || !k.synced {
+		return nil, false
+	}
+	held = make(map[Key]float64, len(k.parts))
+	for key, p := range k.parts {
+		if p.told {
+			held[key] = p.tokens
+		}
+	}
+	return held, true
+}
+
 // Position says up to where an instance's changes are in the table; false: the whole list is needed.
 func (t *Table) Position(instance string) (epoch, token uint64, synced bool) {
 	k := t.instances[instance]
@@ -143,21 +157,6 @@
 	}
 }
 
-// Dump returns the whole of what an instance keeps, as it told; false: it is not known whole.
-func (t *Table) Dump(instance string) (epoch, token uint64, held []Change, synced bool) {
-	k := t.instances[instance]
-	if k == nil || !k.synced {
-		return 0, 0, nil, false
-	}
-	for key, p := range k.parts {
-		if p.told {
-			held = append(held, Change{key, p.tokens})
-		}
-	}
-	slices.SortFunc(held, func(a, b Change) int { return int(int64(a.Key>>1) - int64(b.Key>>1)) })
-	return k.epoch, k.token, held, true
-}
-
 // Held is how many leading tokens of a prompt an instance keeps: a part counts if all before it are kept whole.
 func (t *Table) Held(instance string, keys []Key, tokens []float64) float64 {
 	k := t.instances[instance]
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,6 +55,7 @@
 	leaving  bool
 	roles    *roles
 	index    *kvindex.Index
+	sharing  *kvindex.Sharing
 	snapshot *slots.Store // of the instances; nil on a machine without a disk
 	unsaved  bool
 	idle     idleConns
@@ -73,8 +74,10 @@
 	b.roles = newRoles(b)
 	b.index = kvindex.New(b.gateway.WithHolders)
 	node.OnRecord(b.takeRecord)
-	node.OnNote(b.gateway.Heard)
-	b.gateway.SetTell(node.Tell)
+	node.OnNote(cluster.WorkNote, b.gateway.Heard)
+	node.OnNote(cluster.KeptNote, b.takeKept)
+	b.gateway.SetTell(node.TellWork)
+	b.sharing = kvindex.NewSharing(node.Incarnation(), b.gateway.WithHolders)
 	return b, nil
 }
 
@@ -111,7 +114,7 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	last := 0
-	for round := 0; ; round++ {
+	for {
 		select {
 		case <-ctx.Done():
 			return
@@ -122,30 +125,13 @@
 			b.gateway.SetBrokers(members)
 		}
 		b.expire()
-		b.index.SetTargets(ctx, b.polled())
+		b.stepIndex(ctx)
 		if c := b.gateway.Configuration(); c != nil {
 			b.idle.sweep(c.Limits.IdleTimeout)
 		}
 	}
 }
 
-// polled are the instances and stores that this broker polls for what they keep.
-func (b *Broker) polled() []kvindex.Target {
-	c := b.gateway.Configuration()
-	if c == nil {
-		return nil
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var targets []kvindex.Target
-	for _, i := range b.registry.All() {
-		if service := c.Services[i.Service]; service != nil && service.Engine != nil {
-			targets = append(targets, kvindex.Target{ID: i.ID, Name: i.ID, Address: i.Address})
-		}
-	}
-	return targets
-}
-
 func (b *Broker) expire() {
 	b.mu.Lock()
 	forgotten, changed := b.registry.Expire(time.Now())
--- a/logic/cover.go
+++ b/logic/cover.go
@@ -41,7 +41,7 @@
 					load[n], count[n] = b.load(n), c.parts
 				}
 				if b.zone[n] != int(b.num("zone")) {
-					away[n] = b.num("prices.crossZone") * b.types[s.typ].target
+					away[n] = b.zonePrice() * b.types[s.typ].target
 				}
 			}
 			cost := load[n] * weight[n]
--- a/logic/prompt.go
+++ b/logic/prompt.go
@@ -13,11 +13,12 @@
 	readLeast  = 256  // a first event after fewer tokens tells nothing of the time to read one
 	readForget = 1.01 // what was seen gives way to longer times by this for each event
 	streamLoad = 0.1  // of the work of a request that stays while its stream runs
-	readHolds  = 3.0  // reading holds up a node's other requests, a move does not: it weighs so many times its time
+	readHolds  = 3.0  // reading holds up a node's other requests, a move does not: it weighs that much more
 	paceLeast  = 0.25 // of the mean work that a latency is taken to have waited for at least
 	awayWeighs = 0.5  // of what the shared parts take to read counts against a first copy elsewhere than home
 
-	resendExtra = 2 // dispatches beyond the limit, for those that never ran
+	zoneWeighs  = 0.07 // of the target time that a call to another zone weighs, at a price that is not told
+	resendExtra = 2    // dispatches beyond the limit, for those that never ran
 )
 
 // workAt is what part p costs node n: reading what it lacks, or fetching some of that first.
@@ -29,7 +30,7 @@
 	return work
 }
 
-// reading says how long node n needs for a prompt, which source it fetches from, and how many tokens it reads.
+// reading says how long node n needs for a prompt, its source, and how many tokens it reads.
 func (b *Broker) reading(q *Prompt, n int) (work float64, source int64, tokens float64) {
 	own := q.Held[b.nodeID[n]]
 	tokens, work = q.Tokens-own, (q.Tokens-own)*b.readTime
@@ -93,8 +94,8 @@
 	p.work -= done
 }
 
-// pace is a latency as it would have been with the mean work outstanding: prompts differ too much in length for
-// their latencies to tell of their nodes as they are.
+// pace is a latency as it would have been with the mean work outstanding: prompts differ too much in length
+// for their latencies to tell of their nodes as they are.
 func (b *Broker) pace(p *part, d *dispatch, elapsed float64) float64 {
 	if p.prompt == nil {
 		return elapsed
@@ -102,6 +103,14 @@
 	return elapsed * b.meanWork / max(d.load, b.meanWork*paceLeast)
 }
 
+// zonePrice is what a call to another zone weighs, as a share of the target time.
+func (b *Broker) zonePrice() float64 {
+	if b.flag("prices.zonesUntold") {
+		return zoneWeighs
+	}
+	return b.num("prices.crossZone")
+}
+
 // triesLeft says whether p may go to one more node: what may have run counts, and the rest up to a bound.
 func (b *Broker) triesLeft(p *part, t *terms) bool {
 	most := b.types[p.scan.typ].dispatches
