--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,7 +28,7 @@
 	slackShare    = 0.6   // of the retry budget's fixed part that the brokers use together
 	ratioShare    = 0.8   // of the retry budget's ratio
 	// versionMargin is how long before the bound on old weights requests stop going to them.
-	versionMargin = 1500 * time.Millisecond
+	versionMargin = 900 * time.Millisecond
 )
 
 // Server is the data path of one broker.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -88,18 +88,18 @@
 	}
 }
 
-// Due says whether to acquire or renew the lease now.
-func (l *Lease) Due(now time.Time, live []string) bool {
+// Due says whether to acquire or renew the lease now. work is when there came to be something to do in the role.
+func (l *Lease) Due(now, work time.Time, live []string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.tried) < tryEvery || !l.due(now, live) {
+	if now.Sub(l.tried) < tryEvery || !l.due(now, work, live) {
 		return false
 	}
 	l.tried = now
 	return true
 }
 
-func (l *Lease) due(now time.Time, live []string) bool {
+func (l *Lease) due(now, work time.Time, live []string) bool {
 	holder := l.seen.Holder
 	if holder == l.Self && l.held == l.seen && l.held.Token > 0 {
 		return now.Sub(l.begun) >= renewAfter
@@ -108,16 +108,25 @@
 		// An earlier process of this broker held it; it may have acted until it ended.
 		return Owner(l.Role, live) == l.Self
 	}
-	if slices.Contains(live, holder) && now.Sub(l.since) < l.wait(true) {
-		return false // its holder lives and goes on
+	others := slices.DeleteFunc(slices.Clone(live), func(name string) bool { return name == holder })
+	if Owner(l.Role, others) != l.Self {
+		return false
+	}
+	if holder == "" {
+		return true
+	}
+	idle := now.Sub(l.since)
+	if slices.Contains(live, holder) {
+		idle = min(idle, now.Sub(work)) // while there was nothing to do its holder had no reason to renew it
 	}
-	return Owner(l.Role, live) == l.Self && (holder == "" || now.Sub(l.since) >= l.wait(slices.Contains(live, holder)))
+	return idle >= l.wait()
 }
 
-// wait is how long a lease must have stood unchanged before another broker takes it. Where instances check fences the
-// turns of a holder that is gone do not count.
-func (l *Lease) wait(lives bool) time.Duration {
-	if l.fencing && !lives {
+// wait is how long a lease must have stood unchanged, with work to do, before another broker takes it. A holder that
+// reaches a majority of the register renews it sooner. Where instances check fences, what one that does not reach it
+// still sends does no harm; else its turn must be over by the bound.
+func (l *Lease) wait() time.Duration {
+	if l.fencing {
 		return holdFor + slack
 	}
 	return holdFor + l.bound + slack
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -16,11 +16,13 @@
 const RecordKind = 'v'
 
 const (
-	partAtOnce  = 6                      // one instance in so many loads at a time: loads slow each other down
-	firstLook   = 350 * time.Millisecond // an instance is asked so long after it took an order whether it is done,
-	lookEvery   = 150 * time.Millisecond // and then as often
-	giveUpAfter = 8 * time.Second        // an order that is not done by then is sent anew
-	retryAfter  = 300 * time.Millisecond // an instance that did not take an order is ordered again
+	partAtOnce  = 6                       // one instance in so many loads at a time: loads slow each other down
+	firstLook   = 350 * time.Millisecond  // an instance is asked so long after it took an order whether it is done,
+	lookEvery   = 150 * time.Millisecond  // and then as often
+	giveUpAfter = 8 * time.Second         // an order that is not done by then is sent anew
+	hurryAfter  = 2500 * time.Millisecond // after so long more load at a time,
+	hurryEvery  = 500 * time.Millisecond  // and more again each time so much has passed
+	retryAfter  = 300 * time.Millisecond  // an instance that did not take an order is ordered again
 )
 
 // Progress is what the fleet is told of one instance.
@@ -73,11 +75,12 @@
 	return out
 }
 
-// Plan returns the instances to be ordered now and those to be asked whether they are done.
-func (p *Planner) Plan(now time.Time, all []instances.Instance, version int64) (order, look []instances.Instance) {
+// Plan returns the instances to be ordered now and those to be asked whether they are done. since is when the version
+// was named: the longer ago that is, the more load at a time.
+func (p *Planner) Plan(now, since time.Time, all []instances.Instance, version int64) (order, look []instances.Instance) {
 	lagging := Lagging(all, p.model, version)
 	p.clean(now, lagging, version)
-	most := max(1, (p.running(all)+partAtOnce-1)/partAtOnce)
+	most := mostAtOnce(p.running(all), now.Sub(since))
 	slices.SortStableFunc(lagging, func(a, b instances.Instance) int { return cmp.Compare(a.State, b.State) }) // the draining last
 	for _, i := range lagging {
 		f := p.flights[i.ID]
@@ -93,6 +96,15 @@
 	return order, look
 }
 
+// mostAtOnce is how many of n instances load at a time.
+func mostAtOnce(n int, elapsed time.Duration) int {
+	part := partAtOnce
+	for limit := hurryAfter; elapsed > limit && part > 1; limit += hurryEvery {
+		part--
+	}
+	return max(1, (n+part-1)/part)
+}
+
 // running is the number of instances that run the model.
 func (p *Planner) running(all []instances.Instance) int {
 	n := 0
--- a/internal/router/roles.go
+++ b/internal/router/roles.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,11 +33,12 @@
 	leases   map[string]*ownership.Lease
 	pool     upstream.Pool
 	results  chan func(time.Time)
+	since    map[string]time.Time // when a version was learned of, by model and version
 }
 
 func newRoles(b *Broker) *roles {
 	return &roles{b: b, woken: make(chan struct{}, 1), planners: map[string]*rollout.Planner{}, leases: map[string]*ownership.Lease{},
-		results: make(chan func(time.Time), 256)}
+		results: make(chan func(time.Time), 256), since: map[string]time.Time{}}
 }
 
 // wake has the roles looked at now.
@@ -87,7 +89,7 @@
 	for _, member := range r.b.node.Members() {
 		live = append(live, member.Name)
 	}
-	if lease.Due(time.Now(), live) {
+	if lease.Due(time.Now(), r.workSince(model, version), live) {
 		r.acquire(ctx, lease, state.Leases[role])
 	}
 	if !lease.Held(time.Now()) {
@@ -98,7 +100,7 @@
 		planner = rollout.New(model)
 		r.planners[model] = planner
 	}
-	order, look := planner.Plan(time.Now(), all, version)
+	order, look := planner.Plan(time.Now(), r.workSince(model, version), all, version)
 	for _, i := range order {
 		r.publish(rollout.Progress{ID: i.ID, Model: model, Version: version, Loading: true})
 		go r.order(ctx, planner, lease, i, model, version)
@@ -108,6 +110,15 @@
 	}
 }
 
+// workSince is when this broker learned of a version.
+func (r *roles) workSince(model string, version int64) time.Time {
+	key := model + "/" + strconv.FormatInt(version, 10)
+	if r.since[key].IsZero() {
+		r.since[key] = time.Now()
+	}
+	return r.since[key]
+}
+
 // lease is this broker's view of a role's lease.
 func (r *roles) lease(role string) *ownership.Lease {
 	lease := r.leases[role]
