--- a/cmd/gullstair/fleet.go
+++ b/cmd/gullstair/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/integrii/flaggy"
 	"github.com/phuslu/log"
 
+	"gullstair/internal/cluster"
 	"gullstair/internal/configuration"
 	"gullstair/internal/router"
 	"gullstair/internal/settings"
@@ -88,7 +89,7 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * bytesPerMB))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	broker, err := router.New(s, path, logger)
+	broker, err := router.New(s, path, logger, cluster.Machine())
 	if err != nil {
 		return err
 	}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -16,6 +16,8 @@
 	"github.com/phuslu/log"
 
 	"gullstair/internal/dissemination"
+	"gullstair/internal/journalfile"
+	"gullstair/internal/netio"
 	"gullstair/internal/peerlink"
 	"gullstair/internal/peers"
 	"gullstair/internal/register"
@@ -58,13 +60,24 @@
 	Leaving bool
 }
 
+// Environment is the machine that a broker runs on: its network and its disk.
+type Environment struct {
+	Network  netio.Network
+	OpenDisk func(path string) (journalfile.Disk, error)
+}
+
+// Machine is the real machine.
+func Machine() Environment { return Environment{Network: netio.Host{}, OpenDisk: journalfile.Dir} }
+
 // Node is this broker's place in the cluster.
 type Node struct {
+	environment Environment
+
 	settings *settings.Settings
 	logger   *log.Logger
 	client   *peerlink.Client
 	listener net.Listener
-	notes    *net.UDPConn
+	notes    netio.Datagrams
 	onNote   map[NoteKind]func([]byte)
 	random   *rand.Rand
 
@@ -92,8 +105,8 @@
 }
 
 // New opens this broker's place; Run makes it take part.
-func New(s *settings.Settings, logger *log.Logger) (*Node, error) {
-	n := &Node{settings: s, logger: logger, client: peerlink.NewClient(), store: dissemination.New(), heard: map[string]time.Time{},
+func New(s *settings.Settings, logger *log.Logger, environment Environment) (*Node, error) {
+	n := &Node{settings: s, logger: logger, environment: environment, client: peerlink.NewClient(environment.Network), store: dissemination.New(), heard: map[string]time.Time{},
 		proposer: rand.Uint64() | 1, started: time.Now(), changed: make(chan struct{}), seeds: s.SeedIPs(),
 		unheard: map[string]time.Time{}, onNote: map[NoteKind]func([]byte){}}
 	n.random = rand.New(rand.NewPCG(n.proposer, 1))
@@ -101,7 +114,7 @@
 	n.epoch = uint64(time.Now().UnixNano())
 	n.self = Member{Name: s.NodeName, IP: s.IP, Zone: s.Zone, Control: s.ListenControl}
 	if s.CountsForQuorum && s.DataDir != "" {
-		replica, err := openReplica(s, logger)
+		replica, err := openReplica(s, logger, environment.OpenDisk)
 		if err != nil {
 			return nil, err
 		}
@@ -109,7 +122,7 @@
 		n.self.Core, n.self.Disk = true, replica.id().Disk
 	}
 	n.founding = newFounding(s)
-	listener, err := net.Listen("tcp4", s.PeerAddress(s.IP))
+	listener, err := environment.Network.Listen(s.PeerAddress(s.IP))
 	if err != nil {
 		return nil, err
 	}
@@ -136,6 +149,7 @@
 	go n.keepRegister(ctx)
 	<-ctx.Done()
 	n.listener.Close()
+	n.client.Close()
 }
 
 // exchanges reconciles with one peer after another, at first in quick succession.
--- a/internal/cluster/notes.go
+++ b/internal/cluster/notes.go
@@ -1,11 +1,6 @@
 package cluster
 
-import (
-	"context"
-	"net"
-	"net/netip"
-	"strconv"
-)
+import "context"
 
 // Notes are datagrams that brokers send each other about the work in hand. They may be lost; nothing rests on one.
 
@@ -28,11 +23,8 @@
 
 // openNotes binds the address for notes.
 func (n *Node) openNotes() error {
-	address, err := net.ResolveUDPAddr("udp4", n.settings.PeerAddress(n.settings.IP))
-	if err != nil {
-		return err
-	}
-	n.notes, err = net.ListenUDP("udp4", address)
+	var err error
+	n.notes, err = n.environment.Network.ListenDatagrams(n.settings.PeerAddress(n.settings.IP))
 	return err
 }
 
@@ -44,7 +36,7 @@
 	}()
 	buffer := make([]byte, mostNote)
 	for ctx.Err() == nil {
-		size, _, err := n.notes.ReadFromUDPAddrPort(buffer)
+		size, err := n.notes.Receive(buffer)
 		if err != nil || size == 0 {
 			continue
 		}
@@ -71,9 +63,6 @@
 		if member.IP == n.self.IP || !to(member) {
 			continue
 		}
-		address, err := netip.ParseAddrPort(net.JoinHostPort(member.IP, strconv.Itoa(n.settings.PortFirst)))
-		if err == nil {
-			_, _ = n.notes.WriteToUDPAddrPort(datagram, address) // a note may be lost
-		}
+		n.notes.Send(datagram, n.settings.PeerAddress(member.IP))
 	}
 }
--- a/internal/cluster/replica.go
+++ b/internal/cluster/replica.go
@@ -34,8 +34,8 @@
 	State    register.State
 }
 
-func openReplica(s *settings.Settings, logger *log.Logger) (*replica, error) {
-	disk, err := journalfile.Dir(s.DataDir)
+func openReplica(s *settings.Settings, logger *log.Logger, open func(string) (journalfile.Disk, error)) (*replica, error) {
+	disk, err := open(s.DataDir)
 	if err != nil {
 		return nil, errors.Wrap(err, "data directory")
 	}
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -205,7 +205,7 @@
 
 func (b *builder) addRoute(c *Configuration, i int, r *configpb.Route) {
 	place := placeOf("routes", i, r.Name)
-	route := &Route{Name: r.Name, Host: hostName(r.Host), Prefix: r.PathPrefix, Kind: b.kindOf(place, r.Kind),
+	route := &Route{Name: r.Name, Host: hostName(r.Host), Prefix: r.PathPrefix, Kind: kindOf(r.Kind),
 		Timeout: milliseconds(r.TimeoutMs), Target: milliseconds(r.TargetLatencyMs), GapTarget: milliseconds(r.GapAimMs),
 		Priority: int(r.Priority), MaxAttempts: max(1, int(r.MaxAttempts)), Public: r.Public, Sticky: r.Sticky,
 		Resumable: r.Resumable}
@@ -252,16 +252,14 @@
 	return splits
 }
 
-func (b *builder) kindOf(place, kind string) Kind {
+// kindOf reads a route's kind. One that is not known may not run twice.
+func kindOf(kind string) Kind {
 	switch kind {
 	case "safe":
 		return Safe
 	case "streaming":
 		return Streaming
-	case "unsafe", "":
-		return Unsafe
 	}
-	b.findings.Add(place, "has the unknown kind %q", kind)
 	return Unsafe
 }
 
--- a/internal/controlstate/controlstate.go
+++ b/internal/controlstate/controlstate.go
@@ -136,11 +136,18 @@
 		return s, false
 	}
 	next = s
-	next.Weights = maps.Clone(s.Weights)
-	next.Weights[model] = version
+	next.Weights = with(s.Weights, model, version)
 	return next, true
 }
 
+// with is a copy of m that holds value under key.
+func with[V any](m map[string]V, key string, value V) map[string]V {
+	out := make(map[string]V, len(m)+1)
+	maps.Copy(out, m)
+	out[key] = value
+	return out
+}
+
 // Acquire gives a lease to holder, or renews it. seen is the lease as holder last saw it: one that has been renewed
 // or has changed hands since is not taken away. fresh: the holder's process has not held it yet and gets a new token.
 func (s State) Acquire(role, holder string, seen Lease, fresh bool) (next State, err error) {
@@ -153,7 +160,6 @@
 		lease.Token++
 	}
 	next = s
-	next.Leases = maps.Clone(s.Leases)
-	next.Leases[role] = lease
+	next.Leases = with(s.Leases, role, lease)
 	return next, nil
 }
--- /dev/null
+++ b/internal/controlstate/controlstate_test.go
@@ -0,0 +1,103 @@
+package controlstate
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+)
+
+func TestReplace(t *testing.T) {
+	s, err := Decode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, taken, err := s.Replace(0, 3, []byte("three"))
+	if err != nil || taken {
+		t.Fatalf("the first configuration: %v, %t", err, taken)
+	}
+	if _, _, err := first.Replace(0, 5, []byte("five")); !errors.Is(err, ErrConflict) {
+		t.Errorf("one that builds on another version: %v", err)
+	}
+	if _, _, err := first.Replace(3, 3, []byte("other")); !errors.Is(err, ErrOld) {
+		t.Errorf("one whose version does not rise: %v", err)
+	}
+	second, _, err := first.Replace(3, 9, []byte("nine"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if same, taken, err := second.Replace(0, 3, []byte("three")); err != nil || !taken || same.Version != 9 {
+		t.Errorf("one that was taken and outdone since, sent again: %v, %t, version %d", err, taken, same.Version)
+	}
+	if _, taken, err := second.Replace(0, 3, []byte("another under its number")); taken || !errors.Is(err, ErrConflict) {
+		t.Errorf("another one under a number that was taken: %t, %v", taken, err)
+	}
+	decoded, err := Decode(second.Encode())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if raw, err := decoded.Configuration(); err != nil || string(raw) != "nine" {
+		t.Errorf("read back: %q, %v", raw, err)
+	}
+}
+
+func TestOrdersAreRememberedWithinABound(t *testing.T) {
+	s := State{}
+	for v := int64(1); v <= mostTaken+50; v++ {
+		next, _, err := s.Replace(v-1, v, []byte(fmt.Sprint(v)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s = next
+	}
+	if len(s.Taken) != mostTaken {
+		t.Errorf("%d orders are remembered", len(s.Taken))
+	}
+	if _, taken, err := s.Replace(99, 100, []byte("100")); err != nil || !taken {
+		t.Errorf("a recent one sent again: %t, %v", taken, err)
+	}
+}
+
+func TestWeights(t *testing.T) {
+	s := State{}
+	s, changed := s.NameWeights("m", 2)
+	if !changed || s.Weights["m"] != 2 {
+		t.Fatalf("named: %t %v", changed, s.Weights)
+	}
+	if s, changed = s.NameWeights("m", 1); changed || s.Weights["m"] != 2 {
+		t.Errorf("an older version: %t %v", changed, s.Weights)
+	}
+}
+
+func TestLeases(t *testing.T) {
+	s := State{}
+	s, err := s.Acquire("role", "a", Lease{}, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := s.Leases["role"]
+	renewed, err := s.Acquire("role", "a", a, false)
+	if err != nil || renewed.Leases["role"].Token != a.Token {
+		t.Fatalf("renewed: %v, %+v", err, renewed.Leases)
+	}
+	if _, err := renewed.Acquire("role", "b", a, true); !errors.Is(err, ErrHeld) {
+		t.Errorf("taken from a holder that has renewed it since: %v", err)
+	}
+	taken, err := renewed.Acquire("role", "b", renewed.Leases["role"], true)
+	if err != nil || taken.Leases["role"].Token <= a.Token {
+		t.Errorf("taken over: %v, %+v", err, taken.Leases)
+	}
+	again, err := taken.Acquire("role", "b", taken.Leases["role"], true)
+	if err != nil || again.Leases["role"].Token <= taken.Leases["role"].Token {
+		t.Errorf("another process of the same broker gets a token of its own: %v, %+v", err, again.Leases)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	s, _, _ := State{}.Replace(0, 1, []byte("{}"))
+	f.Add(s.Encode())
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if s, err := Decode(text); err == nil {
+			_, _ = s.Configuration()
+		}
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"gullstair/internal/configuration"
 	"gullstair/internal/holders"
 	"gullstair/internal/instances"
+	"gullstair/internal/netio"
 	"gullstair/internal/settings"
 	"gullstair/internal/upstream"
 	"gullstair/logic"
@@ -36,7 +37,7 @@
 	settings   *settings.Settings
 	logger     *log.Logger
 	dispatcher *dispatcher
-	pool       upstream.Pool
+	pool       *upstream.Pool
 	config     atomic.Pointer[configuration.Configuration]
 	leaving    atomic.Bool
 	inFlight   atomic.Int64
@@ -80,8 +81,8 @@
 func (s *Server) WithHolders(f func(*holders.Table)) { s.holders.with(f) }
 
 // New makes the data path. onStale is called with the id of an instance whose address answers as another one.
-func New(s *settings.Settings, logger *log.Logger, seed uint64, onStale func(string)) *Server {
-	server := &Server{settings: s, logger: logger, instances: map[string]instances.Instance{}, newest: map[string]namedWeights{},
+func New(s *settings.Settings, logger *log.Logger, network netio.Network, seed uint64, onStale func(string)) *Server {
+	server := &Server{settings: s, logger: logger, pool: upstream.New(network), instances: map[string]instances.Instance{}, newest: map[string]namedWeights{},
 		onStale: onStale}
 	server.holders = lockedTable{table: holders.New(), start: time.Now()}
 	server.dispatcher = newDispatcher(seed, server.fleet(1))
@@ -178,6 +179,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			s.pool.Close()
 			return
 		case <-ticker.C:
 			s.pool.Sweep()
--- /dev/null
+++ b/internal/instances/instances_test.go
@@ -0,0 +1,112 @@
+package instances
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func instance(id string, sequence uint64) Instance {
+	return Instance{ID: id, Service: "s", Address: "10.0.0.1:80", State: Ready, Slots: 4, Sequence: sequence,
+		Models: []Model{{Name: "m", Version: 1}}}
+}
+
+func TestHeartbeats(t *testing.T) {
+	r := New()
+	if tell, late := r.Heartbeat(instance("a", 5), start); !tell || late {
+		t.Fatalf("the first: %t %t", tell, late)
+	}
+	if tell, late := r.Heartbeat(instance("a", 4), start); tell || !late {
+		t.Errorf("a late one: %t %t", tell, late)
+	}
+	if tell, _ := r.Heartbeat(instance("a", 6), start.Add(time.Second)); tell {
+		t.Error("an unchanged one is told at once")
+	}
+	if tell, _ := r.Heartbeat(instance("a", 7), start.Add(ReportEvery)); !tell {
+		t.Error("an unchanged one is not told after a while")
+	}
+	draining := instance("a", 8)
+	draining.State = Draining
+	if tell, _ := r.Heartbeat(draining, start.Add(ReportEvery)); !tell {
+		t.Error("a drain is not told at once")
+	}
+	if r.Take(instance("a", 7), start) {
+		t.Error("what is older than a drain was taken")
+	}
+}
+
+func TestGoneComesAfterAll(t *testing.T) {
+	r := New()
+	r.Heartbeat(instance("a", 5), start)
+	i, was := r.Leave("a", start)
+	if !was || i.Record().Version.Epoch == 0 {
+		t.Fatalf("left: %t, %+v", was, i.Record())
+	}
+	if _, late := r.Heartbeat(instance("a", 99), start); !late || len(r.All()) > 0 {
+		t.Error("an instance that has ended came back")
+	}
+	other := New()
+	other.Heartbeat(instance("a", 50), start)
+	i.State = Gone
+	if !other.Take(i, start) || len(other.All()) > 0 {
+		t.Error("the end of an instance was not taken from another broker")
+	}
+}
+
+func TestAddressIsHandedOn(t *testing.T) {
+	r := New()
+	r.Heartbeat(instance("old", 5), start)
+	r.Heartbeat(instance("new", 1), start.Add(time.Second))
+	if all := r.All(); len(all) != 1 || all[0].ID != "new" {
+		t.Errorf("known: %+v", all)
+	}
+	r = New()
+	r.Heartbeat(instance("new", 1), start)
+	r.Take(instance("old", 5), start) // told by a broker that has not heard of the new one
+	if all := r.All(); !slices.ContainsFunc(all, func(i Instance) bool { return i.ID == "new" }) {
+		t.Errorf("an old word displaced the new instance: %+v", all)
+	}
+}
+
+func TestExpire(t *testing.T) {
+	r := New()
+	r.Heartbeat(instance("a", 5), start)
+	r.Heartbeat(Instance{ID: "b", Service: "s", Address: "10.0.0.2:80", State: Ready, Sequence: 1}, start)
+	r.Leave("b", start)
+	if forgotten, changed := r.Expire(start.Add(staleAfter)); len(forgotten) > 0 || changed {
+		t.Errorf("too early: %v", forgotten)
+	}
+	if forgotten, changed := r.Expire(start.Add(staleAfter + time.Second)); !slices.Equal(forgotten, []string{"a"}) || !changed {
+		t.Errorf("nobody has heard of it: %v %t", forgotten, changed)
+	}
+	if forgotten, _ := r.Expire(start.Add(forgetAfter + time.Second)); !slices.Equal(forgotten, []string{"b"}) {
+		t.Errorf("long gone: %v", forgotten)
+	}
+	if tell, late := r.Heartbeat(instance("a", 6), start.Add(time.Hour)); !tell || late {
+		t.Error("one that was cut off for long does not come back")
+	}
+}
+
+func TestVersions(t *testing.T) {
+	r := New()
+	r.Heartbeat(instance("a", 1), start)
+	if !r.SetVersion("a", "m", 2) || r.SetVersion("a", "m", 2) || r.SetVersion("a", "other", 2) {
+		t.Error("versions are not noted as they change")
+	}
+	if i, _ := r.Get("a"); i.VersionOf("m") != 2 || i.VersionOf("other") != 0 {
+		t.Errorf("versions: %+v", i.Models)
+	}
+}
+
+func FuzzParseHeartbeat(f *testing.F) {
+	f.Add([]byte(`{"service":"s","address":"10.0.0.1:80","state":"draining","slots":3,"sequence":9,"models":[{"name":"m","version":2}]}`))
+	f.Add([]byte(`{"service":"s","address":"nowhere"}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		i, err := ParseHeartbeat("id", body)
+		if err == nil && (i.Service == "" || i.Address == "") {
+			t.Fatalf("taken without service or address: %q", body)
+		}
+	})
+}
--- a/internal/kvindex/index.go
+++ b/internal/kvindex/index.go
@@ -8,6 +8,8 @@
 	"github.com/cockroachdb/errors"
 
 	"gullstair/internal/holders"
+	"gullstair/internal/netio"
+	"gullstair/internal/upstream"
 )
 
 const (
@@ -35,8 +37,8 @@
 }
 
 // New makes an index over a table that is used under the caller's lock.
-func New(table func(func(*holders.Table))) *Index {
-	return &Index{table: table, running: map[string]context.CancelFunc{}}
+func New(network netio.Network, table func(func(*holders.Table))) *Index {
+	return &Index{client: Client{pool: upstream.New(network)}, table: table, running: map[string]context.CancelFunc{}}
 }
 
 // SetTargets polls these targets from now on, and no others.
--- a/internal/kvindex/poll.go
+++ b/internal/kvindex/poll.go
@@ -36,7 +36,7 @@
 }
 
 // Client asks instances.
-type Client struct{ pool upstream.Pool }
+type Client struct{ pool *upstream.Pool }
 
 // event is one change on the wire: number, + or -, salt, id, tokens kept now, model.
 type event struct {
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -7,13 +7,15 @@
 	"encoding/binary"
 	"encoding/gob"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"gullstair/internal/upstream"
+	"gullstair/internal/netio"
 )
 
 const (
@@ -103,8 +105,10 @@
 // Handler answers a call; a nil reply ends the connection.
 type Handler func(*Message) *Message
 
-// Serve accepts connections and answers their calls until the listener is closed.
+// Serve accepts connections and answers their calls until the listener is closed, which ends the connections too.
 func Serve(listener net.Listener, handle Handler) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -113,7 +117,11 @@
 		if err != nil {
 			return errors.Wrap(err, "accept a peer")
 		}
-		go serveConn(conn, handle)
+		stop := context.AfterFunc(ctx, func() { conn.Close() })
+		go func() {
+			defer stop()
+			serveConn(conn, handle)
+		}()
 	}
 }
 
@@ -147,12 +155,15 @@
 
 // Client calls peers and keeps one connection to each.
 type Client struct {
-	mu    sync.Mutex
-	peers map[string]*peer
+	network netio.Network
+	mu      sync.Mutex
+	peers   map[string]*peer
 }
 
 // NewClient makes a client without connections.
-func NewClient() *Client { return &Client{peers: map[string]*peer{}} }
+func NewClient(network netio.Network) *Client {
+	return &Client{network: network, peers: map[string]*peer{}}
+}
 
 // peer is a connection in use, or one that is being made.
 type peer struct {
@@ -212,7 +223,7 @@
 // run makes the connection and takes its replies until it ends.
 func (c *Client) run(address string, p *peer) {
 	defer c.drop(address, p)
-	conn, err := upstream.Dialer(dialTimeout).Dial("tcp4", address)
+	conn, err := c.network.Dial(context.Background(), address, dialTimeout)
 	if err != nil {
 		p.err = errors.Wrap(err, "connect to the peer")
 		c.drop(address, p)
@@ -277,6 +288,16 @@
 	}
 }
 
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	addresses := slices.Collect(maps.Keys(c.peers))
+	c.mu.Unlock()
+	for _, address := range addresses {
+		c.Reset(address)
+	}
+}
+
 // Reset closes the connection to a peer that does not answer; the next call makes a new one.
 func (c *Client) Reset(address string) {
 	c.mu.Lock()
--- a/internal/router/roles.go
+++ b/internal/router/roles.go
@@ -31,13 +31,13 @@
 	woken    chan struct{}
 	planners map[string]*rollout.Planner
 	leases   map[string]*ownership.Lease
-	pool     upstream.Pool
+	pool     *upstream.Pool
 	results  chan func(time.Time)
 	since    map[string]time.Time // when a version was learned of, by model and version
 }
 
 func newRoles(b *Broker) *roles {
-	return &roles{b: b, woken: make(chan struct{}, 1), planners: map[string]*rollout.Planner{}, leases: map[string]*ownership.Lease{},
+	return &roles{b: b, pool: upstream.New(b.environment.Network), woken: make(chan struct{}, 1), planners: map[string]*rollout.Planner{}, leases: map[string]*ownership.Lease{},
 		results: make(chan func(time.Time), 256), since: map[string]time.Time{}}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -37,6 +37,8 @@
 
 // Broker is one broker of the fleet.
 type Broker struct {
+	environment cluster.Environment
+
 	settings *settings.Settings
 	path     string // of the settings file
 	logger   *log.Logger
@@ -62,17 +64,17 @@
 }
 
 // New makes a broker from its settings.
-func New(s *settings.Settings, path string, logger *log.Logger) (*Broker, error) {
-	b := &Broker{settings: s, path: path, logger: logger, registry: instances.New(), progress: map[string]rollout.Progress{},
+func New(s *settings.Settings, path string, logger *log.Logger, environment cluster.Environment) (*Broker, error) {
+	b := &Broker{environment: environment, settings: s, path: path, logger: logger, registry: instances.New(), progress: map[string]rollout.Progress{},
 		draining: map[string]time.Time{}, started: time.Now()}
-	node, err := cluster.New(s, logger)
+	node, err := cluster.New(s, logger, environment)
 	if err != nil {
 		return nil, errors.Wrap(err, "join the cluster")
 	}
 	b.node = node
-	b.gateway = gateway.New(s, logger, seedOf(s.NodeName), b.staleInstance)
+	b.gateway = gateway.New(s, logger, environment.Network, seedOf(s.NodeName), b.staleInstance)
 	b.roles = newRoles(b)
-	b.index = kvindex.New(b.gateway.WithHolders)
+	b.index = kvindex.New(environment.Network, b.gateway.WithHolders)
 	node.OnRecord(b.takeRecord)
 	node.OnNote(cluster.WorkNote, b.gateway.Heard)
 	node.OnNote(cluster.KeptNote, b.takeKept)
@@ -288,7 +290,7 @@
 		if address == "" {
 			return nil, nil
 		}
-		listener, err := net.Listen("tcp4", address)
+		listener, err := b.environment.Network.Listen(address)
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
--- a/internal/router/snapshot.go
+++ b/internal/router/snapshot.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 
 	"gullstair/internal/instances"
-	"gullstair/internal/journalfile"
 	"gullstair/internal/slots"
 )
 
@@ -27,7 +26,7 @@
 	if b.settings.DataDir == "" {
 		return
 	}
-	disk, err := journalfile.Dir(filepath.Join(b.settings.DataDir, snapshotFolder))
+	disk, err := b.environment.OpenDisk(filepath.Join(b.settings.DataDir, snapshotFolder))
 	if err != nil {
 		b.logger.Warn().Err(err).Msg("no copy of the instances")
 		return
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,29 +12,31 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/gammazero/deque"
-	"golang.org/x/sys/unix"
+
+	"gullstair/internal/netio"
 )
 
 const (
 	dialTimeout      = time.Second
-	userTimeout      = 2 * time.Second // unacknowledged bytes for longer end a connection
-	keepAliveIdle    = time.Second     // silence for longer is probed,
-	keepAliveProbes  = 2               // and so many probes without an answer end a connection
 	idleDefault      = 10 * time.Second
 	idleMargin       = 700 * time.Millisecond // a connection is given up so long before its peer would
 	readBuffer       = 4 << 10
 	maxIdlePerTarget = 32
 )
 
-// Pool keeps idle connections by address. Its zero value is ready for use.
+// Pool keeps idle connections by address.
 type Pool struct {
-	mu     sync.Mutex
-	idle   map[string]*deque.Deque[*Conn]
-	Opened func() // called for each new connection; may be nil
+	network netio.Network
+	mu      sync.Mutex
+	idle    map[string]*deque.Deque[*Conn]
+}
+
+// New makes a pool without connections.
+func New(network netio.Network) *Pool {
+	return &Pool{network: network, idle: map[string]*deque.Deque[*Conn]{}}
 }
 
 // Conn is one connection to an instance. One request at a time uses it.
@@ -71,40 +73,19 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
-	if p.Opened != nil {
-		p.Opened()
-	}
-	dialer := Dialer(dialTimeout)
-	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	conn, err := p.network.Dial(ctx, address, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
 	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), address: address}, nil
 }
 
-// Dialer makes connections that notice a silent peer within seconds.
-func Dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{
-		Timeout:         timeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveProbes},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) {
-				// Without it a connection behind a cut hangs for minutes; where it is not to be had, probes end it.
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
-			})
-		},
-	}
-}
-
 // put keeps a connection whose last answer was read whole.
 func (p *Pool) put(c *Conn, idle time.Duration) {
 	_ = c.SetDeadline(time.Time{})
 	c.expires = time.Now().Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.idle == nil {
-		p.idle = map[string]*deque.Deque[*Conn]{}
-	}
 	list := p.idle[c.address]
 	if list == nil {
 		list = &deque.Deque[*Conn]{}
@@ -132,26 +113,18 @@
 }
 
 // quiet says whether nothing has come on an idle connection: neither its end nor bytes that belong to no request.
-func (c *Conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
+func (c *Conn) quiet() bool { return c.reader.Buffered() == 0 && netio.Quiet(c.Conn) }
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		for list.Len() > 0 {
+			list.PopFront().Close()
+		}
+		delete(p.idle, address)
 	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && quiet
 }
 
 // idleTime reads how long the peer keeps an idle connection, less a margin; 0: not at all.
