--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -96,7 +96,7 @@
 	known     register.Known // the newest value that is known to be chosen
 	highest   register.Ballot
 	proposer  uint64
-	proposing sync.Mutex
+	proposing chan struct{} // holds the turn to make an attempt
 	changed   chan struct{} // closed when known changes
 
 	replica  *replica  // nil on a machine without a disk
@@ -108,7 +108,7 @@
 func New(s *settings.Settings, logger *log.Logger, environment Environment) (*Node, error) {
 	n := &Node{settings: s, logger: logger, environment: environment, client: peerlink.NewClient(environment.Network), store: dissemination.New(), heard: map[string]time.Time{},
 		proposer: rand.Uint64() | 1, started: time.Now(), changed: make(chan struct{}), seeds: s.SeedIPs(),
-		unheard: map[string]time.Time{}, onNote: map[NoteKind]func([]byte){}}
+		proposing: make(chan struct{}, 1), unheard: map[string]time.Time{}, onNote: map[NoteKind]func([]byte){}}
 	n.random = rand.New(rand.NewPCG(n.proposer, 1))
 	n.view = peers.New(s.IP, n.proposer)
 	n.epoch = uint64(time.Now().UnixNano())
--- a/internal/cluster/notes.go
+++ b/internal/cluster/notes.go
@@ -1,12 +1,20 @@
 package cluster
 
-import "context"
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+)
 
 // Notes are datagrams that brokers send each other about the work in hand. They may be lost; nothing rests on one.
 
 // mostNote is the most bytes of one datagram.
 const mostNote = 1 << 11
 
+// receivePause is how long a socket rests that gave an error.
+const receivePause = 10 * time.Millisecond
+
 // NoteKind says what a datagram is about.
 type NoteKind byte
 
@@ -37,7 +45,11 @@
 	buffer := make([]byte, mostNote)
 	for ctx.Err() == nil {
 		size, err := n.notes.Receive(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
 		if err != nil || size == 0 {
+			time.Sleep(receivePause)
 			continue
 		}
 		if f := n.onNote[NoteKind(buffer[0])]; f != nil {
--- a/internal/cluster/rounds.go
+++ b/internal/cluster/rounds.go
@@ -58,8 +58,10 @@
 
 // propose tries until a value is chosen or the context ends. Attempts of one broker follow each other.
 func (n *Node) propose(ctx context.Context, change register.Change) (register.Value, error) {
-	n.proposing.Lock()
-	defer n.proposing.Unlock()
+	if !n.takeTurn(ctx) {
+		return register.Value{}, ErrNoQuorum
+	}
+	defer n.endTurn()
 	backoff := backoffLeast
 	for {
 		known, _ := n.Known()
@@ -80,6 +82,18 @@
 	}
 }
 
+// takeTurn waits until no other attempt of this broker is under way; false: the context ended first.
+func (n *Node) takeTurn(ctx context.Context) bool {
+	select {
+	case n.proposing <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (n *Node) endTurn() { <-n.proposing }
+
 // answer is what one replica said.
 type answer struct {
 	promise  *register.Promise
@@ -244,8 +258,10 @@
 		return
 	}
 	keep := func(present register.Value) (register.Value, bool, error) { return present, true, nil }
-	n.proposing.Lock()
-	defer n.proposing.Unlock()
+	if !n.takeTurn(ctx) {
+		return
+	}
+	defer n.endTurn()
 	if _, err := n.round(ctx, accepted.Value.Members, accepted, keep); err != nil {
 		n.logger.Info().Err(err).Msg("a value in doubt is not settled yet")
 	}
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -52,7 +52,8 @@
 	due := d.balancer.Due()
 	if due != d.timerAt && !math.IsInf(due, 1) {
 		d.timerAt = due
-		d.timer.Reset(time.Duration(max(0, due-d.now()) * float64(time.Millisecond)))
+		wait := math.Ceil(max(0, due-d.now())*float64(time.Millisecond)) + 1 // never early: it would fire again and again
+		d.timer.Reset(time.Duration(wait))
 	}
 }
 
