--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"gullstair/internal/configuration"
+	"gullstair/internal/instances"
+	"gullstair/internal/settings"
+)
+
+// TestSalt checks that all that memory must not be shared across is in the text that it is kept under.
+func TestSalt(t *testing.T) {
+	walled := &configuration.Tenant{Name: "a", Isolated: true}
+	open := &configuration.Tenant{Name: "b"}
+	base := salt("m", 1, 7, open)
+	if base != salt("m", 1, 7, nil) || base != salt("m", 1, 7, &configuration.Tenant{Name: "c"}) {
+		t.Error("tenants that are not isolated share nothing")
+	}
+	for name, other := range map[string]string{
+		"model":    salt("n", 1, 7, open),
+		"version":  salt("m", 2, 7, open),
+		"walls":    salt("m", 1, 8, open),
+		"isolated": salt("m", 1, 7, walled),
+	} {
+		if other == base {
+			t.Errorf("memory is shared across another %s", name)
+		}
+	}
+	if salt("m", 1, 7, walled) == salt("m", 1, 7, &configuration.Tenant{Name: "d", Isolated: true}) {
+		t.Error("two isolated tenants share memory")
+	}
+	for _, c := range base {
+		if c <= ' ' || c > '~' {
+			t.Fatalf("%q does not fit into a header", base)
+		}
+	}
+}
+
+func TestParsePrompt(t *testing.T) {
+	h := http.Header{}
+	if parsePrompt(h) != nil {
+		t.Error("a prompt without a model")
+	}
+	h.Set("X-Model", "m")
+	h.Set("X-Token-Count", "1460,80")
+	h.Set("X-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250")
+	p := parsePrompt(h)
+	if p.tokens != 1460 || len(p.parts) != 3 || len(p.shared()) != 2 || p.parts[1].id != "91bd3f06" {
+		t.Errorf("prompt: %+v", p)
+	}
+	h.Set("X-Prompt-Prefix", "nonsense,:5,a:-1,b:x,,c:7")
+	if p := parsePrompt(h); len(p.parts) != 1 || p.tokens != 1460 {
+		t.Errorf("prompt: %+v", p)
+	}
+}
+
+func TestPlacementIsAgreed(t *testing.T) {
+	h := http.Header{"X-Model": {"m"}, "X-Prompt-Prefix": {"a:10,b:20,own1:5"}}
+	other := http.Header{"X-Model": {"m"}, "X-Prompt-Prefix": {"a:10,b:20,own2:9"}}
+	var here, there []instances.Instance
+	for _, id := range []string{"i1", "i2", "i3", "i4"} {
+		here = append(here, instances.Instance{ID: id})
+		there = append([]instances.Instance{{ID: id}}, there...)
+	}
+	one := placementOrder(parsePrompt(h), "w", here)
+	two := placementOrder(parsePrompt(other), "w", there)
+	if strings.Join(one, " ") != strings.Join(two, " ") {
+		t.Errorf("two brokers place the same parts differently: %v and %v", one, two)
+	}
+}
+
+// TestForwarded checks that nothing a client sends passes for the broker's own word.
+func TestForwarded(t *testing.T) {
+	h := http.Header{"X-Other": {"kept"}, "Connection": {"close, X-Hop"}, "X-Hop": {"1"}}
+	for _, name := range ownHeaders {
+		h.Add(name, "forged")
+	}
+	out := forwarded(h)
+	if out.Get("X-Other") != "kept" || len(out) != 1 {
+		t.Errorf("passed on: %v", out)
+	}
+}
+
+func TestEvents(t *testing.T) {
+	for text, want := range map[string]int{
+		"":                              0,
+		"id: 1\ndata: x":                0,
+		"id: 1\ndata: x\n\n":            15,
+		"id: 1\ndata: x\n\nid: 2\nda":   15,
+		"id: 1\r\n\r\nid: 2\n\nid: 3\n": 16,
+	} {
+		if got := lastEventEnd([]byte(text)); got != want {
+			t.Errorf("%q: %d, want %d", text, got, want)
+		}
+	}
+	if id := lastID([]byte("id: 7\ndata: id: 9\n\n")); id != "7" {
+		t.Errorf("id %q", id)
+	}
+	if after("2", "10") || !after("10", "9") || !after("x", "9") || after("9", "9") {
+		t.Error("ids are not compared as numbers")
+	}
+}
+
+// sink is a client that takes everything.
+type sink struct {
+	strings.Builder
+	header http.Header
+}
+
+func (s *sink) Header() http.Header { return s.header }
+func (s *sink) WriteHeader(int)     {}
+
+// TestResumedEventsComeOnce passes on a second run that begins before where the first was cut.
+func TestResumedEventsComeOnce(t *testing.T) {
+	w := &sink{header: http.Header{}}
+	a := &answer{w: w, stream: true, resumable: true}
+	a.passEvents([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), false)
+	a.passEvents([]byte("id: 2\ndata: b\n\nid: 3\ndata: c\n\n"), true)
+	a.passEvents([]byte("id: 4\ndata: d\n\n"), true)
+	if got, want := w.String(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n"; got != want || a.last != "4" {
+		t.Errorf("passed on: %q, last %s", got, a.last)
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: x\n\nid: 2\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		end := lastEventEnd(text)
+		if end < 0 || end > len(text) {
+			t.Fatalf("end %d of %d", end, len(text))
+		}
+		_ = lastID(text)
+		if len(text) > 0 && (firstEventEnd(text) < 1 || firstEventEnd(text) > len(text)) {
+			t.Fatalf("first end %d of %d", firstEventEnd(text), len(text))
+		}
+	})
+}
+
+// TestBudgetShares sums what all brokers may send again: no more than the fleet's budget, however many they are.
+func TestBudgetShares(t *testing.T) {
+	s := &Server{settings: &settings.Settings{}}
+	s.settings.Bounds.RetryBudgetSlack, s.settings.Bounds.RetryBudgetRatio = 58, 0.2
+	for _, brokers := range []int{1, 9, 96, 360} {
+		fleet := s.fleet(brokers)
+		if sum := fleet.BudgetSlack * float64(brokers); sum > 58 || fleet.BudgetRatio > 0.2 {
+			t.Errorf("%d brokers: %.1f in all beside the ratio %.2f", brokers, sum, fleet.BudgetRatio)
+		}
+	}
+}
--- a/internal/instances/instances_test.go
+++ b/internal/instances/instances_test.go
@@ -47,6 +47,9 @@
 	if _, late := r.Heartbeat(instance("a", 99), start); !late || len(r.All()) > 0 {
 		t.Error("an instance that has ended came back")
 	}
+	if r.Take(instance("a", 100), start) || len(r.All()) > 0 {
+		t.Error("another broker's word brought an instance back that has ended")
+	}
 	other := New()
 	other.Heartbeat(instance("a", 50), start)
 	i.State = Gone
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -74,6 +74,11 @@
 		if status := w.replace(operator, 1, 4, configurationOf(4, "")); status != http.StatusOK {
 			w.fault("configuration 4 got %d", status)
 		}
+		for _, m := range w.machines { // in a calm time all have it once it is acknowledged
+			if a := w.ask(w.client("10.8.0.3"), m, "mark4", "open", 0); a.status != http.StatusOK {
+				t.Errorf("%s: at the acknowledgement a route of the new configuration got %d", m.name, a.status)
+			}
+		}
 		time.Sleep(3 * time.Second)
 		counts := tr.end()
 		if counts[200] < 250 || counts[200]*20 < 19*total(counts) {
@@ -158,6 +163,7 @@
 func TestStreamsAreTakenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w, _ := startedWorld(t, 4, 5, 3)
+		w.delivers = true
 		for _, s := range w.servers {
 			s.breakAt = 3
 			if s.service == "llm" {
@@ -294,3 +300,68 @@
 	}
 	return ids
 }
+
+// TestDrainIsKnownBeforeItIsAcknowledged cuts the broker that an instance tells of its drain off from one other. The
+// acknowledgement waits until that one knows, or until it has been out of reach for long.
+func TestDrainIsKnownBeforeItIsAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, _ := startedWorld(t, 5, 5, 3)
+		told, away := w.machines[3], w.machines[4]
+		w.net.Cut(told.ip, away.ip, true)
+		server := w.servers[sortedIDs(w.servers)[0]]
+		beat := func() int {
+			server.mu.Lock()
+			server.sequence++
+			body := fmt.Sprintf(`{"service":"llm","address":"%s:80","zone":"a","slots":8,"state":"draining","models":[{"name":"m","version":1}],"sequence":%d}`,
+				server.ip, server.sequence)
+			server.mu.Unlock()
+			response, err := w.client("10.8.0.4").Post("http://"+told.ip+":"+controlPort+"/v1/instances/"+server.id+"/heartbeat", "application/json", strings.NewReader(body))
+			if err != nil {
+				return 0
+			}
+			response.Body.Close()
+			return response.StatusCode
+		}
+		if status := beat(); status == http.StatusOK {
+			t.Error("acknowledged while one broker does not know")
+		}
+		w.net.Cut(told.ip, away.ip, false)
+		status := 0
+		for range 20 {
+			if status = beat(); status == http.StatusOK {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if status != http.StatusOK {
+			t.Errorf("not acknowledged after the link healed: %d", status)
+		}
+		w.end()
+	})
+}
+
+// TestRetryBudgetOfTheFleet has every instance with a model refuse all it gets, while clients ask all brokers. Summed
+// over the brokers, arrivals beyond the first of each request stay within the ratio and the fixed part.
+func TestRetryBudgetOfTheFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, _ := startedWorld(t, 6, 5, 3)
+		for _, s := range w.servers {
+			s.mu.Lock()
+			s.full = true
+			s.mu.Unlock()
+		}
+		requests := 0
+		client := w.client("10.7.0.1")
+		for n := range 400 { // well within one window
+			w.ask(client, w.machines[n%5], "chat", "open", n)
+			requests++
+			time.Sleep(5 * time.Millisecond)
+		}
+		most := 0.2*float64(requests) + 20
+		if extra := w.arrivals - requests; float64(extra) > most {
+			t.Errorf("%d arrivals for %d requests", w.arrivals, requests)
+		}
+		t.Logf("%d arrivals for %d requests", w.arrivals, requests)
+		w.end()
+	})
+}
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -142,7 +142,10 @@
 	serial   int
 
 	mu       sync.Mutex
-	runs     map[string]int // of a request, by id
+	runs     map[string]int  // of a request, by id
+	arrivals int             // of requests at instances with a model
+	begun    map[string]bool // streams of which a whole event was sent
+	delivers bool            // what an instance has sent arrives: none is ended at once
 	promised map[string]bool
 	unsafe   map[string]bool
 	asked    map[string]bool
@@ -153,7 +156,7 @@
 
 func newWorld(t *testing.T, seed uint64, brokers, core int) *world {
 	w := &world{t: t, net: memnet.New(500 * time.Microsecond), rng: rand.New(rand.NewPCG(seed, 5)), servers: map[string]*modelServer{},
-		runs: map[string]int{}, promised: map[string]bool{}, unsafe: map[string]bool{}, asked: map[string]bool{}}
+		runs: map[string]int{}, begun: map[string]bool{}, promised: map[string]bool{}, unsafe: map[string]bool{}, asked: map[string]bool{}}
 	for i := range brokers {
 		m := &machine{ip: fmt.Sprintf("10.0.0.%d", i+1), name: fmt.Sprintf("front-%d", i+1), zone: zones[i%len(zones)], core: i < core,
 			disk: &memoryDisk{files: map[string][]byte{}}, bootstrap: true}
@@ -273,6 +276,7 @@
 	mu       sync.Mutex
 	version  int64
 	busy     bool
+	full     bool // refuses whatever comes
 	state    string
 	sequence uint64
 	running  int
@@ -295,10 +299,13 @@
 
 // startServer begins an instance of a service.
 func (w *world) startServer(service, zone string) *modelServer {
+	w.mu.Lock()
 	w.serial++
-	s := &modelServer{w: w, id: fmt.Sprintf("i-%04d", w.serial), service: service, ip: fmt.Sprintf("10.9.0.%d", w.serial), zone: zone,
+	number := w.serial
+	s := &modelServer{w: w, id: fmt.Sprintf("i-%04d", number), service: service, ip: fmt.Sprintf("10.9.%d.%d", number/250, number%250+1), zone: zone,
 		version: 1, state: "ready", parts: map[string]cachedPart{}, stopped: make(chan struct{})}
 	w.servers[s.id] = s
+	w.mu.Unlock()
 	network := w.net.Host(s.ip)
 	listener, err := network.Listen(s.ip + ":80")
 	if err != nil {
@@ -306,7 +313,7 @@
 	}
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(listener) }()
-	go s.beat(w.client(s.ip))
+	go s.beat(w.client(s.ip), number)
 	return s
 }
 
@@ -329,8 +336,7 @@
 }
 
 // beat sends heartbeats, to another broker after each failure.
-func (s *modelServer) beat(client *http.Client) {
-	at := s.w.serial
+func (s *modelServer) beat(client *http.Client, at int) {
 	for {
 		select {
 		case <-s.stopped:
@@ -492,6 +498,9 @@
 	if r.Header.Get("Authorization") != "" {
 		s.w.fault("%s was shown a key", s.id)
 	}
+	if s.service == "llm" {
+		s.w.arrived(id, r.Header.Get("Last-Event-Id"))
+	}
 	s.mu.Lock()
 	expected, _ := strconv.ParseInt(r.Header.Get("Expect-Version"), 10, 64)
 	switch {
@@ -504,7 +513,7 @@
 		s.mu.Unlock()
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case s.busy:
+	case s.busy || s.full:
 		s.mu.Unlock()
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -529,6 +538,17 @@
 	_, _ = w.Write([]byte("done " + id))
 }
 
+// arrived counts an arrival at an instance with a model. A stream that has begun goes on where it was.
+func (w *world) arrived(id, last string) {
+	w.mu.Lock()
+	w.arrivals++
+	begun := w.begun[id]
+	w.mu.Unlock()
+	if begun && last == "" && w.delivers {
+		w.fault("%s is sent again without the id of its last event", id)
+	}
+}
+
 // ran notes that a request runs, and checks that it may.
 func (w *world) ran(id, body string) {
 	w.mu.Lock()
@@ -586,7 +606,10 @@
 
 // checkSource checks what a fetch would bring.
 func (s *modelServer) checkSource(r *http.Request, source, salt, tenant string, isolated bool) {
-	for _, other := range s.w.servers {
+	s.w.mu.Lock()
+	servers := maps.Clone(s.w.servers)
+	s.w.mu.Unlock()
+	for _, other := range servers {
 		if other.ip+":80" != source || other == s || !other.mu.TryLock() {
 			continue
 		}
@@ -616,6 +639,9 @@
 			return
 		}
 		w.(http.Flusher).Flush()
+		s.w.mu.Lock()
+		s.w.begun[r.Header.Get("X-Request-Id")] = true
+		s.w.mu.Unlock()
 		time.Sleep(eventEvery)
 	}
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,9 +125,9 @@
 // TestNothingIsSentAgain closes the connection under a request that it had read. It is not sent a second time, and it
 // is told that it may have run.
 func TestNothingIsSentAgain(t *testing.T) {
-	seen := 0
+	var seen atomic.Int32
 	address, _ := served(t, func(n int, r *http.Request) string {
-		if seen++; n == 0 {
+		if seen.Add(1); n == 0 {
 			return ok(r.Header.Get(RequestID), "first")
 		}
 		return ""
@@ -138,8 +139,8 @@
 	if _, progress, err := send(t, p, address, "r2"); err == nil || progress != Sent {
 		t.Errorf("progress %d, %v", progress, err)
 	}
-	if seen != 2 {
-		t.Errorf("the server read %d requests", seen)
+	if seen.Load() != 2 {
+		t.Errorf("the server read %d requests", seen.Load())
 	}
 }
 
