A wide fleet polls each instance by two brokers and tells less often

Change: beyond 16 brokers two poll an instance, one tells the others every 10 ms for each broker; notes of work go to eight of the zone.

--- a/internal/cluster/notes.go
+++ b/internal/cluster/notes.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 )
 
@@ -23,8 +25,12 @@
 	KeptNote NoteKind = 'k' // what an instance keeps
 )
 
-// wideFleet is the number of brokers from which on notes of work go to the broker's own zone alone.
-const wideFleet = 16
+const (
+	// wideFleet is the number of brokers from which on notes of work go to some brokers of the own zone alone.
+	wideFleet = 16
+	// workFanout is how many those are.
+	workFanout = 8
+)
 
 // OnNote has f called for each note of a kind from another broker. It is called before Run.
 func (n *Node) OnNote(kind NoteKind, f func([]byte)) { n.onNote[kind] = f }
@@ -58,21 +64,25 @@
 	}
 }
 
-// TellWork sends a note of work to the other brokers: to all in a small fleet, else to those of the same zone.
+// TellWork sends a note of work to the other brokers: to all in a small fleet, else to some of the same zone, drawn
+// anew for each note.
 func (n *Node) TellWork(note []byte) {
 	members := n.Members()
-	n.tell(WorkNote, note, members, func(m Member) bool { return len(members) <= wideFleet || m.Zone == n.self.Zone })
+	if len(members) > wideFleet {
+		members = slices.DeleteFunc(members, func(m Member) bool { return m.Zone != n.self.Zone || m.IP == n.self.IP })
+		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+		members = members[:min(len(members), workFanout)]
+	}
+	n.tell(WorkNote, note, members)
 }
 
-// TellKept sends a note of what an instance keeps to the brokers outside a zone.
-func (n *Node) TellKept(note []byte, zone string) {
-	n.tell(KeptNote, note, n.Members(), func(m Member) bool { return m.Zone != zone })
-}
+// TellKept sends a note of what an instance keeps to these brokers.
+func (n *Node) TellKept(note []byte, members []Member) { n.tell(KeptNote, note, members) }
 
-func (n *Node) tell(kind NoteKind, note []byte, members []Member, to func(Member) bool) {
+func (n *Node) tell(kind NoteKind, note []byte, members []Member) {
 	datagram := append([]byte{byte(kind)}, note...)
 	for _, member := range members {
-		if member.IP == n.self.IP || !to(member) {
+		if member.IP == n.self.IP {
 			continue
 		}
 		n.notes.Send(datagram, n.settings.PeerAddress(member.IP))
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -53,11 +53,6 @@
 	return rendezvous.Order(role, live)[0]
 }
 
-// Rank is the place of a broker in the order in which a role falls to the live ones, from 0; below 0: it is not live.
-func Rank(role, self string, live []string) int {
-	return slices.Index(rendezvous.Order(role, live), self)
-}
-
 // Observe takes the lease as the register has it.
 func (l *Lease) Observe(now time.Time, present controlstate.Lease) {
 	l.mu.Lock()
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -90,18 +90,10 @@
 	}
 }
 
-func TestRank(t *testing.T) {
+func TestOwner(t *testing.T) {
 	live := []string{"a", "b", "c", "d"}
-	places := map[int]bool{}
-	for _, name := range live {
-		place := Rank("role", name, live)
-		places[place] = true
-		if (place == 0) != (Owner("role", live) == name) {
-			t.Errorf("%s has place %d, the owner is %s", name, place, Owner("role", live))
-		}
-	}
-	if len(places) != 4 || Rank("role", "x", live) >= 0 {
-		t.Errorf("places: %v", places)
+	if Owner("role", nil) != "" {
+		t.Error("nobody is live and somebody owns")
 	}
 	counts := map[string]int{}
 	for i := range 4000 {
--- a/internal/router/index.go
+++ b/internal/router/index.go
@@ -2,20 +2,26 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"gullstair/internal/cluster"
 	"gullstair/internal/instances"
 	"gullstair/internal/kvindex"
-	"gullstair/internal/ownership"
+	"gullstair/internal/rendezvous"
 )
 
-// An instance is polled by the brokers of its own zone, as many as it serves at once; one of them tells the brokers of
-// the other zones what it keeps. Where its zone has no broker, one of all polls it and tells.
+// An instance is polled by brokers of its own zone: in a small fleet by as many as it serves at once, in a wide one by
+// two. The first of them tells the others what the instance keeps, the less often the more there are. Where its zone
+// has no broker, one of all does both.
 
 const (
-	roleIndex    = "index/" // and the instance's id
-	pollersSpare = 2        // calls that an instance has left for others
+	roleIndex     = "index/" // and the instance's id
+	pollersSpare  = 2        // calls that an instance has left for others
+	wideFleet     = 16       // brokers; more are a wide fleet
+	widePollers   = 2
+	sharePerMem   = 10 * time.Millisecond // between two notes about one instance, for each broker that is told
+	mostShareWait = 4 * time.Second
 )
 
 // stepIndex chooses what is polled here and told from here.
@@ -28,33 +34,41 @@
 	all := b.registry.All()
 	b.mu.Unlock()
 	members := b.node.Members()
+	now := time.Now()
+	tells := now.Sub(b.told) >= min(mostShareWait, time.Duration(len(members))*sharePerMem)
+	if tells {
+		b.told = now
+	}
 	var targets []kvindex.Target
-	var owned []instances.Instance
 	for _, i := range all {
 		service := c.Services[i.Service]
 		if service == nil || service.Engine == nil {
 			continue
 		}
-		place := ownership.Rank(roleIndex+i.ID, b.settings.NodeName, pollersOf(i, members))
-		if place < 0 || place >= max(1, service.Engine.MaxConcurrency-pollersSpare) {
+		pollers := pollersOf(i, members, max(1, service.Engine.MaxConcurrency-pollersSpare))
+		place := slices.Index(pollers, b.settings.NodeName)
+		if place < 0 {
 			continue
 		}
 		targets = append(targets, kvindex.Target{ID: i.ID, Name: i.ID, Address: i.Address})
-		if place == 0 {
-			owned = append(owned, i)
+		if place == 0 && tells {
+			b.tellKept(i, members, pollers)
 		}
 	}
 	b.index.SetTargets(ctx, targets)
-	for _, i := range owned {
-		for _, note := range b.sharing.Notes(i.ID, time.Now()) {
-			b.node.TellKept(note, i.Zone)
-		}
+	b.sharing.Expire(now)
+}
+
+// tellKept tells the brokers that do not poll an instance what it keeps.
+func (b *Broker) tellKept(i instances.Instance, members []cluster.Member, pollers []string) {
+	others := slices.DeleteFunc(slices.Clone(members), func(m cluster.Member) bool { return slices.Contains(pollers, m.Name) })
+	for _, note := range b.sharing.Notes(i.ID, time.Now()) {
+		b.node.TellKept(note, others)
 	}
-	b.sharing.Expire(time.Now())
 }
 
-// pollersOf are the brokers that may poll an instance.
-func pollersOf(i instances.Instance, members []cluster.Member) []string {
+// pollersOf are the brokers that poll an instance, the one that tells the others first.
+func pollersOf(i instances.Instance, members []cluster.Member, most int) []string {
 	var near, all []string
 	for _, m := range members {
 		all = append(all, m.Name)
@@ -63,9 +77,13 @@
 		}
 	}
 	if len(near) == 0 {
-		return all[:min(1, len(all))]
+		near, most = all, 1
+	}
+	if len(members) > wideFleet {
+		most = min(most, widePollers)
 	}
-	return near
+	order := rendezvous.Order(roleIndex+i.ID, near)
+	return order[:min(most, len(order))]
 }
 
 // takeKept takes a note of what an instance keeps.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -58,6 +58,7 @@
 	roles    *roles
 	index    *kvindex.Index
 	sharing  *kvindex.Sharing
+	told     time.Time    // when notes of what instances keep were sent last
 	snapshot *slots.Store // of the instances; nil on a machine without a disk
 	unsaved  bool
 	idle     idleConns
