New weights while runs go on, told to all brokers first; quick exchanges until the value is known

Change: method retain, ordered once all brokers know that the instance loads; exchanges every 60 ms, several at a time, until the register's value is known; 250 ms for a connection to a peer.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -35,8 +35,8 @@
 	registerKey = "control"
 
 	exchangeEvery  = 300 * time.Millisecond // between reconciliations with one random peer
-	firstExchanges = 6                      // after a start,
-	firstSpacing   = 50 * time.Millisecond  // follow each other so
+	firstExchanges = 60                     // at most so many after a start
+	firstSpacing   = 60 * time.Millisecond  // follow each other so
 	pushDelay      = 3 * time.Millisecond   // what is new in this time is pushed together
 	pushFanout     = 4                      // peers that a new record is pushed to
 	callTimeout    = 600 * time.Millisecond
@@ -152,10 +152,14 @@
 	n.client.Close()
 }
 
-// exchanges reconciles with one peer after another, at first in quick succession.
+// exchanges reconciles with one peer after another. Until it knows the register's value it does so in quick succession
+// and with several at a time: some may not be back yet.
 func (n *Node) exchanges(ctx context.Context) {
 	for range firstExchanges {
-		n.exchange(ctx)
+		if n.founded() || ctx.Err() != nil {
+			break
+		}
+		go n.exchange(ctx)
 		time.Sleep(firstSpacing)
 	}
 	n.every(ctx, exchangeEvery, n.exchange)
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -21,7 +21,7 @@
 const (
 	frameHeader  = 4
 	mostFrame    = 16 << 20 // bytes of one message
-	dialTimeout  = 500 * time.Millisecond
+	dialTimeout  = 250 * time.Millisecond
 	writeTimeout = 2 * time.Second
 	idleTimeout  = 30 * time.Second // a served connection without calls is closed
 	bufferSize   = 2 << 10
--- a/internal/router/roles.go
+++ b/internal/router/roles.go
@@ -21,6 +21,7 @@
 const (
 	roleEvery    = 100 * time.Millisecond
 	orderTimeout = time.Second
+	loadTold     = 150 * time.Millisecond // for all brokers to learn that an instance is about to load
 	mostReport   = 64 << 10
 	roleWeights  = "weights/" // and the model's name
 )
@@ -102,7 +103,6 @@
 	}
 	order, look := planner.Plan(time.Now(), r.workSince(model, version), all, version)
 	for _, i := range order {
-		r.publish(rollout.Progress{ID: i.ID, Model: model, Version: version, Loading: true})
 		go r.order(ctx, planner, lease, i, model, version)
 	}
 	for _, i := range look {
@@ -165,9 +165,14 @@
 	FenceToken uint64 `json:"fence_token"`
 }
 
-// order sends one order, if the lease still holds when it is written.
+// order sends one order, if the lease still holds when it is written. Runs go on under the new weights, and what they
+// leave behind is memory of two versions under the old one's salt: the brokers are told first, so that none sends a
+// request there or has parts fetched from there.
 func (r *roles) order(ctx context.Context, planner *rollout.Planner, lease *ownership.Lease, i instances.Instance, model string, version int64) {
-	body, err := json.Marshal(orderBody{Op: "version", Model: model, Version: version, Method: "queue", Holder: lease.Self,
+	told, cancel := context.WithTimeout(ctx, loadTold)
+	r.b.node.PublishEverywhere(told, rollout.Progress{ID: i.ID, Model: model, Version: version, Loading: true}.Record())
+	cancel()
+	body, err := json.Marshal(orderBody{Op: "version", Model: model, Version: version, Method: "retain", Holder: lease.Self,
 		FenceToken: lease.Token()})
 	if err != nil {
 		panic(err) // its types are fixed
