What nobody keeps is saved to the store of kept prompts and fetched from there

Change: the module says of a send whether a store is to keep what it reads (no holder covers the shared parts); the store is polled and told of like an instance, its parts under the newest weights' salt.

--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -36,6 +36,9 @@
 	hosts   map[string][]*Route // longest prefix first
 	tenants map[string]*Tenant  // by key
 	walls   uint64              // names the set of isolated tenants
+
+	storeName string
+	store     *Store
 }
 
 // Route says what becomes of the requests of a host under a path prefix.
@@ -138,6 +141,9 @@
 // TenantOf finds the tenant that holds a key; nil if none does.
 func (c *Configuration) TenantOf(key string) *Tenant { return c.tenants[key] }
 
+// KVStore returns the store of kept prompts, the first by name; nil: there is none.
+func (c *Configuration) KVStore() (service string, store *Store) { return c.storeName, c.store }
+
 // HasTenants says whether requests need a key unless their route is public.
 func (c *Configuration) HasTenants() bool { return len(c.tenants) > 0 }
 
@@ -201,6 +207,9 @@
 		service.Store = &Store{Address: s.KvStore, Zone: s.Zone, LinkMbps: s.LinkMbps, MaxConcurrency: int(s.MaxConcurrency)}
 	}
 	c.Services[s.Name] = service
+	if service.Store != nil && (c.store == nil || s.Name < c.storeName) {
+		c.storeName, c.store = s.Name, service.Store
+	}
 }
 
 func (b *builder) addRoute(c *Configuration, i int, r *configpb.Route) {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -78,7 +78,7 @@
 		for _, i := range candidates {
 			request.Permitted = append(request.Permitted, i.ID)
 		}
-		request.Prompt = c.s.describe(c.prompt, c.config.Walls(), c.tenant, c.service.Engine, candidates)
+		request.Prompt = c.s.describe(c.prompt, c.config, c.tenant, c.service.Engine, candidates)
 	}
 	c.s.logger.Debug().Str("request", c.id).Str("route", c.route.Name).Str("service", service).Msg("request arrived")
 	c.s.dispatcher.arrive(c.exchange, request)
@@ -205,7 +205,7 @@
 	ctx, stop := context.WithDeadline(ctx, c.exit)
 	defer stop()
 	begun := time.Now()
-	request, version := c.request(instance, command.Source)
+	request, version := c.request(instance, command)
 	response, progress, err := c.s.pool.Send(ctx, instance.Address, request)
 	outcome := c.take(response, progress, err, instance, version, number, begun)
 	if response != nil {
@@ -345,7 +345,7 @@
 }
 
 // request makes the request as it goes to an instance.
-func (c *call) request(instance instances.Instance, source string) (*upstream.Request, int64) {
+func (c *call) request(instance instances.Instance, command balance.Command) (*upstream.Request, int64) {
 	header := forwarded(c.r.Header)
 	header.Set(upstream.RequestID, c.id)
 	header.Set("X-Expect-Instance", instance.ID)
@@ -363,8 +363,11 @@
 		version = instance.VersionOf(c.prompt.model)
 		header.Set("Expect-Version", strconv.FormatInt(version, 10))
 		header.Set("Cache-Salt", salt(c.prompt.model, version, c.config.Walls(), c.tenant))
-		if from, known := c.s.instance(source); known && from.VersionOf(c.prompt.model) == version {
-			header.Set("Kv-Fetch", from.Address)
+		if address := c.sourceAddress(command.Source, version); address != "" {
+			header.Set("Kv-Fetch", address)
+		}
+		if name, store := c.config.KVStore(); store != nil && command.Save && command.Source != StoreName(name) {
+			header.Set("Kv-Save", store.Address)
 		}
 	}
 	return &upstream.Request{Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body, ID: c.id,
@@ -373,6 +376,17 @@
 		}}, version
 }
 
+// sourceAddress is the address of an instance or store to fetch from; empty: there is none, or it has other weights.
+func (c *call) sourceAddress(source string, version int64) string {
+	if name, store := c.config.KVStore(); store != nil && source == StoreName(name) {
+		return store.Address
+	}
+	if from, known := c.s.instance(source); known && from.VersionOf(c.prompt.model) == version {
+		return from.Address
+	}
+	return ""
+}
+
 // ownHeaders are set by the broker, or concern one connection only; what a client sends of them is not passed on.
 var ownHeaders = []string{"Authorization", "Cache-Salt", "Connection", "Content-Length", "Expect", "Expect-Version", "Keep-Alive", "Kv-Fetch",
 	"Kv-Save", "Priority", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -4,7 +4,9 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -91,8 +93,9 @@
 )
 
 // describe tells the balancer what a request reads and who keeps how much of it.
-func (s *Server) describe(p *prompt, walls uint64, tenant *configuration.Tenant, engine *configuration.Engine,
+func (s *Server) describe(p *prompt, config *configuration.Configuration, tenant *configuration.Tenant, engine *configuration.Engine,
 	candidates []instances.Instance) *balance.Prompt {
+	walls := config.Walls()
 	counts := p.counts()
 	out := &balance.Prompt{Tokens: p.tokens, Held: map[string]float64{}, Group: map[string]int64{}}
 	for _, part := range p.shared() {
@@ -112,6 +115,7 @@
 				out.Held[c.ID] = held
 			}
 		}
+		addStore(out, t, config, keys, counts)
 	})
 	if len(p.shared()) > 0 && len(candidates) > 0 {
 		out.Home = placementOrder(p, salt("", 0, walls, tenant), candidates)
@@ -126,6 +130,25 @@
 	return out
 }
 
+// StoreName is what the holder table knows a store by.
+func StoreName(service string) string { return "store/" + service }
+
+// addStore adds the store of kept prompts, with what it keeps for the newest weights.
+func addStore(out *balance.Prompt, t *holders.Table, config *configuration.Configuration, keys map[int64][]holders.Key, counts []float64) {
+	service, store := config.KVStore()
+	if store == nil || len(keys) == 0 {
+		return
+	}
+	newest := slices.Max(slices.Collect(maps.Keys(keys)))
+	name := StoreName(service)
+	held := t.Held(name, keys[newest], counts)
+	if held == 0 {
+		return
+	}
+	out.Held[name], out.Group[name] = held, newest
+	out.Stores = map[string]string{name: store.Zone}
+}
+
 func (p *prompt) keys(salt string) []holders.Key {
 	keys := make([]holders.Key, len(p.parts))
 	for i, part := range p.parts {
--- a/internal/router/index.go
+++ b/internal/router/index.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gullstair/internal/cluster"
+	"gullstair/internal/configuration"
+	"gullstair/internal/gateway"
 	"gullstair/internal/instances"
 	"gullstair/internal/kvindex"
 	"gullstair/internal/rendezvous"
@@ -55,10 +57,27 @@
 			b.tellKept(i, members, pollers)
 		}
 	}
+	if name, store := c.KVStore(); store != nil {
+		targets = append(targets, b.stepStore(name, store, members, tells)...)
+	}
 	b.index.SetTargets(ctx, targets)
 	b.sharing.Expire(now)
 }
 
+// stepStore is stepIndex for the store of kept prompts, which is no instance.
+func (b *Broker) stepStore(service string, store *configuration.Store, members []cluster.Member, tells bool) []kvindex.Target {
+	i := instances.Instance{ID: gateway.StoreName(service), Zone: store.Zone}
+	pollers := pollersOf(i, members, max(1, store.MaxConcurrency-pollersSpare))
+	place := slices.Index(pollers, b.settings.NodeName)
+	if place < 0 {
+		return nil
+	}
+	if place == 0 && tells {
+		b.tellKept(i, members, pollers)
+	}
+	return []kvindex.Target{{Name: i.ID, Address: store.Address}}
+}
+
 // tellKept tells the brokers that do not poll an instance what it keeps.
 func (b *Broker) tellKept(i instances.Instance, members []cluster.Member, pollers []string) {
 	others := slices.DeleteFunc(slices.Clone(members), func(m cluster.Member) bool { return slices.Contains(pollers, m.Name) })
--- a/logic/dispatch.go
+++ b/logic/dispatch.go
@@ -165,7 +165,7 @@
 		b.outCalls[n]++
 		b.outWork[n] += c.work
 	}
-	source := b.prepare(p, n)
+	source, save := b.prepare(p, n)
 	c.parts, c.out, c.work = c.parts+1, c.out+1, c.work+p.work
 	b.outWork[n] += p.work
 	b.allowed[n] -= p.work // the rule counts parts, not calls
@@ -188,7 +188,7 @@
 	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, silent: silent, wait: wait,
 		fresh: !b.linked(n), load: b.load(n), read: p.read, open: true, ran: true})
 	p.open++
-	b.do(Action{Kind: Dispatch, ID: p.id, Node: b.nodeID[n], After: limit - b.now, Source: source})
+	b.do(Action{Kind: Dispatch, ID: p.id, Node: b.nodeID[n], After: limit - b.now, Source: source, Save: save})
 	return late
 }
 
--- a/logic/prompt.go
+++ b/logic/prompt.go
@@ -64,12 +64,14 @@
 	return known && b.state[n] != Gone && !b.poor(n)
 }
 
-// prepare settles what p costs the node that it is sent to and which source it fetches from.
-func (b *Broker) prepare(p *part, n int) (source int64) {
-	if p.prompt != nil {
-		p.work, source, p.read = b.reading(p.prompt, n)
+// prepare settles what p costs the node that it is sent to, its source, and whether a store is to keep what
+// it reads: where nobody keeps all that other requests may have in common with it.
+func (b *Broker) prepare(p *part, n int) (source int64, save bool) {
+	if q := p.prompt; q != nil {
+		p.work, source, p.read = b.reading(q, n)
+		save = q.Shared > 0 && q.Held[b.nodeID[n]] < q.Shared && q.Tokens-p.read < q.Shared
 	}
-	return source
+	return source, save
 }
 
 // streamBegan takes the first event of a stream: its latency counts, and the work before it is done.
@@ -102,14 +104,6 @@
 	return elapsed * b.meanWork / max(d.load, b.meanWork*paceLeast)
 }
 
-// zonePrice is what a call to another zone weighs, as a share of the target time.
-func (b *Broker) zonePrice() float64 {
-	if b.flag("prices.zonesUntold") {
-		return zoneWeighs
-	}
-	return b.num("prices.crossZone")
-}
-
 // triesLeft says whether p may go to one more node: what may have run counts, and the rest up to a bound.
 func (b *Broker) triesLeft(p *part, t *terms) bool {
 	most := b.types[p.scan.typ].dispatches
--- a/logic/terms.go
+++ b/logic/terms.go
@@ -59,3 +59,11 @@
 	}
 	return list
 }
+
+// zonePrice is what a call to another zone weighs, as a share of the target time.
+func (t *terms) zonePrice() float64 {
+	if t.flag("prices.zonesUntold") {
+		return zoneWeighs
+	}
+	return t.num("prices.crossZone")
+}
