--- a/cmd/gullstair/fleet.go
+++ b/cmd/gullstair/fleet.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -24,7 +25,9 @@
 )
 
 // fleetCommands are the subcommands of the router fleet.
-var fleetCommands = []string{"broker", "check-settings", "check-configuration", "status"}
+var fleetCommands = []string{"broker", "check-settings", "status"}
+
+const checkConfig = "check-config"
 
 const (
 	memoryShare   = 0.7 // of the machine's limit that the heap may take before the collector works harder
@@ -32,8 +35,12 @@
 	bytesPerMB    = 1 << 20
 )
 
-// isFleetCommand says whether the command line is one of the router fleet's.
+// isFleetCommand says whether the command line is one of the router fleet's. check-config with a file is; without one
+// it checks the start file of serve, as before.
 func isFleetCommand(args []string) bool {
+	if len(args) > 1 && args[0] == checkConfig && !strings.HasPrefix(args[1], "-") {
+		return true
+	}
 	return len(args) > 0 && slices.Contains(fleetCommands, args[0])
 }
 
@@ -51,7 +58,7 @@
 	broker.String(&level, "l", "log-level", "The least severe log lines that are written: debug, info, warn, error.")
 	checkSettings := flaggy.NewSubcommand("check-settings")
 	checkSettings.Description = "Read and check the settings file."
-	checkConfiguration := flaggy.NewSubcommand("check-configuration")
+	checkConfiguration := flaggy.NewSubcommand(checkConfig)
 	checkConfiguration.Description = "Read and check a configuration of the operator."
 	checkConfiguration.AddPositionalValue(&document, "file", 1, true, "The configuration, as JSON.")
 	status := flaggy.NewSubcommand("status")
@@ -69,6 +76,10 @@
 	case status.Used && address != "":
 		return printStatus(address, out)
 	}
+	if path == "" {
+		_, err := settings.Path()
+		return err
+	}
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
