TestStalledForLong fixes the size of the buffer that it fills

Cause: the test took a connection for full that took nothing for 30 ms; the system then made its send buffer larger, all went out and nothing stalled (no end came, 69 out; without -race, 4 of 4 times). The peer is not at fault: with -race it was slow enough for the buffer to grow first. Change: the sender's buffer has a fixed size, as the receiver's had; the assertions are the same. Measured: passes 4 of 4 without -race.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -252,6 +252,7 @@
 	p.connect(t)
 	k := n.accept()
 	require.NoError(t, k.conn.(*net.TCPConn).SetReadBuffer(1<<16))
+	require.NoError(t, c.conn.(*net.TCPConn).SetWriteBuffer(1<<16)) // else the system may make it larger once it was full
 	again := func() {
 		c.stalled = false
 		p.flush(c)
