Shorter prompts rank before longer ones of the same priority

Change: the module says a rank from 0 to 2 by what reading takes of the target; instances are told three ranks for each priority of the operator, whose order stays first.

--- a/logic/dispatch.go
+++ b/logic/dispatch.go
@@ -188,7 +188,8 @@
 	p.tries = append(p.tries, dispatch{node: n, call: c, at: b.now, late: late, silent: silent, wait: wait,
 		fresh: !b.linked(n), load: b.load(n), read: p.read, open: true, ran: true})
 	p.open++
-	b.do(Action{Kind: Dispatch, ID: p.id, Node: b.nodeID[n], After: limit - b.now, Source: source, Save: save})
+	b.do(Action{Kind: Dispatch, ID: p.id, Node: b.nodeID[n], After: limit - b.now, Source: source, Save: save,
+		Rank: int(min(lastRank, (lastRank+1)*p.work/typ.target))})
 	return late
 }
 
--- a/logic/prompt.go
+++ b/logic/prompt.go
@@ -18,6 +18,7 @@
 	awayWeighs = 0.5  // of what the shared parts take to read counts against a first copy elsewhere than home
 
 	zoneWeighs  = 0.07 // of the target time that a call to another zone weighs, at a price that is not told
+	lastRank    = 2.0  // of a request whose reading takes most of its target time; shorter ones come before it
 	resendExtra = 2    // dispatches beyond the limit, for those that never ran
 )
 
