Names of a route's type in the balancer; what nothing read is gone

Cause: typeKey carried a kind as a rune and a field nothing set. Change: its fields are named for what they hold.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -110,12 +110,12 @@
 
 // typeKey tells routes apart as far as the module's figures of them go.
 type typeKey struct {
-	route             string
-	timeout, target   float64
-	attempts          int
-	repeatable        bool
-	priority          int
-	service, resource string
+	kind            configuration.Kind
+	service         string
+	timeout, target float64 // ms
+	attempts        int
+	repeatable      bool
+	priority        int
 }
 
 const mostServices = 256
@@ -337,8 +337,8 @@
 }
 
 func (b *Balancer) typeOf(r *configuration.Route) int {
-	key := typeKey{timeout: milliseconds(r.Timeout), target: milliseconds(r.Target), attempts: r.MaxAttempts, repeatable: repeatable(r),
-		priority: r.Priority, route: string(rune('0' + r.Kind)), service: r.Splits[0].Service}
+	key := typeKey{kind: r.Kind, service: r.Splits[0].Service, timeout: milliseconds(r.Timeout), target: milliseconds(r.Target),
+		attempts: r.MaxAttempts, repeatable: repeatable(r), priority: r.Priority}
 	n, known := b.types[key]
 	if !known {
 		n = len(b.types)
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -27,13 +27,12 @@
 // answer is what the client gets: the head of the first instance that answered, and the body, which a second run of a
 // resumable stream may go on with.
 type answer struct {
-	w         http.ResponseWriter
-	stream    bool
-	resumable bool
-	begun     bool
-	last      string // id of the last event that was passed on
-	length    int64  // of the body, if told; else below 0
-	sent      int64
+	w      http.ResponseWriter
+	stream bool
+	begun  bool
+	last   string // id of the last event that was passed on
+	length int64  // of the body, if told; else below 0
+	sent   int64
 }
 
 // hopHeaders concern one connection only.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -286,8 +286,7 @@
 // pass passes an answer on to the client.
 func (c *call) pass(response *upstream.Response, instance instances.Instance, version int64, number int, begun time.Time) logic.Outcome {
 	if c.answer == nil {
-		c.answer = &answer{w: c.w, resumable: c.route.Kind == configuration.Streaming && c.route.Resumable,
-			stream: c.route.Kind == configuration.Streaming, last: c.r.Header.Get(lastEventID)}
+		c.answer = &answer{w: c.w, stream: c.route.Kind == configuration.Streaming, last: c.r.Header.Get(lastEventID)}
 	}
 	began := false
 	onData := func() {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -115,7 +115,7 @@
 // TestResumedEventsComeOnce passes on a second run that begins before where the first was cut.
 func TestResumedEventsComeOnce(t *testing.T) {
 	w := &sink{header: http.Header{}}
-	a := &answer{w: w, stream: true, resumable: true}
+	a := &answer{w: w, stream: true}
 	a.passEvents([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), false)
 	a.passEvents([]byte("id: 2\ndata: b\n\nid: 3\ndata: c\n\n"), true)
 	a.passEvents([]byte("id: 4\ndata: d\n\n"), true)
