--- a/cmd/measure/capacity.go
+++ b/cmd/measure/capacity.go
@@ -177,7 +177,7 @@
 // measureMap holds an index of kept blocks, by a hash of 64 bits, in a plain map to the number of a node and the block's
 // age. It is not part of the broker: it gives the size that a compact structure is to be weighed against.
 func measureMap(entries int) (bytes, ns float64) {
-	type place struct{ node, age uint32 }
+	type place struct{ node, _ uint32 }
 	before := heapNow()
 	index := map[uint64]place{}
 	for i := range entries {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,7 +37,6 @@
 	endAt     float64
 	from      string // shards that were in when the first step ended
 	firstFull bool
-	second    []*part // to be told to the module in the next Step
 }
 
 type part struct {
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -116,11 +116,8 @@
 // broken wraps a broker and breaks one rule on purpose, so that the judge is seen to see it.
 type broken struct {
 	Decider
-	how   string
-	drop  map[string]bool
-	sends map[string]core.Call
-	now   float64
-	nth   int
+	how string
+	nth int
 }
 
 func (b *broken) Step(now float64, in []core.Input) []core.Output {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -24,17 +24,22 @@
 	errResume     = errors.New("the stream was not taken up again")
 )
 
-// answer is what the client gets: the head of the first instance that answered, and the body, which a second run of a
-// resumable stream may go on with.
+// answer is what the client gets: the head of the instance whose bytes came first, and the body. Only a resumable stream
+// of which an event with an id was passed on may be gone on with by a second run; nothing else that has begun is.
 type answer struct {
-	w      http.ResponseWriter
-	stream bool
-	begun  bool
-	last   string // id of the last event that was passed on
-	length int64  // of the body, if told; else below 0
-	sent   int64
+	w         http.ResponseWriter
+	stream    bool
+	resumable bool   // by the route
+	begun     bool   // the head has been passed on
+	last      string // id of the last event that the client has
+	named     bool   // the last event that was passed on here has an id
+	length    int64  // of the body, if told; else below 0
+	sent      int64
 }
 
+// closed says whether no other run may go on with what the client has been sent.
+func (a *answer) closed() bool { return a.begun && !(a.stream && a.resumable && a.named) }
+
 // hopHeaders concern one connection only.
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding",
 	"Upgrade"}
@@ -71,13 +76,13 @@
 	a.w.WriteHeader(r.Status)
 }
 
-// copy passes an answer's body on. onData is called when the first of it is there.
+// copy passes an answer on. onData is called when the first of its body is there. The head waits for the first bytes of
+// the body, or for its end: until then another run can still take the place of this one.
 func (a *answer) copy(r *upstream.Response, onData func()) error {
-	if a.begun && (r.Status != http.StatusOK || r.Header.Get(serverStamp) == "") {
+	resumed := a.begun
+	if resumed && (a.closed() || r.Status != http.StatusOK || r.Header.Get(serverStamp) == "") {
 		return errResume
 	}
-	resumed := a.begun
-	a.begin(r)
 	if a.stream && r.Status == http.StatusOK {
 		return a.copyEvents(r, resumed, onData)
 	}
@@ -86,11 +91,13 @@
 		n, err := r.Read(buffer)
 		if n > 0 {
 			onData()
+			a.begin(r)
 			if !a.write(buffer[:n]) {
 				return errClientGone
 			}
 		}
 		if err == io.EOF {
+			a.begin(r)
 			return a.whole()
 		}
 		if err != nil {
@@ -111,8 +118,8 @@
 		if n > 0 {
 			onData()
 			pending = append(pending, buffer[:n]...)
-			end := lastEventEnd(pending)
-			if end > 0 {
+			if end := lastEventEnd(pending); end > 0 {
+				a.begin(r)
 				if !a.passEvents(pending[:end], resumed) {
 					return errClientGone
 				}
@@ -124,10 +131,7 @@
 			}
 		}
 		if err == io.EOF {
-			if len(pending) > 0 && !a.write(pending) {
-				return errClientGone
-			}
-			return a.whole()
+			return a.endEvents(r, pending)
 		}
 		if err != nil {
 			return errBroken
@@ -135,6 +139,15 @@
 	}
 }
 
+// endEvents passes on what an instance sent behind its last whole event.
+func (a *answer) endEvents(r *upstream.Response, rest []byte) error {
+	a.begin(r)
+	if len(rest) > 0 && !a.write(rest) {
+		return errClientGone
+	}
+	return a.whole()
+}
+
 // lastEventEnd is the length of the whole events that text begins with. A blank line ends an event.
 func lastEventEnd(text []byte) int {
 	end := bytes.LastIndex(text, []byte("\n\n"))
@@ -149,21 +162,16 @@
 
 // passEvents passes on whole events. Of a run that goes on, those that the client has already are left out.
 func (a *answer) passEvents(events []byte, resumed bool) bool {
-	if !resumed {
-		if id := lastID(events); id != "" {
-			a.last = id
-		}
-		return a.write(events)
-	}
 	for len(events) > 0 {
 		end := firstEventEnd(events)
 		event := events[:end]
 		events = events[end:]
 		id := lastID(event)
-		if id != "" && !after(id, a.last) {
+		if resumed && id != "" && !after(id, a.last) {
 			continue
 		}
-		if id != "" {
+		a.named = id != ""
+		if a.named {
 			a.last = id
 		}
 		if !a.write(event) {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -217,6 +217,9 @@
 	c.s.logger.Debug().Str("request", c.id).Str("instance", instance.ID).Str("source", command.Source).Int("attempt", number).
 		Int("outcome", int(outcome)).Err(err).Dur("took", time.Since(begun)).Msg("attempt ended")
 	c.s.dispatcher.ended(c.exchange, number, outcome, time.Since(begun))
+	if outcome != logic.Completed && c.answer != nil && c.answer.closed() {
+		c.fail() // whatever the module wants next: no second run goes on with these bytes
+	}
 }
 
 // cause tells apart what this broker or its client broke off, which says nothing of the instance.
@@ -286,7 +289,7 @@
 // pass passes an answer on to the client.
 func (c *call) pass(response *upstream.Response, instance instances.Instance, version int64, number int, begun time.Time) logic.Outcome {
 	if c.answer == nil {
-		c.answer = &answer{w: c.w, stream: c.route.Kind == configuration.Streaming, last: c.r.Header.Get(lastEventID)}
+		c.answer = &answer{w: c.w, stream: c.route.Kind == configuration.Streaming, resumable: c.route.Resumable, last: c.r.Header.Get(lastEventID)}
 	}
 	began := false
 	onData := func() {
--- a/internal/router/roles.go
+++ b/internal/router/roles.go
@@ -224,7 +224,8 @@
 	r.publish(rollout.Progress{ID: i.ID, Model: model, Version: version})
 }
 
-// send makes one call to an instance.
+// send makes one call to an instance. An order has a connection of its own: its answer names nothing that would tell it
+// from the answer to an earlier one.
 func (r *roles) send(ctx context.Context, i instances.Instance, method, target string, body []byte) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -233,7 +234,7 @@
 		header.Set("Content-Type", "application/json")
 	}
 	response, _, err := r.pool.Send(ctx, i.Address, &upstream.Request{Method: method, Target: target, Host: i.Address, Header: header,
-		Body: bytes.Clone(body)})
+		Body: bytes.Clone(body), Once: method == http.MethodPost})
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -33,7 +33,6 @@
 type Expectation struct {
 	Figure      string // service, worst_10s, worst_type, wasted, dispatches, p99_ms
 	Least, Most float64
-	line        int
 }
 
 // Check says which expectations the figures fail.
--- a/internal/tasks/holds.go
+++ b/internal/tasks/holds.go
@@ -63,11 +63,10 @@
 
 type hold struct {
 	Hold
-	slot   int // asked for or held; -1: none yet
-	held   bool
-	fence  uint64
-	next   float64 // when another slot is looked for
-	closed bool
+	slot  int // asked for or held; -1: none yet
+	held  bool
+	fence uint64
+	next  float64 // when another slot is looked for
 }
 
 // Holds are the leases that are held by hand at one member. Only one goroutine may call it.
--- a/internal/trial/limits.go
+++ b/internal/trial/limits.go
@@ -480,19 +480,17 @@
 // and is on the larger side. A new one waits for a term.
 type leader struct {
 	bucket
-	w       *Limits
-	self    string
-	roster  []string
-	next    float64
-	until   float64 // of the own share
-	asked   float64
-	wants   map[string]float64
-	wantAt  map[string]float64
-	given   map[string]float64
-	upto    map[string]float64
-	lead    bool
-	since   float64
-	sharing bool
+	w      *Limits
+	self   string
+	roster []string
+	next   float64
+	until  float64 // of the own share
+	wants  map[string]float64
+	wantAt map[string]float64
+	given  map[string]float64
+	upto   map[string]float64
+	lead   bool
+	since  float64
 }
 
 func newLeader(w *Limits, r shares.Rules, l shares.Limit) *leader {
--- a/internal/trial/verdicts.go
+++ b/internal/trial/verdicts.go
@@ -38,7 +38,6 @@
 	members []*knower
 	rates   []float64
 	born    []float64 // of the stores' processes, true time
-	asking  bool
 	boots   uint64
 	lastBad [][]float64 // true time of the newest failure of a store at a member
 	orders  map[string][]given
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +26,7 @@
 	idleMargin       = 700 * time.Millisecond // a connection is given up so long before its peer would
 	readBuffer       = 4 << 10
 	maxIdlePerTarget = 32
+	mostCarried      = 8 // ids that a connection remembers; it reads over fewer surplus answers than that
 )
 
 // Pool keeps idle connections by address.
@@ -45,12 +47,14 @@
 	reader  *bufio.Reader
 	address string
 	expires time.Time // it is not to be used any more
+	carried []string  // ids of the newest requests that were sent on it, at most mostCarried
 }
 
-// get returns an idle connection, else a new one.
-func (p *Pool) get(ctx context.Context, address string) (*Conn, error) {
+// get returns an idle connection, else a new one. One that a request with the same id was sent on does not serve: a
+// second answer to that one may still come, and nothing would tell it from the answer to this one.
+func (p *Pool) get(ctx context.Context, address, id string) (*Conn, error) {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, id)
 		if c == nil {
 			break
 		}
@@ -62,14 +66,31 @@
 	return p.dial(ctx, address)
 }
 
-func (p *Pool) pop(address string) *Conn {
+// pop takes out the connection that was used last, of those that have not carried the id.
+func (p *Pool) pop(address, id string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if list == nil || list.Len() == 0 {
+	if list == nil {
 		return nil
 	}
-	return list.PopBack()
+	for at := list.Len() - 1; at >= 0; at-- {
+		if id == "" || !slices.Contains(list.At(at).carried, id) {
+			return list.Remove(at)
+		}
+	}
+	return nil
+}
+
+// carries notes that a request is sent on the connection.
+func (c *Conn) carries(id string) {
+	if id == "" {
+		return
+	}
+	c.carried = append(c.carried, id)
+	if len(c.carried) > mostCarried {
+		c.carried = slices.Delete(c.carried, 0, 1)
+	}
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -36,7 +36,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	ID     string // of X-Request-Id
+	ID     string // of X-Request-Id; without one nothing tells a late answer to an earlier request from the one due
+	Once   bool   // the connection is used for nothing before and nothing after
 	// Complete sets headers whose values depend on the moment of sending; may be nil.
 	Complete func(http.Header)
 }
@@ -59,10 +60,11 @@
 
 // Send writes a request to a connection and reads the head of its answer. The context's end closes the connection.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Response, Progress, error) {
-	conn, err := p.get(ctx, address)
+	conn, err := p.connect(ctx, address, r)
 	if err != nil {
 		return nil, NotSent, errors.Wrap(err, "connect")
 	}
+	conn.carries(r.ID)
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if r.Complete != nil {
 		r.Complete(r.Header)
@@ -83,7 +85,14 @@
 		return nil, Sent, err
 	}
 	return &Response{Status: answer.StatusCode, Header: answer.Header, Length: answer.ContentLength, body: answer.Body, conn: conn,
-		pool: p, stop: stop, keep: !answer.Close}, Answered, nil
+		pool: p, stop: stop, keep: !answer.Close && !r.Once}, Answered, nil
+}
+
+func (p *Pool) connect(ctx context.Context, address string, r *Request) (*Conn, error) {
+	if r.Once {
+		return p.dial(ctx, address)
+	}
+	return p.get(ctx, address, r.ID)
 }
 
 // bytes is the request as it goes over the wire.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -214,3 +214,40 @@
 		t.Errorf("%d connections were opened", opened())
 	}
 }
+
+// TestSecondAttemptTakesAnotherConnection sends one request twice to one instance, which rejects the first and has its
+// rejection still come a second time: the next attempt under that id goes over another connection, other requests do not.
+func TestSecondAttemptTakesAnotherConnection(t *testing.T) {
+	address, opened := served(t, func(n int, r *http.Request) string {
+		return ok(r.Header.Get(RequestID), fmt.Sprint(n))
+	})
+	p := New(netio.Host{})
+	for n, step := range []struct {
+		id     string
+		opened int
+	}{{"r1", 1}, {"r1", 2}, {"r2", 2}, {"r1", 3}, {"r3", 3}} {
+		if _, _, err := send(t, p, address, step.id); err != nil {
+			t.Fatal(err)
+		}
+		if opened() != step.opened {
+			t.Errorf("step %d: %d connections were opened, want %d", n, opened(), step.opened)
+		}
+	}
+}
+
+// TestOnce gives a request a connection of its own, which serves nothing before and nothing after it.
+func TestOnce(t *testing.T) {
+	address, opened := served(t, func(int, *http.Request) string { return "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n" })
+	p := New(netio.Host{})
+	for _, once := range []bool{false, true, false, true} {
+		r, _, err := p.Send(context.Background(), address, &Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Once: once})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, r)
+		r.Close()
+	}
+	if opened() != 3 {
+		t.Errorf("%d connections were opened, want one that is kept and two of their own", opened())
+	}
+}
