Slots: a log's name lasts before it is used; damage is told from a torn tail

Cause: Checkpoint began a log without a sync of its folder, so a loss of power could take the log with what was acknowledged in it; a record or slot that could not be read led back to older state under the same identity. Ruled out: the tail after a crash, of which one record at most is torn. Change: the folder is synced after the log is made, after the slot before it; a whole record behind one that is not, or a log newer than any slot that can be read, is ErrDamaged and nothing is given out; zeros are no record.

--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -1,6 +1,9 @@
 // Package slots keeps a small state on a disk: two slots that are written in turn, with a short log of records between.
 // What Append and Checkpoint return without an error for is there after a loss of power; of what they return an error
 // for, all or nothing may be there.
+//
+// A loss of power leaves a torn record at the log's end at most, and a torn slot beside the one in use. Whatever else
+// cannot be read means that something acknowledged may be missing: Open then says ErrDamaged and gives nothing out.
 package slots
 
 import (
@@ -8,6 +11,8 @@
 	"fmt"
 	"hash/crc32"
 	"slices"
+	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -19,6 +24,7 @@
 	headerSize = 8         // of a record: length and checksum
 	numberSize = 8         // generation at the head of a slot
 	mostRecord = 32 << 20
+	logPrefix  = "log-"
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -26,6 +32,9 @@
 // ErrEmpty says that the disk holds no state.
 var ErrEmpty = errors.New("no state on the disk")
 
+// ErrDamaged says that the disk held a state of which something that was acknowledged may be missing.
+var ErrDamaged = errors.New("the state on the disk is damaged")
+
 // Store is one state on one disk. One goroutine at a time may use it.
 type Store struct {
 	disk       journalfile.Disk
@@ -41,7 +50,8 @@
 	Records [][]byte
 }
 
-// Open reads what is there. ErrEmpty: nothing is; a Checkpoint must be the first write.
+// Open reads what is there. ErrEmpty: nothing is; ErrDamaged: what is there must not be relied on. After both the store
+// can be used, and a Checkpoint must be the first write.
 func Open(disk journalfile.Disk) (*Store, Contents, error) {
 	s := &Store{disk: disk, broken: true}
 	names, err := disk.List()
@@ -55,21 +65,39 @@
 			s.generation, contents.State, found = generation, state, true
 		}
 	}
+	if newest := newestLog(names); newest > s.generation {
+		s.generation = newest // a log is made after its slot is sure to last
+		return s, Contents{}, ErrDamaged
+	}
 	if !found {
 		return s, Contents{}, ErrEmpty
 	}
 	if name := logName(s.generation); slices.Contains(names, name) {
 		text, err := disk.Read(name)
 		if err != nil {
-			return nil, Contents{}, errors.Wrap(err, "read the log")
+			return s, Contents{}, errors.CombineErrors(ErrDamaged, err)
+		}
+		rest := []byte(nil)
+		if contents.Records, rest = records(text); holdsRecord(rest) {
+			return s, Contents{}, ErrDamaged
 		}
-		contents.Records = records(text)
 	}
 	return s, contents, nil
 }
 
+// newestLog is the highest generation that a log is named by; 0: there is none.
+func newestLog(names []string) (newest uint64) {
+	for _, name := range names {
+		generation, err := strconv.ParseUint(strings.TrimPrefix(name, logPrefix), 16, 64)
+		if err == nil && strings.HasPrefix(name, logPrefix) {
+			newest = max(newest, generation)
+		}
+	}
+	return newest
+}
+
 func slotName(generation uint64) string { return fmt.Sprintf("slot-%d", generation%2) }
-func logName(generation uint64) string  { return fmt.Sprintf("log-%016x", generation) }
+func logName(generation uint64) string  { return fmt.Sprintf("%s%016x", logPrefix, generation) }
 
 func (s *Store) readSlot(names []string, name string) (uint64, []byte, bool) {
 	if !slices.Contains(names, name) {
@@ -79,30 +107,47 @@
 	if err != nil {
 		return 0, nil, false
 	}
-	all := records(text)
+	all, _ := records(text)
 	if len(all) != 1 || len(all[0]) < numberSize {
 		return 0, nil, false
 	}
 	return binary.LittleEndian.Uint64(all[0]), all[0][numberSize:], true
 }
 
-// records cuts a file into its records, up to the first that is not whole.
-func records(text []byte) [][]byte {
-	var out [][]byte
-	for len(text) >= headerSize {
-		length := binary.LittleEndian.Uint32(text)
-		sum := binary.LittleEndian.Uint32(text[4:])
-		if length > mostRecord || int(length) > len(text)-headerSize {
-			break
-		}
-		body := text[headerSize : headerSize+int(length)]
-		if crc32.Checksum(body, castagnoli) != sum {
-			break
+// records cuts a file into its records, up to the first that is not whole. rest begins with that one.
+func records(text []byte) (out [][]byte, rest []byte) {
+	for {
+		body, whole := record(text)
+		if !whole {
+			return out, text
 		}
 		out = append(out, body)
-		text = text[headerSize+int(length):]
+		text = text[headerSize+len(body):]
 	}
-	return out
+}
+
+// record reads the record that text begins with. None is empty: a part of a file that was never written reads as zeros.
+func record(text []byte) (body []byte, whole bool) {
+	if len(text) < headerSize {
+		return nil, false
+	}
+	length := binary.LittleEndian.Uint32(text)
+	if length == 0 || length > mostRecord || int(length) > len(text)-headerSize {
+		return nil, false
+	}
+	body = text[headerSize : headerSize+int(length)]
+	return body, crc32.Checksum(body, castagnoli) == binary.LittleEndian.Uint32(text[4:])
+}
+
+// holdsRecord says whether a whole record stands somewhere in text. Records are written one at a time, so nothing follows
+// one that was torn.
+func holdsRecord(text []byte) bool {
+	for at := 1; at < len(text); at++ {
+		if _, whole := record(text[at:]); whole {
+			return true
+		}
+	}
+	return false
 }
 
 func frame(body []byte) []byte {
@@ -146,19 +191,32 @@
 		s.log.Close()
 		s.log = nil
 	}
-	log, err := s.disk.Create(logName(next))
+	log, err := s.createLog(next)
 	if err != nil {
-		return errors.Wrap(err, "create the log")
-	}
-	if err := log.Sync(); err != nil {
-		log.Close()
-		return errors.Wrap(err, "sync the new log")
+		return err
 	}
 	s.log, s.logSize, s.broken = log, 0, false
 	_ = s.disk.Remove(logName(old)) // one that stays is not read again
 	return nil
 }
 
+// createLog makes an empty log. Its name is sure to last before anything is acknowledged that stands in it.
+func (s *Store) createLog(generation uint64) (journalfile.File, error) {
+	log, err := s.disk.Create(logName(generation))
+	if err != nil {
+		return nil, errors.Wrap(err, "create the log")
+	}
+	if err := log.Sync(); err != nil {
+		log.Close()
+		return nil, errors.Wrap(err, "sync the new log")
+	}
+	if err := s.disk.Sync(); err != nil {
+		log.Close()
+		return nil, errors.Wrap(err, "sync the directory of the new log")
+	}
+	return log, nil
+}
+
 func (s *Store) writeSlot(generation uint64, state []byte) error {
 	name := slotName(generation)
 	if err := s.disk.Remove(name); err != nil {
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -17,7 +17,8 @@
 )
 
 // memory is a disk whose power can fail at any operation. What was synced lasts; of later writes each file keeps a part
-// that the seed draws; a created or removed name lasts with its folder's sync, or by chance.
+// that the seed draws; a created or removed name lasts with its folder's sync, or by chance: also the name of a file that
+// was itself synced.
 type memory struct {
 	rng     *rand.Rand
 	files   map[string]*content
@@ -55,7 +56,7 @@
 	for name := range names {
 		file, now := m.files[name]
 		old, before := m.entries[name]
-		if now && before && file == old || now && len(file.synced) > 0 {
+		if now && before && file == old {
 			after.files[name] = torn(m.rng, file)
 			continue
 		}
@@ -278,12 +279,67 @@
 	}
 }
 
+// filled is a disk with a slot and three records behind it.
+func filled(t *testing.T, states byte) *memory {
+	disk := newMemory(1)
+	store, _, _ := Open(disk)
+	for n := byte(1); n <= states; n++ {
+		if err := write(store, n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return disk
+}
+
+// TestDamageIsNotATornTail spoils what was acknowledged, by which something promised may be forgotten, and what a loss of
+// power leaves.
+func TestDamageIsNotATornTail(t *testing.T) {
+	log := logName(1)
+	for name, c := range map[string]struct {
+		states byte
+		spoil  func(d *memory)
+		want   error
+	}{
+		"nothing":                    {4, func(*memory) {}, nil},
+		"the last record":            {4, func(d *memory) { d.files[log].data[len(d.files[log].data)-1] ^= 1 }, nil},
+		"half of the last record":    {4, func(d *memory) { d.files[log].data = d.files[log].data[:len(d.files[log].data)-20000] }, nil},
+		"zeros after the end":        {4, func(d *memory) { d.files[log].data = append(d.files[log].data, make([]byte, 5000)...) }, nil},
+		"a record before the last":   {4, func(d *memory) { d.files[log].data[45000] ^= 1 }, ErrDamaged},
+		"the first record's length":  {4, func(d *memory) { d.files[log].data[0] ^= 1 }, ErrDamaged},
+		"the slot":                   {4, func(d *memory) { d.files[slotName(1)].data[100] ^= 1 }, ErrDamaged},
+		"the slot is gone":           {4, func(d *memory) { delete(d.files, slotName(1)) }, ErrDamaged},
+		"the newer of two slots":     {12, func(d *memory) { d.files[slotName(2)].data[100] ^= 1 }, ErrDamaged},
+		"the newer of two is gone":   {12, func(d *memory) { delete(d.files, slotName(2)) }, ErrDamaged},
+		"the older of two slots":     {12, func(d *memory) { d.files[slotName(1)].data[100] ^= 1 }, nil},
+		"a torn slot before its log": {4, func(d *memory) { d.files[slotName(2)] = &content{data: []byte("torn")} }, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			disk := filled(t, c.states)
+			c.spoil(disk)
+			store, contents, err := Open(disk)
+			if !errors.Is(err, c.want) || c.want == nil && err != nil {
+				t.Fatalf("%v, want %v", err, c.want)
+			}
+			if c.want != nil && (contents.State != nil || contents.Records != nil) {
+				t.Error("what is damaged is given out")
+			}
+			if err := write(store, 99); err != nil {
+				t.Fatal(err)
+			}
+			if _, contents, err := Open(disk); err != nil || newest(t, contents) != 99 {
+				t.Errorf("after it: %v", err)
+			}
+		})
+	}
+}
+
 func FuzzRecords(f *testing.F) {
 	f.Add(frame([]byte("one")))
 	f.Add(append(frame([]byte("one")), frame([]byte("two"))[:5]...))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		size := 0
-		for _, r := range records(text) {
+		whole, _ := records(text)
+		for _, r := range whole {
 			size += headerSize + len(r)
 		}
 		if size > len(text) {
