--- a/internal/register/look.go
+++ b/internal/register/look.go
@@ -18,7 +18,7 @@
 // Inspections returns what is to be asked: Prepares with no ballot, which bind nobody.
 func (l *Look) Inspections() []Prepare {
 	var out []Prepare
-	for _, to := range (&Round{sets: l.value.Members.Sets}).replicas() {
+	for _, to := range (&Round{sets: l.value.Quorums()}).replicas() {
 		out = append(out, Prepare{To: to, Known: l.ballot})
 	}
 	return out
@@ -40,9 +40,10 @@
 	return l.newer || round.majorities(func(r Replica) bool { return l.answered[r] })
 }
 
-// Chosen says whether the value is known to be chosen: a majority of each set has accepted it under its ballot.
+// Chosen says whether the value is known to be chosen: a majority of each set that it was proposed to has accepted it
+// under its ballot.
 func (l *Look) Chosen() bool {
-	round := Round{sets: l.value.Members.Sets}
+	round := Round{sets: l.value.Quorums()}
 	return round.majorities(func(r Replica) bool { return l.same[r] })
 }
 
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -57,6 +57,27 @@
 	return Members{Sets: [][]Replica{m.Last(), set}}
 }
 
+// Equal says whether two members name the same sets.
+func (m Members) Equal(other Members) bool {
+	return slices.EqualFunc(m.Sets, other.Sets, func(a, b []Replica) bool { return slices.Equal(a, b) })
+}
+
+// Addresses lists the machines of all sets.
+func (m Members) Addresses() []string {
+	var out []string
+	for _, set := range m.Sets {
+		for _, replica := range set {
+			if !slices.Contains(out, replica.Address) {
+				out = append(out, replica.Address)
+			}
+		}
+	}
+	return out
+}
+
+// Majority says whether more than half of each set has a property; false where there is no set.
+func (m Members) Majority(has func(Replica) bool) bool { return majorities(m.Sets, has) }
+
 // Last is the set that the register is in or moves to.
 func (m Members) Last() []Replica {
 	if len(m.Sets) == 0 {
@@ -76,6 +97,17 @@
 	Sequence uint64 // rises by one with each change
 	Members  Members
 	Payload  []byte
+	// Voted are the sets that it was proposed to: it is chosen once majorities of all of them have accepted it. After a
+	// change of the members that is more than the sets it names.
+	Voted [][]Replica
+}
+
+// Quorums are the sets whose majorities have to accept the value for it to be chosen.
+func (v Value) Quorums() [][]Replica {
+	if len(v.Voted) > 0 {
+		return v.Voted
+	}
+	return v.Members.Sets
 }
 
 // State is what an acceptor keeps on its disk.
@@ -91,6 +123,7 @@
 	To     Replica
 	Ballot Ballot
 	Known  Ballot
+	Probe  bool // asks only who answers here and what ballot it has accepted; binds nobody
 }
 
 // Promise answers a Prepare. Refused: Promised is the newer ballot that stands in the way.
@@ -127,6 +160,9 @@
 
 // Prepare takes a Prepare.
 func (a *Acceptor) Prepare(m Prepare) Promise {
+	if m.Probe {
+		return Promise{From: a.Self, Foreign: m.To != a.Self, Accepted: a.State.Accepted}
+	}
 	if m.To != a.Self {
 		return Promise{From: a.Self, Foreign: true}
 	}
@@ -156,6 +192,23 @@
 	return promise
 }
 
+// Learn takes a value that is known to be chosen, where the acceptor has nothing as new. It may do so whatever it has
+// promised: nothing else can be chosen under that ballot, and every later attempt carries the value on.
+func (a *Acceptor) Learn(known Known) error {
+	if !a.State.Accepted.Less(known.Ballot) {
+		return nil
+	}
+	next := State{Promised: a.State.Promised, Accepted: known.Ballot, Value: known.Value}
+	if next.Promised.Less(known.Ballot) {
+		next.Promised = known.Ballot
+	}
+	if err := a.Persist(next); err != nil {
+		return err
+	}
+	a.State = next
+	return nil
+}
+
 // Accept takes an Accept.
 func (a *Acceptor) Accept(m Accept) Accepted {
 	if m.To != a.Self {
--- a/internal/register/round.go
+++ b/internal/register/round.go
@@ -111,8 +111,9 @@
 		}
 		next = r.best.Value
 	}
-	r.Value, r.Phase = next, Accepting
 	r.need(next.Members)
+	next.Voted = slices.Clone(r.sets)
+	r.Value, r.Phase = next, Accepting
 	var out []Accept
 	for _, to := range r.replicas() {
 		out = append(out, Accept{To: to, Ballot: r.Ballot, Value: next})
@@ -148,11 +149,13 @@
 }
 
 // majorities says whether more than half of each set has answered.
-func (r *Round) majorities(answered func(Replica) bool) bool {
-	for _, set := range r.sets {
+func (r *Round) majorities(answered func(Replica) bool) bool { return majorities(r.sets, answered) }
+
+func majorities(sets [][]Replica, has func(Replica) bool) bool {
+	for _, set := range sets {
 		n := 0
 		for _, replica := range set {
-			if answered(replica) {
+			if has(replica) {
 				n++
 			}
 		}
@@ -160,7 +163,7 @@
 			return false
 		}
 	}
-	return len(r.sets) > 0
+	return len(sets) > 0
 }
 
 func (r *Round) replicas() []Replica {
