--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -9,7 +9,6 @@
 	"encoding/gob"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +21,7 @@
 	"gullstair/internal/peers"
 	"gullstair/internal/register"
 	"gullstair/internal/settings"
+	"gullstair/internal/voters"
 )
 
 // Kinds of records.
@@ -46,7 +46,6 @@
 	forgetAfter    = 60 * time.Second      // a member that is gone for longer is forgotten
 	mostDropped    = 4096
 	seedEvery      = 2 * time.Second
-	unreachedAfter = 1500 * time.Millisecond
 )
 
 // Member is one broker as it tells of itself.
@@ -54,6 +53,7 @@
 	Name    string
 	IP      string
 	Zone    string
+	Region  string
 	Control string // address for the operator and for heartbeats
 	Core    bool   // holds, or may hold, a replica of the register
 	Disk    uint64
@@ -99,20 +99,23 @@
 	proposing chan struct{} // holds the turn to make an attempt
 	changed   chan struct{} // closed when known changes
 
+	failedAt  time.Time // when the newest attempt began that found no majority
+	contacts  *voters.Contacts
+	reviewNow chan struct{} // has the voters looked at now
+
 	replica  *replica  // nil on a machine without a disk
 	founding *founding // the acceptor that decides the first members, while the system starts for the first time
-	unheard  map[string]time.Time
 }
 
 // New opens this broker's place; Run makes it take part.
 func New(s *settings.Settings, logger *log.Logger, environment Environment) (*Node, error) {
 	n := &Node{settings: s, logger: logger, environment: environment, client: peerlink.NewClient(environment.Network), store: dissemination.New(), heard: map[string]time.Time{},
 		proposer: rand.Uint64() | 1, started: time.Now(), changed: make(chan struct{}), seeds: s.SeedIPs(),
-		proposing: make(chan struct{}, 1), unheard: map[string]time.Time{}, onNote: map[NoteKind]func([]byte){}}
+		proposing: make(chan struct{}, 1), contacts: voters.NewContacts(s.Bounds.CatchUp), reviewNow: make(chan struct{}, 1), onNote: map[NoteKind]func([]byte){}}
 	n.random = rand.New(rand.NewPCG(n.proposer, 1))
 	n.view = peers.New(s.IP, n.proposer)
 	n.epoch = uint64(time.Now().UnixNano())
-	n.self = Member{Name: s.NodeName, IP: s.IP, Zone: s.Zone, Control: s.ListenControl}
+	n.self = Member{Name: s.NodeName, IP: s.IP, Zone: s.Zone, Region: s.Region, Control: s.ListenControl}
 	if s.CountsForQuorum && s.DataDir != "" {
 		replica, err := openReplica(s, logger, environment.OpenDisk)
 		if err != nil {
@@ -122,6 +125,9 @@
 		n.self.Core, n.self.Disk = true, replica.id().Disk
 	}
 	n.founding = newFounding(s)
+	if s.Bootstrap && n.replica == nil {
+		n.founding.activate()
+	}
 	listener, err := environment.Network.Listen(s.PeerAddress(s.IP))
 	if err != nil {
 		return nil, err
@@ -152,19 +158,6 @@
 	n.client.Close()
 }
 
-// exchanges reconciles with one peer after another. Until it knows the register's value it does so in quick succession
-// and with several at a time: some may not be back yet.
-func (n *Node) exchanges(ctx context.Context) {
-	for range firstExchanges {
-		if n.founded() || ctx.Err() != nil {
-			break
-		}
-		go n.exchange(ctx)
-		time.Sleep(firstSpacing)
-	}
-	n.every(ctx, exchangeEvery, n.exchange)
-}
-
 // every calls f again and again, at intervals that vary by a fifth.
 func (n *Node) every(ctx context.Context, interval time.Duration, f func(context.Context)) {
 	for {
@@ -185,192 +178,6 @@
 	n.seeds = seeds
 }
 
-// beats renews this broker's own record.
-func (n *Node) beats(ctx context.Context) {
-	n.renew()
-	for {
-		n.mu.Lock()
-		interval := max(beatEvery, time.Duration(len(n.heard))*beatPerMember)
-		n.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(interval):
-			n.renew()
-			n.expire(interval)
-		}
-	}
-}
-
-func (n *Node) renew() {
-	n.mu.Lock()
-	n.beat++
-	record := dissemination.Record{Kind: MemberRecord, Key: n.self.IP, Version: dissemination.Version{Epoch: n.epoch, Sequence: n.beat},
-		Body: n.self}
-	n.store.Put(record)
-	n.mu.Unlock()
-}
-
-// Leave tells the others that this broker is about to end.
-func (n *Node) Leave() {
-	n.mu.Lock()
-	n.self.Leaving = true
-	n.beat++
-	record := dissemination.Record{Kind: MemberRecord, Key: n.self.IP, Version: dissemination.Version{Epoch: n.epoch, Sequence: n.beat},
-		Body: n.self}
-	n.mu.Unlock()
-	n.Publish(record)
-}
-
-// expire forgets members that have long been gone.
-func (n *Node) expire(interval time.Duration) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for ip, at := range n.heard {
-		if time.Since(at) > max(forgetAfter, 10*interval) {
-			delete(n.heard, ip)
-			n.store.Drop(dissemination.ID{Kind: MemberRecord, Key: ip})
-			n.view.Remove(ip)
-		}
-	}
-	n.store.ForgetDropped(mostDropped)
-}
-
-// Members returns the brokers that are alive as far as this one knows, itself among them, by address.
-func (n *Node) Members() []Member {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	limit := beatsMissed * max(beatEvery, time.Duration(len(n.heard))*beatPerMember)
-	members := []Member{n.self}
-	for _, r := range n.store.Of(MemberRecord) {
-		at, heard := n.heard[r.Key]
-		if r.Key == n.self.IP || !heard || time.Since(at) > limit {
-			continue
-		}
-		if member, ok := r.Body.(Member); ok && !member.Leaving {
-			members = append(members, member)
-		}
-	}
-	slices.SortFunc(members, func(a, b Member) int { return bytes.Compare([]byte(a.IP), []byte(b.IP)) })
-	return members
-}
-
-// Records returns all records of a kind.
-func (n *Node) Records(kind byte) []dissemination.Record {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.store.Of(kind)
-}
-
-// Publish puts a record in and spreads it.
-func (n *Node) Publish(r dissemination.Record) { n.take([]dissemination.Record{r}, "") }
-
-// Drop forgets a record here.
-func (n *Node) Drop(id dissemination.ID) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.store.Drop(id)
-}
-
-// PublishEverywhere spreads a record and waits until all members that are alive have it, or the context ends. It
-// returns how many of how many have confirmed it.
-func (n *Node) PublishEverywhere(ctx context.Context, r dissemination.Record) (confirmed, members int) {
-	n.Publish(r)
-	all := n.Members()
-	results := make(chan bool, len(all))
-	calls := 0
-	for _, member := range all {
-		if member.IP == n.self.IP {
-			continue
-		}
-		calls++
-		go func() {
-			_, err := n.client.Call(ctx, n.settings.PeerAddress(member.IP), peerlink.Message{Records: &peerlink.Records{From: n.self.IP,
-				Records: []dissemination.Record{r}}})
-			results <- err == nil
-		}()
-	}
-	for range calls {
-		select {
-		case ok := <-results:
-			if ok {
-				confirmed++
-			}
-		case <-ctx.Done():
-			return confirmed, calls
-		}
-	}
-	return confirmed, calls
-}
-
-// take puts records in that may be new and passes on those that are.
-func (n *Node) take(records []dissemination.Record, from string) {
-	n.mu.Lock()
-	var news []dissemination.Record
-	for _, r := range records {
-		if r.Kind == MemberRecord && r.Key == n.self.IP && from != "" {
-			n.refute(r)
-			continue
-		}
-		if !n.store.Put(r) {
-			continue
-		}
-		news = append(news, r)
-		switch r.Kind {
-		case MemberRecord:
-			n.heard[r.Key] = time.Now()
-			n.view.Add(r.Key)
-		case RegisterRecord:
-			n.learn(r)
-		}
-	}
-	n.queue(news)
-	n.mu.Unlock()
-	for _, r := range news {
-		for _, f := range n.onRecord {
-			f(r)
-		}
-	}
-}
-
-// refute outdoes a record of this broker's address that an earlier process left behind.
-func (n *Node) refute(r dissemination.Record) {
-	if r.Version.Epoch > n.epoch {
-		n.epoch = r.Version.Epoch + 1
-		n.beat++
-	}
-}
-
-// queue has new records pushed soon. Renewals of members travel by reconciliation alone.
-func (n *Node) queue(news []dissemination.Record) {
-	for _, r := range news {
-		if r.Kind != MemberRecord || n.isNews(r) {
-			n.fresh = append(n.fresh, r)
-		}
-	}
-	if len(n.fresh) > 0 && !n.pushing {
-		n.pushing = true
-		time.AfterFunc(pushDelay, n.push)
-	}
-}
-
-// isNews says whether a member's record is its first, or its farewell.
-func (n *Node) isNews(r dissemination.Record) bool {
-	member, ok := r.Body.(Member)
-	return r.Version.Sequence <= 2 || ok && member.Leaving
-}
-
-func (n *Node) push() {
-	n.mu.Lock()
-	records := n.fresh
-	n.fresh, n.pushing = nil, false
-	targets := n.view.Pick(pushFanout)
-	n.mu.Unlock()
-	for _, ip := range targets {
-		go n.call(ip, peerlink.Message{Records: &peerlink.Records{From: n.self.IP, Records: records}})
-	}
-}
-
 // call makes one call; a peer that does not answer gets a new connection next time.
 func (n *Node) call(ip string, m peerlink.Message) (*peerlink.Message, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -383,57 +190,6 @@
 	return reply, err
 }
 
-// exchange reconciles with one random peer, or with a seed while the view is empty.
-func (n *Node) exchange(context.Context) {
-	n.mu.Lock()
-	peer := ""
-	if picked := n.view.Pick(1); len(picked) == 1 {
-		peer = picked[0]
-	}
-	if peer == "" || n.random.IntN(16) == 0 {
-		if seeds := n.otherSeeds(); len(seeds) > 0 {
-			peer = seeds[n.random.IntN(len(seeds))]
-		}
-	}
-	if peer == "" {
-		n.mu.Unlock()
-		return
-	}
-	mine := n.store.Digest()
-	sample := n.view.Sample()
-	n.mu.Unlock()
-	reply, err := n.call(peer, peerlink.Message{Digest: &peerlink.Digest{From: n.self.IP, Digest: mine, View: sample}})
-	if err != nil || reply.Headings == nil {
-		n.missed(peer)
-		return
-	}
-	n.mu.Lock()
-	n.view.Add(peer)
-	n.view.Merge(reply.Headings.View)
-	newer, wanted := n.store.Compare(reply.Headings.Digest, reply.Headings.Headings)
-	n.mu.Unlock()
-	if len(newer) == 0 && len(wanted) == 0 {
-		return
-	}
-	answer, err := n.call(peer, peerlink.Message{Records: &peerlink.Records{From: n.self.IP, Records: newer, Wanted: wanted}})
-	if err == nil && answer.Records != nil {
-		n.take(answer.Records.Records, peer)
-	}
-}
-
-func (n *Node) otherSeeds() []string {
-	return slices.DeleteFunc(slices.Clone(n.seeds), func(ip string) bool { return ip == n.self.IP })
-}
-
-// missed takes a peer that does not answer out of the view, unless hardly anyone is left.
-func (n *Node) missed(peer string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.view.Len() > 3 {
-		n.view.Remove(peer)
-	}
-}
-
 // handle answers a peer's call.
 func (n *Node) handle(m *peerlink.Message) *peerlink.Message {
 	switch {
@@ -456,15 +212,6 @@
 	return nil
 }
 
-func (n *Node) answerDigest(m *peerlink.Digest) *peerlink.Message {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.view.Add(m.From)
-	n.view.Merge(m.View)
-	return &peerlink.Message{Headings: &peerlink.Headings{Digest: n.store.Digest(), Headings: n.store.Headings(m.Digest),
-		View: n.view.Sample()}}
-}
-
 func init() {
 	gob.RegisterName("m", Member{})
 	gob.RegisterName("r", register.Known{})
--- a/internal/cluster/founding.go
+++ b/internal/cluster/founding.go
@@ -10,16 +10,20 @@
 	"gullstair/internal/peerlink"
 	"gullstair/internal/register"
 	"gullstair/internal/settings"
+	"gullstair/internal/voters"
 )
 
 // The first start of the whole system. Nobody is told which machines hold the register, so the brokers find out: those
 // with a disk that have met become its first members. That two groups do not each found a register, the set is
 // decided by a single-decree round among the seeds, which are the same for all at the first start; their acceptors
-// live in memory, and only in processes that were started with the bootstrap flag.
+// live in memory, and only in processes that were started with the bootstrap flag. A disk is marked when a process first
+// opens it, so one that is started a second time, with whatever flag, does not answer for promises that it has forgotten.
 
 const (
 	foundingDisk  = 0                      // the identity of acceptors in memory
+	anyDisk       = 1                      // in a probe: whatever disk answers; none has this identity
 	foundingAfter = 700 * time.Millisecond // the fleet is taken as met once nobody new with a disk came for so long
+	foundingMost  = 5 * time.Second        // the full number of voters is waited for so long
 	foundingRetry = 300 * time.Millisecond
 )
 
@@ -31,12 +35,19 @@
 }
 
 func newFounding(s *settings.Settings) *founding {
-	f := &founding{active: s.Bootstrap}
+	f := &founding{}
 	f.acceptor.Self = register.Replica{Address: s.IP, Disk: foundingDisk}
 	f.acceptor.Persist = func(register.State) error { return nil }
 	return f
 }
 
+// activate has the acceptor in memory answer: no earlier process has answered in its place.
+func (f *founding) activate() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.active = true
+}
+
 func (f *founding) prepare(m register.Prepare) register.Promise {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -59,6 +70,7 @@
 func (n *Node) found(ctx context.Context) {
 	var core []string
 	since := time.Now()
+	begun := since
 	for ctx.Err() == nil && !n.founded() {
 		time.Sleep(foundingRetry / 3)
 		present := n.coreAddresses()
@@ -68,6 +80,9 @@
 		if time.Since(since) < foundingAfter || len(core) == 0 {
 			continue
 		}
+		if len(core) < n.tolerance().Seats() && time.Since(begun) < foundingMost {
+			continue
+		}
 		if core[0] != n.self.IP && time.Since(since) < 2*foundingAfter {
 			continue // the first of them does it, the others if it does not
 		}
@@ -120,13 +135,13 @@
 }
 
 func (n *Node) firstMembers() register.Members {
-	var replicas []register.Replica
+	var met []voters.Machine
 	for _, member := range n.Members() {
 		if member.Core {
-			replicas = append(replicas, register.Replica{Address: member.IP, Disk: member.Disk})
+			met = append(met, voters.Machine{Replica: register.Replica{Address: member.IP, Disk: member.Disk}, Zone: member.Zone, Region: member.Region})
 		}
 	}
-	return register.Single(replicas...)
+	return register.Single(voters.First(met, n.tolerance())...)
 }
 
 // tellFirst has all first members begin with the value that names them. Only then is the register there.
@@ -147,25 +162,36 @@
 // firstBallot is that of the value which names the first members; no attempt uses it.
 var firstBallot = register.Ballot{Counter: 1}
 
-// answerFound takes the first members on this replica, unless it holds something already.
+// answerFound takes the first members on this replica, unless it holds something already or is none of them: members
+// name the disk, so one that came later, empty, takes nothing.
 func (n *Node) answerFound(m *peerlink.Found) *peerlink.Message {
 	reply := &peerlink.Found{}
-	if n.replica != nil && n.settings.Bootstrap {
+	if n.replica != nil {
 		n.replica.use(func(a *register.Acceptor) {
 			reply.Self = a.Self
-			if a.State.Accepted != (register.Ballot{}) {
-				reply.Taken = true // told before, and perhaps further on by now
-				return
-			}
-			next := register.State{Promised: firstBallot, Accepted: firstBallot, Value: register.Value{Members: m.Members}}
-			if a.Persist(next) == nil {
-				a.State, reply.Taken = next, true
-			}
+			reply.Taken = takeFirst(a, m.Members)
 		})
 	}
 	return &peerlink.Message{Found: reply}
 }
 
+// takeFirst has an acceptor begin with the value that names the first members. One that holds that value, or one that was
+// made from it, has taken it before.
+func takeFirst(a *register.Acceptor, members register.Members) bool {
+	if !members.Has(a.Self) {
+		return false
+	}
+	if a.State.Accepted != (register.Ballot{}) {
+		return a.State.Value.Sequence > 0 || a.State.Value.Members.Equal(members)
+	}
+	next := register.State{Promised: firstBallot, Accepted: firstBallot, Value: register.Value{Members: members}}
+	if a.Persist(next) != nil {
+		return false
+	}
+	a.State = next
+	return true
+}
+
 // learn takes a chosen value that was published; n.mu is held.
 func (n *Node) learn(r dissemination.Record) {
 	known, ok := r.Body.(register.Known)
--- /dev/null
+++ b/internal/cluster/gossip.go
@@ -0,0 +1,235 @@
+package cluster
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"gullstair/internal/dissemination"
+	"gullstair/internal/peerlink"
+	"gullstair/internal/register"
+)
+
+// exchanges reconciles with one peer after another. Until it knows the register's value it does so in quick succession
+// and with several at a time: some may not be back yet.
+func (n *Node) exchanges(ctx context.Context) {
+	for range firstExchanges {
+		if n.founded() || ctx.Err() != nil {
+			break
+		}
+		go n.exchange(ctx)
+		time.Sleep(firstSpacing)
+	}
+	n.every(ctx, exchangeEvery, n.exchange)
+}
+
+// Records returns all records of a kind.
+func (n *Node) Records(kind byte) []dissemination.Record {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.store.Of(kind)
+}
+
+// Publish puts a record in and spreads it.
+func (n *Node) Publish(r dissemination.Record) { n.take([]dissemination.Record{r}, "") }
+
+// Drop forgets a record here.
+func (n *Node) Drop(id dissemination.ID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.store.Drop(id)
+}
+
+// Told says who has confirmed that it has a record.
+type Told struct {
+	Confirmed int  // brokers
+	Asked     int  // brokers that are alive, and the voters
+	Quorum    bool // a majority of the register's voters has confirmed it
+}
+
+// All says whether everybody who was asked has confirmed.
+func (t Told) All() bool { return t.Confirmed == t.Asked }
+
+// PublishEverywhere spreads a record and waits until it is known widely enough, all who were asked have it, or the
+// context ends. The voters are asked whether they seem alive or not: a broker that is cut off takes them for dead, and
+// what it then says of all that are alive is about itself alone.
+func (n *Node) PublishEverywhere(ctx context.Context, r dissemination.Record, enough func(Told) bool) Told {
+	n.Publish(r)
+	others := n.reachOut()
+	confirmations := make(chan string, len(others))
+	failures := make(chan string, len(others))
+	for _, ip := range others {
+		go func() {
+			_, err := n.client.Call(ctx, n.settings.PeerAddress(ip), peerlink.Message{Records: &peerlink.Records{From: n.self.IP,
+				Records: []dissemination.Record{r}}})
+			if err != nil {
+				failures <- ip
+				return
+			}
+			confirmations <- ip
+		}()
+	}
+	has := map[string]bool{n.self.IP: true}
+	told := Told{Asked: len(others), Quorum: n.quorum(has)}
+	for range others {
+		if enough(told) {
+			return told
+		}
+		select {
+		case ip := <-confirmations:
+			has[ip] = true
+			told.Confirmed++
+			told.Quorum = n.quorum(has)
+		case <-failures:
+		case <-ctx.Done():
+			return told
+		}
+	}
+	return told
+}
+
+// reachOut lists the addresses of the other brokers that are alive and of the other voters.
+func (n *Node) reachOut() []string {
+	var out []string
+	for _, member := range n.Members() {
+		out = append(out, member.IP)
+	}
+	known, _ := n.Known()
+	out = append(out, known.Value.Members.Addresses()...)
+	slices.Sort(out)
+	return slices.DeleteFunc(slices.Compact(out), func(ip string) bool { return ip == n.self.IP })
+}
+
+// quorum says whether the machines at these addresses are a majority of the voters, of both sets while they change.
+func (n *Node) quorum(has map[string]bool) bool {
+	known, _ := n.Known()
+	return known.Value.Members.Majority(func(r register.Replica) bool { return has[r.Address] })
+}
+
+// take puts records in that may be new and passes on those that are.
+func (n *Node) take(records []dissemination.Record, from string) {
+	n.mu.Lock()
+	var news []dissemination.Record
+	for _, r := range records {
+		if r.Kind == MemberRecord && r.Key == n.self.IP && from != "" {
+			n.refute(r)
+			continue
+		}
+		if !n.store.Put(r) {
+			continue
+		}
+		news = append(news, r)
+		switch r.Kind {
+		case MemberRecord:
+			n.heard[r.Key] = time.Now()
+			n.view.Add(r.Key)
+		case RegisterRecord:
+			n.learn(r)
+		}
+	}
+	n.queue(news)
+	n.mu.Unlock()
+	for _, r := range news {
+		for _, f := range n.onRecord {
+			f(r)
+		}
+	}
+}
+
+// refute outdoes a record of this broker's address that an earlier process left behind.
+func (n *Node) refute(r dissemination.Record) {
+	if r.Version.Epoch > n.epoch {
+		n.epoch = r.Version.Epoch + 1
+		n.beat++
+	}
+}
+
+// queue has new records pushed soon. Renewals of members travel by reconciliation alone.
+func (n *Node) queue(news []dissemination.Record) {
+	for _, r := range news {
+		if r.Kind != MemberRecord || n.isNews(r) {
+			n.fresh = append(n.fresh, r)
+		}
+	}
+	if len(n.fresh) > 0 && !n.pushing {
+		n.pushing = true
+		time.AfterFunc(pushDelay, n.push)
+	}
+}
+
+// isNews says whether a member's record is its first, or its farewell.
+func (n *Node) isNews(r dissemination.Record) bool {
+	member, ok := r.Body.(Member)
+	return r.Version.Sequence <= 2 || ok && member.Leaving
+}
+
+func (n *Node) push() {
+	n.mu.Lock()
+	records := n.fresh
+	n.fresh, n.pushing = nil, false
+	targets := n.view.Pick(pushFanout)
+	n.mu.Unlock()
+	for _, ip := range targets {
+		go n.call(ip, peerlink.Message{Records: &peerlink.Records{From: n.self.IP, Records: records}})
+	}
+}
+
+// exchange reconciles with one random peer, or with a seed while the view is empty.
+func (n *Node) exchange(context.Context) {
+	n.mu.Lock()
+	peer := ""
+	if picked := n.view.Pick(1); len(picked) == 1 {
+		peer = picked[0]
+	}
+	if peer == "" || n.random.IntN(16) == 0 {
+		if seeds := n.otherSeeds(); len(seeds) > 0 {
+			peer = seeds[n.random.IntN(len(seeds))]
+		}
+	}
+	if peer == "" {
+		n.mu.Unlock()
+		return
+	}
+	mine := n.store.Digest()
+	sample := n.view.Sample()
+	n.mu.Unlock()
+	reply, err := n.call(peer, peerlink.Message{Digest: &peerlink.Digest{From: n.self.IP, Digest: mine, View: sample}})
+	if err != nil || reply.Headings == nil {
+		n.missed(peer)
+		return
+	}
+	n.mu.Lock()
+	n.view.Add(peer)
+	n.view.Merge(reply.Headings.View)
+	newer, wanted := n.store.Compare(reply.Headings.Digest, reply.Headings.Headings)
+	n.mu.Unlock()
+	if len(newer) == 0 && len(wanted) == 0 {
+		return
+	}
+	answer, err := n.call(peer, peerlink.Message{Records: &peerlink.Records{From: n.self.IP, Records: newer, Wanted: wanted}})
+	if err == nil && answer.Records != nil {
+		n.take(answer.Records.Records, peer)
+	}
+}
+
+func (n *Node) otherSeeds() []string {
+	return slices.DeleteFunc(slices.Clone(n.seeds), func(ip string) bool { return ip == n.self.IP })
+}
+
+// missed takes a peer that does not answer out of the view, unless hardly anyone is left.
+func (n *Node) missed(peer string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.view.Len() > 3 {
+		n.view.Remove(peer)
+	}
+}
+
+func (n *Node) answerDigest(m *peerlink.Digest) *peerlink.Message {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.view.Add(m.From)
+	n.view.Merge(m.View)
+	return &peerlink.Message{Headings: &peerlink.Headings{Digest: n.store.Digest(), Headings: n.store.Headings(m.Digest),
+		View: n.view.Sample()}}
+}
--- a/internal/cluster/replica.go
+++ b/internal/cluster/replica.go
@@ -40,10 +40,12 @@
 		return nil, errors.Wrap(err, "data directory")
 	}
 	store, contents, err := slots.Open(disk)
-	if err != nil && !errors.Is(err, slots.ErrEmpty) {
+	if errors.Is(err, slots.ErrDamaged) {
+		logger.Error().Err(err).Msg("the replica's disk has lost something; it goes on empty, under another identity")
+	} else if err != nil && !errors.Is(err, slots.ErrEmpty) {
 		return nil, errors.Wrap(err, "open the register's replica")
 	}
-	r := &replica{turn: make(chan struct{}, 1), store: store, logger: logger, empty: err != nil}
+	r := &replica{turn: make(chan struct{}, 1), store: store, logger: logger, empty: errors.Is(err, slots.ErrEmpty)}
 	r.acceptor.Self = register.Replica{Address: s.IP, Disk: rand.Uint64() | 1}
 	if err == nil {
 		if err := r.restore(contents); err != nil {
@@ -96,6 +98,13 @@
 	return nil
 }
 
+// mark writes the identity to an empty disk, so that a later process knows that there was an earlier one.
+func (r *replica) mark() error {
+	err := errBusy
+	r.use(func(a *register.Acceptor) { err = a.Persist(a.State) })
+	return err
+}
+
 func (r *replica) id() register.Replica { return r.acceptor.Self }
 
 // use gives the acceptor to f; false: it is busy.
@@ -122,6 +131,13 @@
 	return answer
 }
 
+// learn takes a value that is known to be chosen.
+func (r *replica) learn(known register.Known) error {
+	err := errBusy
+	r.use(func(a *register.Acceptor) { err = a.Learn(known) })
+	return err
+}
+
 // accepted is the value that this replica accepted last.
 func (r *replica) accepted() (known register.Known) {
 	r.use(func(a *register.Acceptor) { known = register.Known{Ballot: a.State.Accepted, Value: a.State.Value} })
@@ -134,6 +150,9 @@
 	accept(register.Accept) register.Accepted
 }
 
+// errBusy says that the disk is busy with another call.
+var errBusy = errors.New("the replica's disk is busy")
+
 // nobody answers for replicas that are not here.
 type nobody struct{}
 
--- a/internal/cluster/rounds.go
+++ b/internal/cluster/rounds.go
@@ -1,9 +1,9 @@
 package cluster
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,13 +16,9 @@
 	roundTimeout   = 900 * time.Millisecond // an attempt that found no majority by then is given up
 	backoffLeast   = 10 * time.Millisecond
 	backoffMost    = 150 * time.Millisecond
-	keepEvery      = 500 * time.Millisecond  // between looks at values in doubt and at the members
-	joinPatience   = 2500 * time.Millisecond // a newcomer waits so long for a lost replica whose place it can take
-	removeAfter    = 5 * time.Second         // a replica that nobody has reached for so long is taken out
-	leastToRemove  = 4                       // of as many replicas one may be taken out
-	settleTries    = 10                      // looks at the value on the disk after a restart,
-	settleSpacing  = 25 * time.Millisecond   // and what lies between two of them at least
-	spreadDeadline = 400 * time.Millisecond  // how long the proposer waits for a chosen value to be known to all
+	spreadDeadline = 400 * time.Millisecond // how long the proposer waits for a chosen value to be known to all
+	askAgain       = 40 * time.Millisecond  // after a connection broke, and twice as long each time
+	readTimeout    = 900 * time.Millisecond // a question about the newest value has its answer by then, or none
 )
 
 // ErrNoQuorum says that no majority of the register's replicas answered in time.
@@ -58,6 +54,7 @@
 
 // propose tries until a value is chosen or the context ends. Attempts of one broker follow each other.
 func (n *Node) propose(ctx context.Context, change register.Change) (register.Value, error) {
+	asked := time.Now()
 	if !n.takeTurn(ctx) {
 		return register.Value{}, ErrNoQuorum
 	}
@@ -69,6 +66,9 @@
 		if len(members.Sets) == 0 {
 			return register.Value{}, ErrNoMembers
 		}
+		if n.failedSince(asked) {
+			return register.Value{}, ErrNoQuorum
+		}
 		value, err := n.round(ctx, members, known, change)
 		if !errors.Is(err, errOutrun) {
 			return value, err
@@ -94,6 +94,22 @@
 
 func (n *Node) endTurn() { <-n.proposing }
 
+// failedSince says whether an attempt that began after this moment found no majority: one that waited for its turn
+// behind it has its answer with it.
+func (n *Node) failedSince(asked time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.failedAt.After(asked)
+}
+
+func (n *Node) failed(begun time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if begun.After(n.failedAt) {
+		n.failedAt = begun
+	}
+}
+
 // answer is what one replica said.
 type answer struct {
 	promise  *register.Promise
@@ -102,6 +118,7 @@
 
 // round makes one attempt. A chosen value that is newer than what is known is spread before it returns.
 func (n *Node) round(ctx context.Context, members register.Members, known register.Known, change register.Change) (register.Value, error) {
+	begun := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
 	defer cancel()
 	r := register.NewRound(n.nextBallot(known.Ballot), members, known, change)
@@ -113,6 +130,7 @@
 	for r.Phase == register.Preparing || r.Phase == register.Accepting {
 		select {
 		case <-ctx.Done():
+			n.failed(begun)
 			return register.Value{}, ErrNoQuorum
 		case a := <-answers:
 			if a.accepted != nil {
@@ -141,47 +159,48 @@
 	return r.Value, r.Err
 }
 
-// spread has all members that are alive take a chosen value, so that it outlasts the broker that made it.
+// spread has all members that are alive take a chosen value, so that it outlasts the broker that made it. A value that
+// changes the members alone goes the ordinary way.
 func (n *Node) spread(known register.Known) {
 	present, _ := n.Known()
 	if len(present.Value.Members.Sets) > 0 && known.Value.Sequence <= present.Value.Sequence {
 		return
 	}
+	if bytes.Equal(known.Value.Payload, present.Value.Payload) {
+		n.publishKnown(known)
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), spreadDeadline)
 	defer cancel()
-	n.PublishEverywhere(ctx, recordOf(known))
+	n.PublishEverywhere(ctx, recordOf(known), Told.All)
 }
 
-// ask sends one message of a round to one replica, which may be this broker's own.
+// ask sends one message of a round to one replica, which may be this broker's own. It is sent again when its connection
+// breaks: a replica answers the same message under the same ballot in the same way.
 func (n *Node) ask(ctx context.Context, m peerlink.Message, to register.Replica, answers chan<- answer) {
 	var reply *peerlink.Message
-	if to.Address == n.self.IP {
-		reply = n.handle(&m)
-	} else {
+	for wait := askAgain; ; wait *= 2 {
 		var err error
-		if reply, err = n.client.Call(ctx, n.settings.PeerAddress(to.Address), m); err != nil {
-			n.unreached(to.Address)
+		if reply, err = n.callOrHandle(ctx, m, to.Address); err == nil {
+			break
+		}
+		select {
+		case <-ctx.Done():
 			return
+		case <-time.After(wait):
 		}
-		n.reached(to.Address)
 	}
 	if reply.Promise != nil || reply.Accepted != nil {
 		answers <- answer{promise: reply.Promise, accepted: reply.Accepted}
 	}
 }
 
-func (n *Node) unreached(ip string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if _, known := n.unheard[ip]; !known {
-		n.unheard[ip] = time.Now()
+// callOrHandle calls a broker, which may be this one.
+func (n *Node) callOrHandle(ctx context.Context, m peerlink.Message, ip string) (*peerlink.Message, error) {
+	if ip == n.self.IP {
+		return n.handle(&m), nil
 	}
-}
-
-func (n *Node) reached(ip string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	delete(n.unheard, ip)
+	return n.client.Call(ctx, n.settings.PeerAddress(ip), m)
 }
 
 // nextBallot is above all that this broker has met. Its proposer number was drawn at the start of the process.
@@ -198,83 +217,23 @@
 	n.highest.Counter = max(n.highest.Counter, b.Counter)
 }
 
-// keepRegister looks after this machine's replica: it takes part in the founding, makes sure of values in doubt, and
-// has the replica join the members.
-func (n *Node) keepRegister(ctx context.Context) {
-	if n.replica == nil {
-		return
-	}
-	if known := n.replica.accepted(); len(known.Value.Members.Sets) > 0 {
-		n.mu.Lock()
-		n.hint(known.Value.Members)
-		n.mu.Unlock()
-	} else if n.settings.Bootstrap {
-		go n.found(ctx)
-	}
-	n.settleFirst(ctx)
-	n.every(ctx, keepEvery, func(ctx context.Context) {
-		n.settleDoubt(ctx)
-		n.keepMembers(ctx)
-	})
-}
-
-// hint gives a restarted replica someone to talk to, before it knows what is chosen.
-func (n *Node) hint(members register.Members) {
-	for _, set := range members.Sets {
-		for _, replica := range set {
-			n.view.Add(replica.Address)
-		}
-	}
-}
-
-// settleFirst finds out soon after a restart whether the value on the disk is chosen.
-func (n *Node) settleFirst(ctx context.Context) {
-	for range settleTries {
-		accepted := n.replica.accepted()
-		if len(accepted.Value.Members.Sets) == 0 || ctx.Err() != nil || n.founded() {
-			return
-		}
-		if n.look(ctx, accepted, (*register.Look).Chosen).Chosen() {
-			n.publishKnown(accepted)
-			return
-		}
-		time.Sleep(settleSpacing + time.Duration(rand.Int64N(int64(settleSpacing))))
-	}
-}
-
-// settleDoubt chooses the value that this replica accepted, if nobody has said for a while that it is chosen.
-func (n *Node) settleDoubt(ctx context.Context) {
-	accepted := n.replica.accepted()
-	known, _ := n.Known()
-	if len(accepted.Value.Members.Sets) == 0 || len(known.Value.Members.Sets) > 0 && accepted.Value.Sequence <= known.Value.Sequence {
-		return
-	}
-	select {
-	case <-ctx.Done():
-		return
-	case <-time.After(time.Duration(rand.Int64N(int64(keepEvery)))):
-	}
-	if later, _ := n.Known(); len(later.Value.Members.Sets) > 0 && accepted.Value.Sequence <= later.Value.Sequence {
-		return
-	}
-	keep := func(present register.Value) (register.Value, bool, error) { return present, true, nil }
-	if !n.takeTurn(ctx) {
-		return
-	}
-	defer n.endTurn()
-	if _, err := n.round(ctx, accepted.Value.Members, accepted, keep); err != nil {
-		n.logger.Info().Err(err).Msg("a value in doubt is not settled yet")
-	}
-}
-
-// Current says whether no value newer than the known one can have been chosen: a majority of each set holds none.
-func (n *Node) Current(ctx context.Context) bool {
+// Read returns the newest value that can have been chosen. It rests on a majority that was reached after the call; where
+// there is none, it says so within readTimeout.
+func (n *Node) Read(ctx context.Context) (register.Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	known, _ := n.Known()
 	if len(known.Value.Members.Sets) == 0 {
-		return false
+		return register.Value{}, ErrNoMembers
 	}
 	look := n.look(ctx, known, (*register.Look).Done)
-	return look.Done() && look.Current()
+	switch {
+	case !look.Done():
+		return register.Value{}, ErrNoQuorum
+	case look.Current():
+		return known.Value, nil
+	}
+	return n.propose(ctx, func(present register.Value) (register.Value, bool, error) { return present, true, nil })
 }
 
 // look asks the replicas what they hold until that is enough, or none is left to answer.
@@ -299,111 +258,3 @@
 	}
 	return look
 }
-
-// keepMembers finishes a change of the members, has this replica join them, and takes out one that is lost.
-func (n *Node) keepMembers(ctx context.Context) {
-	known, _ := n.Known()
-	members := known.Value.Members
-	switch {
-	case len(members.Sets) == 0:
-		return
-	case members.Moving():
-		n.changeMembers(ctx, "the change of the replicas ends", func(m register.Members) register.Members {
-			if !m.Moving() {
-				return m
-			}
-			return register.Members{Sets: [][]register.Replica{m.Last()}}
-		})
-	case !members.Has(n.replica.id()):
-		n.join(ctx, members)
-	default:
-		n.removeLost(ctx, members)
-	}
-}
-
-// join takes the place of an earlier disk of this machine, or that of a lost replica; else it is added.
-func (n *Node) join(ctx context.Context, members register.Members) {
-	self := n.replica.id()
-	place := slices.IndexFunc(members.Last(), func(r register.Replica) bool { return r.Address == self.Address })
-	if place < 0 {
-		place = slices.IndexFunc(members.Last(), func(r register.Replica) bool { return n.lostFor(r.Address) > unreachedAfter })
-	}
-	if place < 0 && time.Since(n.started) < joinPatience {
-		n.probe(ctx, members)
-		return
-	}
-	var gone register.Replica
-	if place >= 0 {
-		gone = members.Last()[place]
-	}
-	n.changeMembers(ctx, "this replica joins", func(m register.Members) register.Members {
-		if m.Moving() || m.Has(self) {
-			return m
-		}
-		next := slices.DeleteFunc(slices.Clone(m.Last()), func(r register.Replica) bool { return r == gone || r.Address == self.Address })
-		return m.Joint(append(next, self))
-	})
-}
-
-// removeLost takes a replica out that nobody reaches, where enough stay. It joins again when it is back.
-func (n *Node) removeLost(ctx context.Context, members register.Members) {
-	n.probe(ctx, members)
-	if len(members.Last()) < leastToRemove {
-		return
-	}
-	place := slices.IndexFunc(members.Last(), func(r register.Replica) bool { return n.lostFor(r.Address) > removeAfter })
-	if place < 0 {
-		return
-	}
-	gone := members.Last()[place]
-	n.changeMembers(ctx, "a lost replica is taken out", func(m register.Members) register.Members {
-		if m.Moving() || !m.Has(gone) || len(m.Last()) < leastToRemove {
-			return m
-		}
-		return m.Joint(slices.DeleteFunc(slices.Clone(m.Last()), func(r register.Replica) bool { return r == gone }))
-	})
-}
-
-// probe finds out which replicas can be reached.
-func (n *Node) probe(ctx context.Context, members register.Members) {
-	alive := map[string]bool{}
-	for _, member := range n.Members() {
-		alive[member.IP] = true
-	}
-	for _, r := range members.Last() {
-		if r.Address == n.self.IP {
-			continue
-		}
-		if alive[r.Address] {
-			n.reached(r.Address)
-		} else {
-			n.unreached(r.Address)
-		}
-	}
-}
-
-func (n *Node) lostFor(ip string) time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	since, lost := n.unheard[ip]
-	if !lost {
-		return 0
-	}
-	return time.Since(since)
-}
-
-// changeMembers proposes a change of the members; one that changes nothing is not proposed.
-func (n *Node) changeMembers(ctx context.Context, what string, change func(register.Members) register.Members) {
-	value, err := n.propose(ctx, func(present register.Value) (register.Value, bool, error) {
-		next := change(present.Members)
-		if slices.EqualFunc(next.Sets, present.Members.Sets, func(a, b []register.Replica) bool { return slices.Equal(a, b) }) {
-			return present, true, nil
-		}
-		return register.Value{Sequence: present.Sequence + 1, Members: next, Payload: present.Payload}, true, nil
-	})
-	if err != nil {
-		n.logger.Info().Err(err).Msg(what + ", but not yet")
-		return
-	}
-	n.logger.Info().Int("replicas", len(value.Members.Last())).Msg(what)
-}
--- /dev/null
+++ b/internal/cluster/voting.go
@@ -0,0 +1,180 @@
+package cluster
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"gullstair/internal/peerlink"
+	"gullstair/internal/register"
+	"gullstair/internal/voters"
+)
+
+const (
+	probeTimeout = 400 * time.Millisecond
+	quietEvery   = 100 * time.Millisecond // between probes while some replica does not answer, or a change is due
+)
+
+// keepVoters completes changes of the voters and begins those that are due, as long as this replica votes.
+func (n *Node) keepVoters(ctx context.Context) {
+	var dueSince time.Time
+	for ctx.Err() == nil {
+		wait := keepEvery
+		if n.votes() {
+			quiet := n.probe(ctx)
+			dueSince = n.reviewVoters(ctx, dueSince)
+			if quiet || !dueSince.IsZero() {
+				wait = quietEvery
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-n.reviewNow:
+		case <-time.After(wait):
+		}
+	}
+}
+
+// votes says whether this machine's replica is in one of the sets of the newest value.
+func (n *Node) votes() bool {
+	known, _ := n.Known()
+	return slices.ContainsFunc(known.Value.Quorums(), func(set []register.Replica) bool { return slices.Contains(set, n.replica.id()) })
+}
+
+// reviewVoters makes the change of the voters that is due, if there is one and it is this voter's turn. It returns since
+// when one is due; zero: none is.
+func (n *Node) reviewVoters(ctx context.Context, dueSince time.Time) time.Time {
+	known, _ := n.Known()
+	present, learners := n.replicas(known)
+	next, due := voters.Plan(present, learners, n.tolerance())
+	if !due && !known.Value.Unsettled() {
+		return time.Time{}
+	}
+	if dueSince.IsZero() {
+		dueSince = time.Now()
+	}
+	if !voters.Turn(present, n.replica.id(), time.Since(dueSince)) {
+		return dueSince
+	}
+	if !known.Value.Unsettled() {
+		n.changeMembers(ctx, "the voters change", register.Reconfigure(known.Value.Members, next))
+	}
+	n.settleMembers(ctx)
+	return dueSince
+}
+
+// settleMembers completes a change of the voters.
+func (n *Node) settleMembers(ctx context.Context) {
+	for range 2 { // one set alone, then proposed to it alone
+		if known, _ := n.Known(); !known.Value.Unsettled() {
+			return
+		}
+		if !n.changeMembers(ctx, "a change of the voters goes on", register.Settle) {
+			return
+		}
+	}
+}
+
+func (n *Node) tolerance() voters.Tolerance {
+	t := n.settings.Tolerance
+	return voters.Tolerance{Machines: t.Machines, Zones: t.Zones, Regions: t.Regions}
+}
+
+// replicas describes the voters and the other machines with a disk.
+func (n *Node) replicas(known register.Known) (present, learners []voters.Machine) {
+	now := time.Now()
+	machines := n.machinesWithDisk()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.contacts.Newest(known.Ballot, now)
+	for _, replica := range known.Value.Members.Last() {
+		member := machines[replica.Address]
+		present = append(present, n.machine(member, replica, now))
+	}
+	for address, member := range machines {
+		replica := register.Replica{Address: address, Disk: member.Disk}
+		if !known.Value.Members.Has(replica) {
+			learners = append(learners, n.machine(member, replica, now))
+		}
+	}
+	slices.SortFunc(learners, func(a, b voters.Machine) int { return register.Compare(a.Replica, b.Replica) })
+	return present, learners
+}
+
+// machine describes one replica; n.mu is held.
+func (n *Node) machine(member Member, replica register.Replica, now time.Time) voters.Machine {
+	leaving := member.Leaving && member.Disk == replica.Disk
+	return voters.Machine{Replica: replica, Zone: member.Zone, Region: member.Region, Health: n.contacts.Health(replica, leaving, now)}
+}
+
+// machinesWithDisk returns the members that hold, or may hold, a replica, by address: also those that leave, and those
+// that have not been heard of for a while.
+func (n *Node) machinesWithDisk() map[string]Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := map[string]Member{}
+	for _, r := range n.store.Of(MemberRecord) {
+		if member, ok := r.Body.(Member); ok && member.Core {
+			out[member.IP] = member
+		}
+	}
+	if n.self.Core {
+		out[n.self.IP] = n.self
+	}
+	return out
+}
+
+// probe asks each replica who it is and how new its value is. quiet: some did not answer.
+func (n *Node) probe(ctx context.Context) (quiet bool) {
+	known, _ := n.Known()
+	targets := map[string]bool{}
+	for _, address := range known.Value.Members.Addresses() {
+		targets[address] = true
+	}
+	for _, member := range n.Members() {
+		if member.Core {
+			targets[member.IP] = true
+		}
+	}
+	var wait sync.WaitGroup
+	for address := range targets {
+		wait.Go(func() { n.probeOne(ctx, address) })
+	}
+	wait.Wait()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.contacts.Forget(func(address string) bool { return !targets[address] })
+	return n.contacts.Quiet()
+}
+
+func (n *Node) probeOne(ctx context.Context, address string) {
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	answers := make(chan answer, 1)
+	to := register.Replica{Address: address, Disk: anyDisk}
+	n.ask(ctx, peerlink.Message{Prepare: &register.Prepare{To: to, Probe: true}}, to, answers)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case a := <-answers:
+		if a.promise != nil && a.promise.From.Address == address {
+			n.contacts.Answered(a.promise.From, a.promise.Accepted)
+			return
+		}
+	default:
+	}
+	n.contacts.Missed(address, begun, time.Now(), probeTimeout)
+}
+
+// changeMembers proposes a change of the members and says whether the register is where it wants it.
+func (n *Node) changeMembers(ctx context.Context, what string, change register.Change) bool {
+	value, err := n.propose(ctx, change)
+	if err != nil {
+		n.logger.Info().Err(err).Msg(what + ", but not yet")
+		return false
+	}
+	n.logger.Info().Strs("voters", value.Members.Addresses()).Uint64("sequence", value.Sequence).Msg(what)
+	return true
+}
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -127,7 +127,9 @@
 		s.ran(instance)
 		return instance
 	}
-	streams := func(r *http.Request) bool { return !strings.HasPrefix(r.URL.Path, "/safe/") && !strings.HasPrefix(r.URL.Path, "/unsafe/") }
+	streams := func(r *http.Request) bool {
+		return !strings.HasPrefix(r.URL.Path, "/safe/") && !strings.HasPrefix(r.URL.Path, "/unsafe/")
+	}
 	kind := func(r *http.Request) string {
 		if streams(r) {
 			return "text/event-stream"
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -113,6 +113,8 @@
 	heard     time.Time // that it lives
 	told      time.Time // by this broker to the others
 	goneSince time.Time
+	ending    time.Time // when this broker first knew that it drains or has gone
+	confirmed State     // Draining or Gone, once enough brokers were told by this one
 }
 
 // Registry holds all instances that this broker knows. One goroutine at a time may use it.
@@ -153,14 +155,42 @@
 	return changed
 }
 
-// Leave notes that an instance has ended. It returns what the others are to be told.
-func (r *Registry) Leave(id string, now time.Time) (Instance, bool) {
+// Leave notes that an instance has ended, also one that is not known here. It returns what the others are to be told, and
+// whether that is news here.
+func (r *Registry) Leave(id string, now time.Time) (gone Instance, news bool) {
 	e := r.entries[id]
-	if e == nil || e.State == Gone {
-		return Instance{}, false
+	if e != nil && e.State == Gone {
+		return e.Instance, false
 	}
-	e.State, e.goneSince = Gone, now
-	return e.Instance, true
+	i := Instance{ID: id}
+	if e != nil {
+		i = e.Instance
+	}
+	i.State = Gone
+	r.put(i, now)
+	return i, true
+}
+
+// EndingSince is when this broker first knew that an instance drains or has gone.
+func (r *Registry) EndingSince(id string) time.Time {
+	if e := r.entries[id]; e != nil {
+		return e.ending
+	}
+	return time.Time{}
+}
+
+// Confirm notes that enough brokers know that an instance drains, or that it has gone.
+func (r *Registry) Confirm(i Instance) {
+	if e := r.entries[i.ID]; e != nil {
+		e.confirmed = max(e.confirmed, i.State)
+	}
+}
+
+// Confirmed says whether enough brokers know the state that an instance is in, told by this broker. What it heard from
+// another broker is not known to be acknowledged by anybody.
+func (r *Registry) Confirmed(id string) bool {
+	e := r.entries[id]
+	return e != nil && e.State != Ready && e.confirmed >= e.State
 }
 
 func (r *Registry) put(i Instance, now time.Time) {
@@ -173,6 +203,9 @@
 	if i.State == Gone {
 		e.goneSince = now
 	}
+	if i.State != Ready && e.ending.IsZero() {
+		e.ending = now
+	}
 }
 
 // displace marks earlier instances at the same address as gone: one process holds an address. Only an instance's own
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -14,11 +14,11 @@
 
 const (
 	drainTold   = 700 * time.Millisecond  // for all brokers to learn that an instance drains
-	drainAnyway = 1500 * time.Millisecond // after which the instance is answered though a broker has not confirmed
+	drainAnyway = 1500 * time.Millisecond // after which a majority of the voters is enough
 )
 
-// errSpreading says that not all brokers know yet what an instance told.
-var errSpreading = errors.New("not all brokers know it yet")
+// errSpreading says that too few brokers know yet what an instance told.
+var errSpreading = errors.New("it is not known widely enough yet")
 
 // Replace has a configuration take the place of version base.
 func (b *Broker) Replace(ctx context.Context, base int64, c *configuration.Configuration) error {
@@ -38,16 +38,11 @@
 
 // Configuration returns the newest configuration that can have been acknowledged.
 func (b *Broker) Configuration(ctx context.Context) ([]byte, error) {
-	known, _ := b.node.Known()
-	payload := known.Value.Payload
-	if !b.node.Current(ctx) {
-		value, err := b.node.Change(ctx, func([]byte) ([]byte, error) { return nil, nil })
-		if err != nil {
-			return nil, err
-		}
-		payload = value.Payload
+	value, err := b.node.Read(ctx)
+	if err != nil {
+		return nil, err
 	}
-	state, err := controlstate.Decode(payload)
+	state, err := controlstate.Decode(value.Payload)
 	if err != nil {
 		return nil, err
 	}
@@ -70,63 +65,62 @@
 	return err
 }
 
-// Heartbeat takes what an instance says of itself. That it drains is acknowledged once the other brokers know.
+// Heartbeat takes what an instance says of itself. That it drains is acknowledged once that is known widely enough.
 func (b *Broker) Heartbeat(ctx context.Context, i instances.Instance) error {
+	now := time.Now()
 	b.mu.Lock()
-	before, known := b.registry.Get(i.ID)
-	tell, late := b.registry.Heartbeat(i, time.Now())
-	since, waiting := b.draining[i.ID]
-	if i.State == instances.Draining && !late && (!known || before.State != instances.Draining) && !waiting {
-		since, waiting = time.Now(), true
-		b.draining[i.ID] = since
-	}
+	tell, late := b.registry.Heartbeat(i, now)
 	if tell {
 		b.tellInstances()
 	}
+	known, _ := b.registry.Get(i.ID)
+	binding := i.State == instances.Draining && !b.registry.Confirmed(i.ID)
 	b.mu.Unlock()
-	if late {
-		return nil
-	}
-	if !waiting {
-		if tell {
-			b.node.Publish(i.Record())
-		}
-		return nil
+	switch {
+	case binding && known.State == instances.Ready:
+		return errSpreading // an old word against a newer one
+	case binding:
+		return b.confirmEnd(ctx, known)
+	case tell && !late:
+		b.node.Publish(i.Record())
 	}
-	return b.confirmDrain(ctx, i, since)
-}
-
-// confirmDrain tells all brokers that an instance drains.
-func (b *Broker) confirmDrain(ctx context.Context, i instances.Instance, since time.Time) error {
-	ctx, cancel := context.WithTimeout(ctx, drainTold)
-	defer cancel()
-	confirmed, members := b.node.PublishEverywhere(ctx, i.Record())
-	if confirmed < members && time.Since(since) < drainAnyway {
-		b.logger.Info().Str("instance", i.ID).Int("confirmed", confirmed).Int("brokers", members).Msg("a drain is not known everywhere yet")
-		return errSpreading
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.draining, i.ID)
 	return nil
 }
 
-// Deregister notes that an instance ends.
+// Deregister notes that an instance ends. One that this broker has never heard of may be known to others.
 func (b *Broker) Deregister(ctx context.Context, id string) error {
 	b.mu.Lock()
-	i, was := b.registry.Leave(id, time.Now())
-	delete(b.draining, id)
+	gone, was := b.registry.Leave(id, time.Now())
 	if was {
 		b.tellInstances()
 	}
+	confirmed := b.registry.Confirmed(id)
 	b.mu.Unlock()
-	if !was {
+	if confirmed {
 		return nil
 	}
-	i.State = instances.Gone
+	return b.confirmEnd(ctx, gone)
+}
+
+// confirmEnd tells all brokers that an instance drains or has gone. To acknowledge that binds the whole fleet, wherever
+// this broker stands, so a majority of the register's voters must have confirmed it: each broker that is in touch has it
+// from them within one exchange. All brokers that are alive are waited for as well, but not for long.
+func (b *Broker) confirmEnd(ctx context.Context, i instances.Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, drainTold)
 	defer cancel()
-	b.node.PublishEverywhere(ctx, i.Record())
+	b.mu.Lock()
+	since := b.registry.EndingSince(i.ID)
+	b.mu.Unlock()
+	enough := func(t cluster.Told) bool { return t.Quorum && (t.All() || time.Since(since) > drainAnyway) }
+	told := b.node.PublishEverywhere(ctx, i.Record(), enough)
+	if !enough(told) {
+		b.logger.Info().Str("instance", i.ID).Int("confirmed", told.Confirmed).Int("asked", told.Asked).Bool("quorum", told.Quorum).
+			Msg("the end of an instance is not known widely enough yet")
+		return errSpreading
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.registry.Confirm(i)
 	return nil
 }
 
--- a/internal/router/roles.go
+++ b/internal/router/roles.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gullstair/internal/cluster"
 	"gullstair/internal/controlstate"
 	"gullstair/internal/instances"
 	"gullstair/internal/ownership"
@@ -170,7 +171,7 @@
 // request there or has parts fetched from there.
 func (r *roles) order(ctx context.Context, planner *rollout.Planner, lease *ownership.Lease, i instances.Instance, model string, version int64) {
 	told, cancel := context.WithTimeout(ctx, loadTold)
-	r.b.node.PublishEverywhere(told, rollout.Progress{ID: i.ID, Model: model, Version: version, Loading: true}.Record())
+	r.b.node.PublishEverywhere(told, rollout.Progress{ID: i.ID, Model: model, Version: version, Loading: true}.Record(), cluster.Told.All)
 	cancel()
 	body, err := json.Marshal(orderBody{Op: "version", Model: model, Version: version, Method: "retain", Holder: lease.Self,
 		FenceToken: lease.Token()})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -49,7 +49,6 @@
 	mu       sync.Mutex
 	registry *instances.Registry
 	progress map[string]rollout.Progress // of roll-outs, by instance and model
-	draining map[string]time.Time        // instances that said so here, until all brokers know
 	state    controlstate.State          // in force
 	sequence uint64
 	trusted  bool
@@ -67,7 +66,7 @@
 // New makes a broker from its settings.
 func New(s *settings.Settings, path string, logger *log.Logger, environment cluster.Environment) (*Broker, error) {
 	b := &Broker{environment: environment, settings: s, path: path, logger: logger, registry: instances.New(), progress: map[string]rollout.Progress{},
-		draining: map[string]time.Time{}, started: time.Now()}
+		started: time.Now()}
 	node, err := cluster.New(s, logger, environment)
 	if err != nil {
 		return nil, errors.Wrap(err, "join the cluster")
@@ -138,9 +137,6 @@
 func (b *Broker) expire() {
 	b.mu.Lock()
 	forgotten, changed := b.registry.Expire(time.Now())
-	for _, id := range forgotten {
-		delete(b.draining, id)
-	}
 	if changed {
 		b.tellInstances()
 	}
@@ -225,7 +221,7 @@
 			if since.IsZero() {
 				since = time.Now()
 			}
-			if b.node.Current(ctx) || time.Since(since) > trustWait {
+			if _, err := b.node.Read(ctx); err == nil || time.Since(since) > trustWait {
 				break
 			}
 		}
--- a/internal/router/snapshot.go
+++ b/internal/router/snapshot.go
@@ -37,7 +37,7 @@
 		return
 	}
 	b.snapshot = store
-	if errors.Is(err, slots.ErrEmpty) {
+	if errors.Is(err, slots.ErrEmpty) || errors.Is(err, slots.ErrDamaged) {
 		return
 	}
 	var all []instances.Instance
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,9 +40,17 @@
 	DataDir         string // empty: no disk
 	Heartbeat       time.Duration
 	Contracts       []string
+	Tolerance       Tolerance
 	Bounds          Bounds
 }
 
+// Tolerance is what may be lost at one time while everything promised still holds.
+type Tolerance struct {
+	Machines int // whose disk holds, or may hold, a replica of the register
+	Zones    int
+	Regions  int
+}
+
 // Bounds are the deployment's limits on time and retries.
 type Bounds struct {
 	Drain            time.Duration // a draining instance receives nothing later than this after the acknowledgement
@@ -119,6 +127,7 @@
 		Heartbeat:       r.milliseconds("heartbeat_ms", 1000),
 		Contracts:       r.list("contracts"),
 	}
+	s.Tolerance = Tolerance{Machines: r.count("fault_tolerance.machines"), Zones: r.count("fault_tolerance.zones"), Regions: r.count("fault_tolerance.regions")}
 	r.ports(s)
 	for _, seed := range s.Seeds {
 		if _, _, err := net.SplitHostPort(seed); err != nil {
@@ -205,6 +214,9 @@
 	return x
 }
 
+// count reads a whole number of 0 or more; 0 where it is not told.
+func (r *reader) count(name string) int { return int(r.number(name, 0)) }
+
 func (r *reader) milliseconds(name string, otherwise float64) time.Duration {
 	return time.Duration(r.number(name, otherwise) * float64(time.Millisecond))
 }
