The points of control in a fleet in virtual time; a dead voter does not delay an end

Ruled out: the majority itself, which had confirmed. Change: of brokers, the live ones are waited for; the voters' majority counts separately.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -142,6 +142,14 @@
 // OnRecord has f called for each record that is new here, of whatever origin. It is called before Run.
 func (n *Node) OnRecord(f func(dissemination.Record)) { n.onRecord = append(n.onRecord, f) }
 
+// Replica says what this machine's replica is and the sequence of the value that it holds; false: there is none here.
+func (n *Node) Replica() (replica register.Replica, sequence uint64, has bool) {
+	if n.replica == nil {
+		return register.Replica{}, 0, false
+	}
+	return n.replica.id(), n.replica.accepted().Value.Sequence, true
+}
+
 // Run takes part until the context ends.
 func (n *Node) Run(ctx context.Context) {
 	go func() {
--- a/internal/cluster/gossip.go
+++ b/internal/cluster/gossip.go
@@ -42,20 +42,21 @@
 
 // Told says who has confirmed that it has a record.
 type Told struct {
-	Confirmed int  // brokers
-	Asked     int  // brokers that are alive, and the voters
-	Quorum    bool // a majority of the register's voters has confirmed it
+	Confirmed int  // of the other brokers that are alive
+	Alive     int  // other brokers that are alive, as far as this one knows
+	Quorum    bool // a majority of the register's voters, alive or not, has confirmed it
 }
 
-// All says whether everybody who was asked has confirmed.
-func (t Told) All() bool { return t.Confirmed == t.Asked }
+// All says whether everybody who is alive has confirmed.
+func (t Told) All() bool { return t.Confirmed == t.Alive }
 
 // PublishEverywhere spreads a record and waits until it is known widely enough, all who were asked have it, or the
 // context ends. The voters are asked whether they seem alive or not: a broker that is cut off takes them for dead, and
 // what it then says of all that are alive is about itself alone.
 func (n *Node) PublishEverywhere(ctx context.Context, r dissemination.Record, enough func(Told) bool) Told {
 	n.Publish(r)
-	others := n.reachOut()
+	alive := n.otherAddresses()
+	others := n.withVoters(alive)
 	confirmations := make(chan string, len(others))
 	failures := make(chan string, len(others))
 	for _, ip := range others {
@@ -70,7 +71,7 @@
 		}()
 	}
 	has := map[string]bool{n.self.IP: true}
-	told := Told{Asked: len(others), Quorum: n.quorum(has)}
+	told := Told{Alive: len(alive), Quorum: n.quorum(has)}
 	for range others {
 		if enough(told) {
 			return told
@@ -78,7 +79,9 @@
 		select {
 		case ip := <-confirmations:
 			has[ip] = true
-			told.Confirmed++
+			if slices.Contains(alive, ip) {
+				told.Confirmed++
+			}
 			told.Quorum = n.quorum(has)
 		case <-failures:
 		case <-ctx.Done():
@@ -88,14 +91,20 @@
 	return told
 }
 
-// reachOut lists the addresses of the other brokers that are alive and of the other voters.
-func (n *Node) reachOut() []string {
-	var out []string
+// otherAddresses lists the other brokers that are alive.
+func (n *Node) otherAddresses() (out []string) {
 	for _, member := range n.Members() {
-		out = append(out, member.IP)
+		if member.IP != n.self.IP {
+			out = append(out, member.IP)
+		}
 	}
+	return out
+}
+
+// withVoters adds the other voters, whether they seem alive or not.
+func (n *Node) withVoters(addresses []string) []string {
 	known, _ := n.Known()
-	out = append(out, known.Value.Members.Addresses()...)
+	out := slices.Concat(addresses, known.Value.Members.Addresses())
 	slices.Sort(out)
 	return slices.DeleteFunc(slices.Compact(out), func(ip string) bool { return ip == n.self.IP })
 }
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -61,6 +61,13 @@
 	n.cut[[2]string{a, b}], n.cut[[2]string{b, a}] = cut, cut
 }
 
+// CutOneWay cuts what goes from one host to another, or heals it. What comes back still passes.
+func (n *Net) CutOneWay(from, to string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]string{from, to}] = cut
+}
+
 // Kill ends all sockets of a host. dark: it says nothing from now on, and connections to it hang; else they are reset.
 func (n *Net) Kill(ip string, dark bool) {
 	n.mu.Lock()
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -114,7 +114,7 @@
 	enough := func(t cluster.Told) bool { return t.Quorum && (t.All() || time.Since(since) > drainAnyway) }
 	told := b.node.PublishEverywhere(ctx, i.Record(), enough)
 	if !enough(told) {
-		b.logger.Info().Str("instance", i.ID).Int("confirmed", told.Confirmed).Int("asked", told.Asked).Bool("quorum", told.Quorum).
+		b.logger.Info().Str("instance", i.ID).Int("confirmed", told.Confirmed).Int("alive", told.Alive).Bool("quorum", told.Quorum).
 			Msg("the end of an instance is not known widely enough yet")
 		return errSpreading
 	}
