Standing: one table of who may do what; orders too old to judge; processes under faults

Cause: conditions on the register's state stood in five places; an order older than the 1,024 remembered ones was refused though it may have been taken. Ruled out: remembering all, which grows without bound. Change: package standing has the table of states by acts, consulted by the control address, the voters' loop and the roll-outs; status and readiness tell it. An order on a version older than what is remembered gets no clear answer instead of 412.

--- a/internal/cluster/voting.go
+++ b/internal/cluster/voting.go
@@ -8,6 +8,7 @@
 
 	"gullstair/internal/peerlink"
 	"gullstair/internal/register"
+	"gullstair/internal/standing"
 	"gullstair/internal/voters"
 )
 
@@ -21,7 +22,7 @@
 	var dueSince time.Time
 	for ctx.Err() == nil {
 		wait := keepEvery
-		if n.votes() {
+		if n.Votes() && n.Standing().May(standing.ProposeVoters) {
 			quiet := n.probe(ctx)
 			dueSince = n.reviewVoters(ctx, dueSince)
 			if quiet || !dueSince.IsZero() {
@@ -36,8 +37,29 @@
 	}
 }
 
-// votes says whether this machine's replica is in one of the sets of the newest value.
-func (n *Node) votes() bool {
+// Standing says where this broker stands towards the register.
+func (n *Node) Standing() standing.State {
+	n.mu.Lock()
+	leaving, started := n.self.Leaving, len(n.known.Value.Members.Sets) > 0
+	n.mu.Unlock()
+	switch {
+	case !started:
+		return standing.Starting
+	case leaving:
+		return standing.Leaving
+	case n.replica == nil:
+		return standing.Diskless
+	case n.Votes():
+		return standing.Voter
+	}
+	return standing.Learner
+}
+
+// Votes says whether this machine's replica is in one of the sets that the newest value was proposed to.
+func (n *Node) Votes() bool {
+	if n.replica == nil {
+		return false
+	}
 	known, _ := n.Known()
 	return slices.ContainsFunc(known.Value.Quorums(), func(set []register.Replica) bool { return slices.Contains(set, n.replica.id()) })
 }
--- a/internal/controlstate/controlstate.go
+++ b/internal/controlstate/controlstate.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	mostTaken  = 1024 // orders that are remembered, so that one that was taken is never refused when it is sent again
+	mostTaken  = 1024 // orders that are remembered; of older ones it is not said whether they were taken
 	digestSize = 12
 	mostConfig = 64 << 20
 )
@@ -23,6 +23,9 @@
 // ErrConflict says that a change builds on another version than the one in force.
 var ErrConflict = errors.New("another version is in force")
 
+// ErrForgotten says that an order builds on a version so old that it is not known any more whether it was taken.
+var ErrForgotten = errors.New("the order is too old to tell whether it was taken")
+
 // ErrOld says that a configuration's version does not rise.
 var ErrOld = errors.New("the version is not above the one in force")
 
@@ -41,11 +44,14 @@
 
 // State is the whole control state.
 type State struct {
-	Version int64  // of the configuration; 0: none yet
-	Config  []byte // as the operator sent it, compressed
-	Taken   []Digest
-	Weights map[string]int64 // newest version of each model
-	Leases  map[string]Lease
+	Version int64    // of the configuration; 0: none yet
+	Config  []byte   // as the operator sent it, compressed
+	Taken   []Digest // newest last, at most mostTaken
+	Bases   []int64  // the version that each of them was built on
+	// Forgotten is the highest version that an order was built on whose digest is not kept any more.
+	Forgotten int64
+	Weights   map[string]int64 // newest version of each model
+	Leases    map[string]Lease
 }
 
 // Decode reads a state; an empty payload is the state before the first change.
@@ -100,6 +106,9 @@
 		return s, true, nil
 	}
 	if base != s.Version {
+		if base <= s.Forgotten && len(s.Taken) == mostTaken {
+			return s, false, ErrForgotten
+		}
 		return s, false, ErrConflict
 	}
 	if version <= s.Version {
@@ -108,13 +117,25 @@
 	next = s
 	next.Version = version
 	next.Config = compress(raw)
-	next.Taken = append(slices.Clone(s.Taken), digest)
-	if len(next.Taken) > mostTaken {
-		next.Taken = next.Taken[len(next.Taken)-mostTaken:]
-	}
+	next.remember(digest, base)
 	return next, false, nil
 }
 
+// remember adds an order to those that are known, and forgets the oldest where there are too many. A state of an earlier
+// version of the program has no bases: its orders count as built on the version in force then.
+func (s *State) remember(digest Digest, base int64) {
+	bases := slices.Clone(s.Bases)
+	for len(bases) < len(s.Taken) {
+		bases = append(bases, base)
+	}
+	s.Taken = append(slices.Clone(s.Taken), digest)
+	s.Bases = append(bases, base)
+	if over := len(s.Taken) - mostTaken; over > 0 {
+		s.Forgotten = max(s.Forgotten, slices.Max(s.Bases[:over]))
+		s.Taken, s.Bases = s.Taken[over:], s.Bases[over:]
+	}
+}
+
 func compress(raw []byte) []byte {
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.DefaultCompression)
--- a/internal/controlstate/controlstate_test.go
+++ b/internal/controlstate/controlstate_test.go
@@ -101,3 +101,49 @@
 		}
 	})
 }
+
+// TestOrdersAreRememberedAndThenNotJudged takes more orders than are remembered. One that was taken is confirmed again as
+// long as it is known; of an older one nothing is claimed; one that was never taken is refused. Memory is bounded.
+func TestOrdersAreRememberedAndThenNotJudged(t *testing.T) {
+	s, _ := Decode(nil)
+	raw := func(version int64) []byte { return fmt.Appendf(nil, "configuration %d", version) }
+	const orders = 3 * mostTaken
+	for version := int64(1); version <= orders; version++ {
+		next, taken, err := s.Replace(version-1, version, raw(version))
+		if err != nil || taken {
+			t.Fatalf("%d: %t %v", version, taken, err)
+		}
+		if s, err = Decode(next.Encode()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for version := int64(1); version <= orders; version++ {
+		_, taken, err := s.Replace(version-1, version, raw(version))
+		known := version > orders-mostTaken
+		if taken != known || !known && !errors.Is(err, ErrForgotten) {
+			t.Fatalf("%d of %d sent again: %t %v", version, orders, taken, err)
+		}
+	}
+	if _, _, err := s.Replace(orders-5, orders+1, raw(7)); !errors.Is(err, ErrConflict) {
+		t.Errorf("an order that was never taken, on an old version: %v", err)
+	}
+	if size := len(s.Encode()); size > 32<<10 {
+		t.Errorf("the state has %d bytes", size)
+	}
+}
+
+// TestOrdersOfAnEarlierProgram goes on from a state that knows digests without the versions they were built on.
+func TestOrdersOfAnEarlierProgram(t *testing.T) {
+	s, _ := Decode(nil)
+	for version := int64(1); version <= mostTaken; version++ {
+		s, _, _ = s.Replace(version-1, version, []byte{byte(version)})
+	}
+	s.Bases = nil
+	next, _, err := s.Replace(mostTaken, mostTaken+1, []byte("new"))
+	if err != nil || len(next.Bases) != len(next.Taken) {
+		t.Fatalf("%d bases of %d: %v", len(next.Bases), len(next.Taken), err)
+	}
+	if _, _, err := next.Replace(0, 1, []byte{1}); !errors.Is(err, ErrForgotten) {
+		t.Errorf("the forgotten order: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/planted/control.go
@@ -0,0 +1,52 @@
+package planted
+
+const (
+	votersFile   = "internal/voters/voters.go"
+	registryFile = "internal/instances/instances.go"
+	operatorFile = "internal/router/control.go"
+	roundsFile   = "internal/cluster/rounds.go"
+	settleFile   = "internal/cluster/settling.go"
+	foundFile    = "internal/cluster/founding.go"
+	stateFile    = "internal/controlstate/controlstate.go"
+	answerFile   = "internal/gateway/answer.go"
+	poolFile     = "internal/upstream/pool.go"
+	slotsFile    = "internal/slots/slots.go"
+	attemptFile  = "internal/register/round.go"
+	lookFile     = "internal/register/look.go"
+	membersFile  = "internal/register/members.go"
+)
+
+// controlFaults are the rules of docs/control.md, each taken out.
+var controlFaults = []Fault{
+	{"control: an extra fourth voter", votersFile, "wanted := odd(min(t.Seats(), present+able))", "wanted := min(t.Seats()+1, present+able)", "", ""},
+	{"control: leaves without handing over", votersFile, "return h >= Leaving", "return h > Leaving", "", ""},
+	{"control: no majority that holds the value", votersFile, "if same(set, present) || !holds(set) {", "if same(set, present) {", "", ""},
+	{"control: a drain heard of is acknowledged", registryFile, "e.confirmed >= e.State", "e.confirmed >= 0", "", ""},
+	{"control: an end acknowledged without a majority", operatorFile, "return t.Quorum && (t.All()", "return (t.All()", "", ""},
+	{"control: a read without contact", roundsFile, "	case !look.Done():\n		return register.Value{}, ErrNoQuorum", "	case !look.Done():\n		return known.Value, nil", "", ""},
+	{"control: a digest forgotten", stateFile, "if slices.Contains(s.Taken, digest) {", "if slices.Contains(s.Taken[:0], digest) {", "", ""},
+	{"control: a begun answer gone on with", answerFile, "return a.begun && !(a.stream && a.resumable && a.named)", "return false", "", ""},
+	{"control: a retry on the same connection", poolFile, `if id == "" || !slices`, "if true || !slices", "", ""},
+	{"control: the folder of a new log not synced", slotsFile, "	if err := s.disk.Sync(); err != nil {\n		log.Close()", "	if err := error(nil); err != nil {\n		log.Close()", "", ""},
+	{"control: a slot rolled back", slotsFile, "newest > s.generation {", "newest > s.generation+1<<40 {", "", ""},
+	{"control: records behind a gap forgotten", slotsFile, "holdsRecord(rest) {", "false && holdsRecord(rest) {", "", ""},
+	{"control: the sets proposed to not kept", attemptFile, "next.Voted = slices.Clone(r.sets)", "next.Voted = nil", "", ""},
+	{"control: the old set not asked to settle a move", attemptFile, "	next.Voted =", "	if !next.Members.Moving() {\n		r.sets = next.Members.Sets\n	}\n	next.Voted =", "", ""},
+	{"control: chosen by the set named alone", lookFile, "	round := Round{sets: l.value.Quorums()}\n", "	round := Round{sets: l.value.Members.Sets}\n", "", ""},
+	{"control: a change begun while one is open", membersFile, "if present.Unsettled() || !from.Equal(present.Members) {", "if !from.Equal(present.Members) {", "", ""},
+	{"control: who missed a value stays behind", settleFile, "if err := n.replica.learn(known); err != nil {", "if err := error(nil); err != nil || known.Ballot.Counter > 1<<62 {", "", ""},
+	{"control: founded on another disk", foundFile, "if !members.Has(a.Self) {", "if false {", "", ""},
+	{"control: founded with other members", foundFile, "a.State.Value.Sequence > 0 || a.State.Value.Members.Equal(members)", "true", "", ""},
+}
+
+// controlProofs find them.
+var controlProofs = []Proof{
+	{Name: "voters' cases", Package: "./internal/voters", Args: []string{"-test.run=TestPlan|TestFirst", "-test.timeout=120s"}, Among: "control: "},
+	{Name: "histories of losses", Package: "./internal/voters", Args: []string{"-test.run=TestHistoriesOfLosses", "-test.short", "-test.timeout=300s"}, Among: "control: "},
+	{Name: "states of a move", Package: "./internal/register", Args: []string{"-test.run=TestEveryOrderOfAMove|TestLook|TestReconfigure", "-test.short", "-test.timeout=300s"}, Among: "control: "},
+	{Name: "fleet in virtual time", Package: "./internal/router", Args: []string{"-test.run=CutOff|HeardOf|Unknown|TakenOnce|Replaced|Whole|Leaving|Hundreds", "-test.timeout=300s"}, Among: "control: "},
+	{Name: "founding's cases", Package: "./internal/cluster", Args: []string{"-test.timeout=60s"}, Among: "control: "},
+	{Name: "slots", Package: "./internal/slots", Args: []string{"-test.timeout=120s"}, Among: "control: "},
+	{Name: "table of calls", Package: "./internal/gateway", Args: []string{"-test.run=TestCallTable", "-test.timeout=120s"}, Among: "control: "},
+	{Name: "connections", Package: "./internal/upstream", Args: []string{"-test.timeout=120s"}, Among: "control: "},
+}
--- a/internal/planted/faults.go
+++ b/internal/planted/faults.go
@@ -1,5 +1,7 @@
 package planted
 
+import "slices"
+
 const (
 	leaseFile = "internal/lease/lease.go"
 	tasksFile = "internal/tasks/tasks.go"
@@ -16,7 +18,7 @@
 )
 
 // Faults are the rules that leases and tasks stand on, each taken out.
-var Faults = []Fault{
+var Faults = slices.Concat([]Fault{
 	{"drift left out", leaseFile, "return term * (1 + c.rules.Drift) / (1 - c.rules.Drift)", "return term", "", ""},
 	{"drift counted on one side", leaseFile, "return term * (1 + c.rules.Drift) / (1 - c.rules.Drift)", "return term * (1 + c.rules.Drift)", "", ""},
 	{"no quiet time", leaseFile, "return c.start + c.kept(term)\n}\n\n// SureAt", "return c.start + 0*c.kept(term)\n}\n\n// SureAt", "", ""},
@@ -95,10 +97,10 @@
 	{"lasting: trusted at once", votesFile, "Begun: time.Now().UnixNano(), Place: here, Doubt: d.doubt})\n}\n\n// Trust", "Begun: time.Now().UnixNano(), Place: here})\n}\n\n// Trust", "", ""},
 	{"lasting: taken from the queue and left out", queueFile, "next.Trust || len(records) == queueMost {", "next.Trust {", "			case next = <-q.in:\n			default:", "			case next = <-q.in:\n				if len(records) >= queueMost {\n					more = false\n				}\n			default:"},
 	{"process: copy of votes taken for sound", votesFile, "case fresh || here != there:", "case fresh || here != there && false:", "case changed && touched-last > int64(touchedWithin):", "case changed && touched-last > int64(touchedWithin) && false:"},
-}
+}, controlFaults)
 
 // Proofs are the tests that are to find them.
-var Proofs = []Proof{
+var Proofs = slices.Concat([]Proof{
 	{Name: "processes", Package: "./cmd/gullstair", Args: []string{"-test.run=TestLeaseFaults|TestLeasesWithoutDisks|TestMachineStandsStill", "-test.timeout=300s"}, Among: "process: "},
 	{Name: "explorer", Package: "./internal/explore", Args: []string{"-test.run=TestExplore$", "-test.timeout=300s"}},
 	{Name: "leases' histories", Package: "./internal/trial", Args: []string{"-test.run=TestLeaseHistories|TestNumbers", "-rapid.nofailfile", "-rapid.checks=1000", "-test.timeout=300s"}},
@@ -110,4 +112,4 @@
 	{Name: "verdicts' units", Package: "./internal/verdicts", Args: []string{"-test.timeout=60s"}, Among: "verdicts: "},
 	{Name: "processes' verdicts", Package: "./cmd/gullstair", Args: []string{"-test.run=TestVerdictFaults", "-test.timeout=200s"}, Among: "verdict process: "},
 	{Name: "members' histories", Package: "./internal/trial", Args: []string{"-test.run=TestHistories|TestPausedHolder|TestRestarts|TestLeavesInMidWork", "-rapid.nofailfile", "-rapid.checks=100", "-test.timeout=300s"}},
-}
+}, controlProofs)
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -10,6 +10,7 @@
 	"gullstair/internal/configuration"
 	"gullstair/internal/controlstate"
 	"gullstair/internal/instances"
+	"gullstair/internal/standing"
 )
 
 const (
@@ -20,8 +21,19 @@
 // errSpreading says that too few brokers know yet what an instance told.
 var errSpreading = errors.New("it is not known widely enough yet")
 
+// permit says whether this broker may do something for the fleet at all in the state it is in.
+func (b *Broker) permit(act standing.Act) error {
+	if state := b.node.Standing(); !state.May(act) {
+		return errors.Newf("this broker is %s", state)
+	}
+	return nil
+}
+
 // Replace has a configuration take the place of version base.
 func (b *Broker) Replace(ctx context.Context, base int64, c *configuration.Configuration) error {
+	if err := b.permit(standing.TakeOrder); err != nil {
+		return err
+	}
 	_, err := b.node.Change(ctx, func(payload []byte) ([]byte, error) {
 		state, err := controlstate.Decode(payload)
 		if err != nil {
@@ -38,6 +50,9 @@
 
 // Configuration returns the newest configuration that can have been acknowledged.
 func (b *Broker) Configuration(ctx context.Context) ([]byte, error) {
+	if err := b.permit(standing.ReadNewest); err != nil {
+		return nil, err
+	}
 	value, err := b.node.Read(ctx)
 	if err != nil {
 		return nil, err
@@ -51,6 +66,9 @@
 
 // NameWeights names a version of a model's weights.
 func (b *Broker) NameWeights(ctx context.Context, model string, version int64) error {
+	if err := b.permit(standing.TakeOrder); err != nil {
+		return err
+	}
 	_, err := b.node.Change(ctx, func(payload []byte) ([]byte, error) {
 		state, err := controlstate.Decode(payload)
 		if err != nil {
@@ -106,6 +124,9 @@
 // this broker stands, so a majority of the register's voters must have confirmed it: each broker that is in touch has it
 // from them within one exchange. All brokers that are alive are waited for as well, but not for long.
 func (b *Broker) confirmEnd(ctx context.Context, i instances.Instance) error {
+	if err := b.permit(standing.ConfirmEnd); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, drainTold)
 	defer cancel()
 	b.mu.Lock()
@@ -128,10 +149,11 @@
 type Status struct {
 	Node      string               `json:"node"`
 	Zone      string               `json:"zone"`
+	Standing  string               `json:"standing"` // towards the register, see package standing
 	Ready     bool                 `json:"ready"`
 	Version   int64                `json:"configuration_version"`
 	Sequence  uint64               `json:"register_sequence"`
-	Replicas  []string             `json:"register_replicas"`
+	Voters    []string             `json:"register_voters"`
 	Weights   map[string]int64     `json:"weights"`
 	Brokers   []cluster.Member     `json:"brokers"`
 	Instances []instances.Instance `json:"instances"`
@@ -144,10 +166,10 @@
 // Status describes this broker and what it knows.
 func (b *Broker) Status() any {
 	known, _ := b.node.Known()
-	status := Status{Node: b.settings.NodeName, Zone: b.settings.Zone, Ready: b.ready(), Brokers: b.node.Members(),
+	status := Status{Node: b.settings.NodeName, Zone: b.settings.Zone, Standing: b.node.Standing().String(), Ready: b.ready(), Brokers: b.node.Members(),
 		Served: b.gateway.Served.Load(), Refused: b.gateway.Refused.Load(), Failed: b.gateway.Failed.Load(), InFlight: b.gateway.InFlight()}
 	for _, replica := range known.Value.Members.Last() {
-		status.Replicas = append(status.Replicas, replica.Address)
+		status.Voters = append(status.Voters, replica.Address)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/router/roles.go
+++ b/internal/router/roles.go
@@ -16,6 +16,7 @@
 	"gullstair/internal/instances"
 	"gullstair/internal/ownership"
 	"gullstair/internal/rollout"
+	"gullstair/internal/standing"
 	"gullstair/internal/upstream"
 )
 
@@ -70,13 +71,14 @@
 // step looks at each model whose weights some instance lacks.
 func (r *roles) step(ctx context.Context) {
 	r.b.mu.Lock()
-	state, all, leaving := r.b.state, r.b.effective(), r.b.leaving
+	state, all := r.b.state, r.b.effective()
 	r.b.mu.Unlock()
+	mayOrder := r.b.node.Standing().May(standing.OrderInstances)
 	for role, present := range state.Leases {
 		r.lease(role).Observe(time.Now(), present)
 	}
 	for model, version := range state.Weights {
-		if leaving || len(rollout.Lagging(all, model, version)) == 0 {
+		if !mayOrder || len(rollout.Lagging(all, model, version)) == 0 {
 			continue
 		}
 		r.stepModel(ctx, model, version, state, all)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"net"
 	"net/http"
@@ -321,10 +322,13 @@
 	}
 }
 
+// serveReadiness answers whether clients should be sent here, and says where the broker stands: one that leaves, and is
+// still a voter, has not handed its seat over.
 func (b *Broker) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !b.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
+	fmt.Fprintf(w, "standing=%s votes=%t\n", b.node.Standing(), b.node.Votes())
 }
 
 const (
