--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -236,11 +236,14 @@
 
 // All returns the instances that are not gone, by id.
 func (r *Registry) All() []Instance {
+	return slices.DeleteFunc(r.Known(), func(i Instance) bool { return i.State == Gone })
+}
+
+// Known returns all instances that are not forgotten, also those that are gone, by id.
+func (r *Registry) Known() []Instance {
 	var out []Instance
 	for _, e := range r.entries {
-		if e.State != Gone {
-			out = append(out, e.Instance)
-		}
+		out = append(out, e.Instance)
 	}
 	slices.SortFunc(out, func(a, b Instance) int { return strings.Compare(a.ID, b.ID) })
 	return out
--- a/internal/instances/instances_test.go
+++ b/internal/instances/instances_test.go
@@ -113,3 +113,33 @@
 		}
 	})
 }
+
+// TestEndsAreConfirmedHere has an instance drain and go: what this broker only heard of is not confirmed, what it told
+// enough others is, each state by itself. One that is unknown goes too, and stays known as gone.
+func TestEndsAreConfirmedHere(t *testing.T) {
+	r := New()
+	draining := instance("a", 5)
+	draining.State = Draining
+	r.Take(draining, start)
+	if r.Confirmed("a") || r.EndingSince("a") != start {
+		t.Errorf("heard of: confirmed %t since %v", r.Confirmed("a"), r.EndingSince("a"))
+	}
+	r.Confirm(draining)
+	if !r.Confirmed("a") {
+		t.Error("a drain that enough know is not confirmed")
+	}
+	gone, news := r.Leave("a", start.Add(time.Second))
+	if !news || gone.State != Gone || r.Confirmed("a") || r.EndingSince("a") != start {
+		t.Errorf("gone: %+v %t, confirmed %t", gone, news, r.Confirmed("a"))
+	}
+	r.Confirm(gone)
+	if again, news := r.Leave("a", start); news || !r.Confirmed("a") || again.State != Gone {
+		t.Error("an end that enough know is not confirmed again")
+	}
+	if unknown, news := r.Leave("b", start); !news || unknown.State != Gone || unknown.ID != "b" {
+		t.Errorf("an unknown one: %+v %t", unknown, news)
+	}
+	if known := r.Known(); len(known) != 2 || len(r.All()) != 0 {
+		t.Errorf("known: %+v", known)
+	}
+}
--- a/internal/planted/faults.go
+++ b/internal/planted/faults.go
@@ -3,25 +3,25 @@
 import "slices"
 
 const (
-	leaseFile = "internal/lease/lease.go"
+	leaseFile = "internal/lease"
 	tasksFile = "internal/tasks/tasks.go"
 	guardFile = "internal/guard/guard.go"
 	votesFile = "internal/lasting/lasting.go"
 	queueFile = "internal/lasting/queue.go"
 	fenceFile = "internal/fence/fence.go"
-	shareFile = "internal/shares/shares.go"
+	shareFile = "internal/shares"
 	markFile  = "internal/shares/marks.go"
 	wordFile  = "internal/verdicts/verdicts.go"
 	judgeFile = "internal/verdicts/judge.go"
 	orderFile = "internal/verdicts/orders.go"
-	coreFile  = "internal/core/core.go"
+	coreFile  = "internal/core"
 )
 
 // Faults are the rules that leases and tasks stand on, each taken out.
 var Faults = slices.Concat([]Fault{
 	{"drift left out", leaseFile, "return term * (1 + c.rules.Drift) / (1 - c.rules.Drift)", "return term", "", ""},
 	{"drift counted on one side", leaseFile, "return term * (1 + c.rules.Drift) / (1 - c.rules.Drift)", "return term * (1 + c.rules.Drift)", "", ""},
-	{"no quiet time", leaseFile, "return c.start + c.kept(term)\n}\n\n// SureAt", "return c.start + 0*c.kept(term)\n}\n\n// SureAt", "", ""},
+	{"no quiet time", leaseFile, "return c.start + c.kept(term)\n}\n\n// Due", "return c.start + 0*c.kept(term)\n}\n\n// Due", "", ""},
 	{"term counted from the answer", leaseFile, "l.till = b.sent + b.term", "l.till = c.now + b.term", "", ""},
 	{"less than a majority", leaseFile, "return len(c.roster)/2 + 1", "return (len(c.roster) + 1) / 2 / 2 * 1", "", ""},
 	{"process number ignored", leaseFile, "l.until > c.now && (l.holder != c.self || l.boot != c.boot)", "l.until > c.now && l.holder != c.self",
--- a/internal/planted/planted.go
+++ b/internal/planted/planted.go
@@ -14,7 +14,8 @@
 	"time"
 )
 
-// Fault is one rule taken out: in a file Old, which stands there once, is New; and where the rule stands in two places Old2 is New2.
+// Fault is one rule taken out: in a file, or in a package's folder, Old, which stands there once, is New; and where the
+// rule stands in two places Old2 is New2.
 type Fault struct {
 	Name, File, Old, New, Old2, New2 string
 }
@@ -34,24 +35,29 @@
 	Seconds      float64
 }
 
-// Apply writes a fault's version of its file and an overlay that names it, into a directory, and returns the overlay's path.
+// Apply writes a fault's version of its file, or files, and an overlay that names them, into a directory, and returns the
+// overlay's path.
 func Apply(root, dir string, f Fault) (string, error) {
-	path := filepath.Join(root, f.File)
-	text, err := os.ReadFile(path)
+	texts, err := sources(filepath.Join(root, f.File))
 	if err != nil {
-		return "", fmt.Errorf("planted: %w", err)
-	}
-	if n := strings.Count(string(text), f.Old); n != 1 {
-		return "", fmt.Errorf("planted: %s: %q stands in %s %d times, once is needed", f.Name, f.Old, f.File, n)
-	}
-	if f.Old2 != "" && strings.Count(string(text), f.Old2) != 1 {
-		return "", fmt.Errorf("planted: %s: %q does not stand in %s once", f.Name, f.Old2, f.File)
+		return "", err
 	}
-	changed := filepath.Join(dir, filepath.Base(f.File))
-	if err := os.WriteFile(changed, []byte(strings.Replace(strings.Replace(string(text), f.Old, f.New, 1), f.Old2, f.New2, min(1, len(f.Old2)))), 0o600); err != nil {
-		return "", fmt.Errorf("planted: %w", err)
+	replace := map[string]string{}
+	for _, change := range [][2]string{{f.Old, f.New}, {f.Old2, f.New2}} {
+		if change[0] == "" {
+			continue
+		}
+		path, err := holderOf(texts, change[0])
+		if err != nil {
+			return "", fmt.Errorf("planted: %s: %w", f.Name, err)
+		}
+		texts[path] = strings.Replace(texts[path], change[0], change[1], 1)
+		replace[path] = filepath.Join(dir, filepath.Base(path))
+		if err := os.WriteFile(replace[path], []byte(texts[path]), 0o600); err != nil {
+			return "", fmt.Errorf("planted: %w", err)
+		}
 	}
-	overlay, err := json.Marshal(map[string]any{"Replace": map[string]string{path: changed}})
+	overlay, err := json.Marshal(map[string]any{"Replace": replace})
 	if err != nil {
 		return "", fmt.Errorf("planted: %w", err)
 	}
@@ -59,6 +65,43 @@
 	return at, os.WriteFile(at, overlay, 0o600)
 }
 
+// sources reads a file, or all files of a package but its tests, by path.
+func sources(path string) (map[string]string, error) {
+	paths := []string{path}
+	if !strings.HasSuffix(path, ".go") {
+		var err error
+		if paths, err = filepath.Glob(filepath.Join(path, "*.go")); err != nil {
+			return nil, fmt.Errorf("planted: %w", err)
+		}
+	}
+	texts := map[string]string{}
+	for _, path := range paths {
+		if strings.HasSuffix(path, "_test.go") {
+			continue
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, fmt.Errorf("planted: %w", err)
+		}
+		texts[path] = string(text)
+	}
+	return texts, nil
+}
+
+// holderOf finds the one place where a text stands.
+func holderOf(texts map[string]string, text string) (string, error) {
+	path, places := "", 0
+	for at, whole := range texts {
+		if n := strings.Count(whole, text); n > 0 {
+			path, places = at, places+n
+		}
+	}
+	if places != 1 {
+		return "", fmt.Errorf("%q stands there %d times, once is needed", text, places)
+	}
+	return path, nil
+}
+
 var after = regexp.MustCompile(`after (\d+ (?:states|tests|schedules))`)
 
 // Try plants a fault and runs a proof.
--- a/internal/router/snapshot.go
+++ b/internal/router/snapshot.go
@@ -14,7 +14,9 @@
 )
 
 // The instances that are known are kept on the disk, where there is one, so that a fleet which was ended all at once
-// need not wait for their heartbeats. Nothing depends on the copy being new: each request names the instance it is for.
+// need not wait for their heartbeats. Those that are gone are kept too, so that an older copy on another machine does not
+// bring one back that had been told to be gone. Nothing else depends on the copy being new: each request names the instance
+// it is for.
 
 const (
 	snapshotFolder = "instances"
@@ -59,7 +61,7 @@
 		case <-time.After(snapshotEvery):
 		}
 		b.mu.Lock()
-		unsaved, all := b.unsaved, b.registry.All()
+		unsaved, all := b.unsaved, b.registry.Known()
 		b.unsaved = false
 		b.mu.Unlock()
 		if !unsaved {
