--- a/internal/router/control_test.go
+++ b/internal/router/control_test.go
@@ -433,3 +433,58 @@
 		w.end()
 	})
 }
+
+// TestHolderCutOff has the broker that orders new weights cut off, both ways and in one direction, in the middle of a
+// roll-out, and another version named meanwhile. Another broker goes on under a higher token; no two share one, nothing is
+// ordered by two at once, and all instances end at the newest version.
+func TestHolderCutOff(t *testing.T) {
+	for _, oneWay := range [][]bool{nil, {true}} {
+		t.Run(fmt.Sprint("one way: ", len(oneWay) > 0), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, operator := startedWorld(t, 51, 5, 3)
+				w.nameWeights(operator, w.machines[1], 2)
+				holder := w.awaitHolder()
+				w.cutOff(holder, true, oneWay...)
+				live := slices.DeleteFunc(slices.Clone(w.machines), func(m *machine) bool { return m == holder })
+				w.nameWeights(operator, live[0], 3)
+				time.Sleep(8 * time.Second)
+				w.cutOff(holder, false, oneWay...)
+				time.Sleep(4 * time.Second)
+				for _, s := range w.servers {
+					if s.service == "llm" && s.version != 3 {
+						w.fault("%s runs version %d", s.id, s.version)
+					}
+				}
+				w.end()
+			})
+		})
+	}
+}
+
+func (w *world) nameWeights(operator *http.Client, m *machine, version int) {
+	body := fmt.Sprintf(`{"model":"%s","version":%d}`, modelName, version)
+	response, err := operator.Post("http://"+m.ip+":"+controlPort+"/v1/version-put", "application/json", strings.NewReader(body))
+	if err != nil {
+		w.fault("version %d: %v", version, err)
+		return
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		w.fault("version %d got %d", version, response.StatusCode)
+	}
+}
+
+// awaitHolder waits for the first order and returns the broker that gave it.
+func (w *world) awaitHolder() *machine {
+	for {
+		for _, s := range w.servers {
+			s.mu.Lock()
+			holder := s.holder
+			s.mu.Unlock()
+			if at := slices.IndexFunc(w.machines, func(m *machine) bool { return m.name == holder }); at >= 0 {
+				return w.machines[at]
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
