--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -215,7 +215,7 @@
 	}
 	outcome = c.cause(outcome)
 	c.s.logger.Debug().Str("request", c.id).Str("instance", instance.ID).Str("source", command.Source).Int("attempt", number).
-		Int("outcome", int(outcome)).Err(err).Dur("took", time.Since(begun)).Msg("attempt ended")
+		Int64("version", version).Int("outcome", int(outcome)).Err(err).Dur("took", time.Since(begun)).Msg("attempt ended")
 	c.s.dispatcher.ended(c.exchange, number, outcome, time.Since(begun))
 	if outcome != logic.Completed && c.answer != nil && c.answer.closed() {
 		c.fail() // whatever the module wants next: no second run goes on with these bytes
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,7 @@
 	instances map[string]instances.Instance // that are not gone, by id
 	holders   lockedTable
 	newest    map[string]namedWeights // by model
+	oldest    map[string]int64        // the version below which instances get no requests, as logged last, by model
 	onStale   func(id string)         // an instance was seen to be another one
 
 	// Served counts answers that were passed on whole; Refused and Failed those that were not.
@@ -83,7 +84,7 @@
 // New makes the data path. onStale is called with the id of an instance whose address answers as another one.
 func New(s *settings.Settings, logger *log.Logger, network netio.Network, seed uint64, onStale func(string)) *Server {
 	server := &Server{settings: s, logger: logger, pool: upstream.New(network), instances: map[string]instances.Instance{}, newest: map[string]namedWeights{},
-		onStale: onStale}
+		oldest: map[string]int64{}, onStale: onStale}
 	server.holders = lockedTable{table: holders.New(), start: time.Now()}
 	server.dispatcher = newDispatcher(seed, server.fleet(1))
 	return server
@@ -139,6 +140,7 @@
 	for model, version := range weights {
 		if version > s.newest[model].version {
 			s.newest[model] = namedWeights{version, time.Now()}
+			s.logger.Info().Str("model", model).Int64("version", version).Msg("weights named")
 		}
 	}
 }
@@ -196,6 +198,7 @@
 	if newest := s.newest[model]; newest.version > 0 && time.Since(newest.since) > s.settings.Bounds.Version-versionMargin {
 		least = newest.version
 	}
+	s.logOldest(model, least)
 	for _, i := range s.instances {
 		if i.Service != service || i.State != instances.Ready {
 			continue
@@ -209,6 +212,15 @@
 	return list, limited
 }
 
+// logOldest tells when the version changes below which instances of a model get no requests; s.mu is held.
+func (s *Server) logOldest(model string, version int64) {
+	if before := max(1, s.oldest[model]); model == "" || before == version {
+		return
+	}
+	s.oldest[model] = version
+	s.logger.Info().Str("model", model).Int64("version", version).Msg("older weights get no requests")
+}
+
 func (s *Server) instance(id string) (instances.Instance, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/router/roles.go
+++ b/internal/router/roles.go
@@ -185,7 +185,8 @@
 		return
 	}
 	status, _, err := r.send(ctx, i, http.MethodPost, "/v1/order", body)
-	r.b.logger.Info().Err(err).Str("instance", i.ID).Int("status", status).Int64("version", version).Msg("ordered new weights")
+	r.b.logger.Info().Err(err).Str("instance", i.ID).Int("status", status).Int64("from", i.VersionOf(model)).Int64("version", version).
+		Msg("ordered new weights")
 	r.results <- func(now time.Time) {
 		switch {
 		case err != nil || status == http.StatusAccepted || status == http.StatusConflict:
