--- a/internal/router/control_test.go
+++ b/internal/router/control_test.go
@@ -471,7 +471,11 @@
 	response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		w.fault("version %d got %d", version, response.StatusCode)
+		return
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.named[int64(version)] = time.Now()
 }
 
 // awaitHolder waits for the first order and returns the broker that gave it.
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -35,7 +35,10 @@
 	wait   sync.WaitGroup
 }
 
-func (w *world) traffic(clients int) *traffic {
+func (w *world) traffic(clients int) *traffic { return w.trafficAt(clients, w.machineAt) }
+
+// trafficAt has clients ask the machines that at names for a request's number.
+func (w *world) trafficAt(clients int, at func(n int) *machine) *traffic {
 	tr := &traffic{counts: map[int]int{}, stop: make(chan struct{})}
 	for i := range clients {
 		tr.wait.Add(1)
@@ -50,7 +53,7 @@
 				}
 				route := []string{"chat", "chat", "once", "post"}[(n+i)%4]
 				tenant := []string{"open", "walled"}[(n/3+i)%2]
-				a := w.ask(client, w.machineAt(n+i), route, tenant, (n*7+i)%10)
+				a := w.ask(client, at(n+i), route, tenant, (n*7+i)%10)
 				tr.mu.Lock()
 				tr.counts[a.status]++
 				tr.mu.Unlock()
@@ -111,13 +114,7 @@
 		w, operator := startedWorld(t, 2, 5, 3)
 		tr := w.traffic(6)
 		for version := 2; version <= 3; version++ {
-			response, err := operator.Post("http://"+w.machines[4].ip+":"+controlPort+"/v1/version-put", "application/json",
-				strings.NewReader(fmt.Sprintf(`{"model":"m","version":%d}`, version)))
-			if err != nil || response.StatusCode != http.StatusOK {
-				w.fault("version %d was not taken: %v", version, err)
-			} else {
-				response.Body.Close()
-			}
+			w.nameWeights(operator, w.machines[4], version)
 			time.Sleep(6 * time.Second)
 		}
 		counts := tr.end()
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -149,6 +149,7 @@
 	promised map[string]bool
 	unsafe   map[string]bool
 	asked    map[string]bool
+	named    map[int64]time.Time // when a version of the weights was acknowledged
 	faults   []string
 }
 
@@ -156,7 +157,8 @@
 
 func newWorld(t *testing.T, seed uint64, brokers, core int) *world {
 	w := &world{t: t, net: memnet.New(500 * time.Microsecond), rng: rand.New(rand.NewPCG(seed, 5)), servers: map[string]*modelServer{},
-		runs: map[string]int{}, begun: map[string]bool{}, promised: map[string]bool{}, unsafe: map[string]bool{}, asked: map[string]bool{}}
+		runs: map[string]int{}, begun: map[string]bool{}, promised: map[string]bool{}, unsafe: map[string]bool{}, asked: map[string]bool{},
+		named: map[int64]time.Time{}}
 	for i := range brokers {
 		m := &machine{ip: fmt.Sprintf("10.0.0.%d", i+1), name: fmt.Sprintf("front-%d", i+1), zone: zones[i%len(zones)], core: i < core,
 			disk: &memoryDisk{files: map[string][]byte{}}, bootstrap: true}
@@ -297,7 +299,12 @@
 	mu       sync.Mutex
 	version  int64
 	busy     bool
-	full     bool // refuses whatever comes
+	full     bool          // refuses whatever comes
+	deaf     bool          // gives no answer to orders
+	queued   time.Duration // how long a request waits until it begins to run
+	reading  time.Duration // how long it runs at least before its first event
+	pace     time.Duration // between its events, if that is longer than usual
+	soon     bool          // it tells of itself at once
 	state    string
 	sequence uint64
 	running  int
@@ -319,8 +326,13 @@
 	loadTime     = 290 * time.Millisecond
 )
 
-// startServer begins an instance of a service.
+// startServer begins an instance of a service, which tells of itself after a while.
 func (w *world) startServer(service, zone string) *modelServer {
+	return w.startServerWith(service, zone, nil)
+}
+
+// startServerWith begins an instance that change has been applied to. Where there is such a change it tells of itself at once.
+func (w *world) startServerWith(service, zone string, change func(*modelServer)) *modelServer {
 	w.mu.Lock()
 	w.serial++
 	number := w.serial
@@ -328,6 +340,10 @@
 		version: 1, state: "ready", parts: map[string]cachedPart{}, retained: map[string]bool{}, stopped: make(chan struct{})}
 	w.servers[s.id] = s
 	w.mu.Unlock()
+	if change != nil {
+		change(s)
+		s.soon = true
+	}
 	network := w.net.Host(s.ip)
 	listener, err := network.Listen(s.ip + ":80")
 	if err != nil {
@@ -359,11 +375,15 @@
 
 // beat sends heartbeats, to another broker after each failure.
 func (s *modelServer) beat(client *http.Client, at int) {
-	for {
+	for first := s.soon; ; first = false {
+		pause := 1200 * time.Millisecond / 4 * time.Duration(3+at%3)
+		if first {
+			pause = 0
+		}
 		select {
 		case <-s.stopped:
 			return
-		case <-time.After(1200 * time.Millisecond / 4 * time.Duration(3+at%3)):
+		case <-time.After(pause):
 		}
 		m := s.w.machineAt(at)
 		s.mu.Lock()
@@ -433,6 +453,11 @@
 		s.w.fault("%s got an order that is none: %+v", s.id, order)
 	}
 	s.mu.Lock()
+	if s.deaf {
+		s.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	defer s.mu.Unlock()
 	s.orders++
 	if order.Fence == s.fence && order.Holder != s.holder {
@@ -518,6 +543,9 @@
 	if s.service == "llm" {
 		s.w.arrived(id, r.Header.Get("Last-Event-Id"))
 	}
+	if !s.wait(r) {
+		return // its sender has left
+	}
 	s.mu.Lock()
 	expected, _ := strconv.ParseInt(r.Header.Get("Expect-Version"), 10, 64)
 	switch {
@@ -536,6 +564,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if s.service == "llm" {
+		s.w.checkWeights(id, s)
+	}
 	s.running++
 	for field := range strings.SplitSeq(r.Header.Get("X-Prompt-Prefix"), ",") {
 		id, _, _ := strings.Cut(field, ":")
@@ -549,7 +580,10 @@
 		s.mu.Unlock()
 	}()
 	s.w.ran(id, string(body))
-	time.Sleep(time.Duration(missing) * readToken)
+	s.mu.Lock()
+	reading := max(s.reading, time.Duration(missing)*readToken)
+	s.mu.Unlock()
+	time.Sleep(reading)
 	w.Header().Set("X-Server-Stamp", s.id+"."+id)
 	if s.service == "llm" {
 		s.stream(w, r)
@@ -559,6 +593,40 @@
 	_, _ = w.Write([]byte("done " + id))
 }
 
+// wait has a request wait for its turn; false: its sender has left meanwhile.
+func (s *modelServer) wait(r *http.Request) bool {
+	s.mu.Lock()
+	queued := s.queued
+	s.mu.Unlock()
+	if queued == 0 {
+		return true
+	}
+	select {
+	case <-time.After(queued):
+		return r.Context().Err() == nil
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// versionBound is how long after a version was acknowledged work may still begin on an older one.
+const versionBound = 6 * time.Second
+
+// checkWeights checks that a request may begin on the weights that an instance has; s.mu is held.
+func (w *world) checkWeights(id string, s *modelServer) {
+	w.mu.Lock()
+	var overdue []string
+	for version, at := range w.named {
+		if late := time.Since(at) - versionBound; version > s.version && late > 0 {
+			overdue = append(overdue, fmt.Sprintf("%s begins at %s on version %d, %v after the bound of version %d", id, s.id, s.version, late, version))
+		}
+	}
+	w.mu.Unlock()
+	for _, text := range overdue {
+		w.fault("%s", text)
+	}
+}
+
 // arrived counts an arrival at an instance with a model. A stream that has begun goes on where it was.
 func (w *world) arrived(id, last string) {
 	w.mu.Lock()
@@ -649,7 +717,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	s.mu.Lock()
-	breakAt := s.breakAt
+	breakAt, pace := s.breakAt, max(s.pace, eventEvery)
 	s.mu.Unlock()
 	for n := last + 1; n <= streamEvents; n++ {
 		if breakAt > 0 && n > breakAt {
@@ -663,7 +731,7 @@
 		s.w.mu.Lock()
 		s.w.begun[r.Header.Get("X-Request-Id")] = true
 		s.w.mu.Unlock()
-		time.Sleep(eventEvery)
+		time.Sleep(pace)
 	}
 }
 
