Each version of weights has its own bound; starts, late news and waits add no time

Cause: the data path kept one version per model and counted from when it learned of it, so that each newer version, each restart and each late word started the time of old weights again; and what was allowed was decided at a request's arrival, though it may begin seconds later. Ruled out: a broker at fault of its own (all brokers alike, within 5 ms). Package weights keeps each naming with its age; the register carries the ages with the roll-out's lease and is told once when the time is over; attempts are judged when they are sent, and one that waits at an instance when its weights' time is over is taken back. A roll-out no longer waits for an instance that is silent, and orders the oldest weights first.

--- a/internal/controlstate/controlstate.go
+++ b/internal/controlstate/controlstate.go
@@ -10,8 +10,11 @@
 	"io"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"gullstair/internal/weights"
 )
 
 const (
@@ -51,7 +54,10 @@
 	// Forgotten is the highest version that an order was built on whose digest is not kept any more.
 	Forgotten int64
 	Weights   map[string]int64 // newest version of each model
-	Leases    map[string]Lease
+	// Named are the versions of each model's weights whose time is still running, above the newest whose time is over. A state
+	// of an earlier version of the program has none: its versions were named long ago.
+	Named  map[string][]weights.Naming
+	Leases map[string]Lease
 }
 
 // Decode reads a state; an empty payload is the state before the first change.
@@ -158,9 +164,18 @@
 	}
 	next = s
 	next.Weights = with(s.Weights, model, version)
+	next.Named = with(s.Named, model, append(slices.Clone(s.Named[model]), weights.Naming{Version: version}))
 	return next, true
 }
 
+// AgeWeights notes how long ago versions of a model's weights were named, as a broker knows it. grace is how long a version
+// stands beside older ones.
+func (s State) AgeWeights(model string, known []weights.Naming, grace time.Duration) State {
+	next := s
+	next.Named = with(s.Named, model, weights.Merge(s.Named[model], known, grace))
+	return next
+}
+
 // with is a copy of m that holds value under key.
 func with[V any](m map[string]V, key string, value V) map[string]V {
 	out := make(map[string]V, len(m)+1)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -198,7 +198,7 @@
 	number := c.attempts
 	c.attempts++
 	instance, known := c.s.instance(command.Instance)
-	if !known || instance.State == instances.Gone {
+	if !known || instance.State == instances.Gone || c.outdated(instance) {
 		c.s.dispatcher.ended(c.exchange, number, logic.Superseded, 0)
 		return
 	}
@@ -208,7 +208,11 @@
 	defer stop()
 	begun := time.Now()
 	request, version := c.request(instance, command)
+	withdrawn := c.withdraw(cancel, instance, version)
 	response, progress, err := c.s.pool.Send(ctx, instance.Address, request)
+	if withdrawn() {
+		c.exchange.withdraw()
+	}
 	outcome := c.take(response, progress, err, instance, version, number, begun)
 	if response != nil {
 		response.Close()
@@ -222,6 +226,29 @@
 	}
 }
 
+// outdated says whether an instance's weights are too old by now. A request was told at its arrival where it may run; it may
+// come here much later.
+func (c *call) outdated(instance instances.Instance) bool {
+	return c.prompt != nil && instance.VersionOf(c.prompt.model) < c.s.weights.Oldest(time.Now(), c.prompt.model)
+}
+
+// withdraw cancels an attempt that has not begun when the time of the instance's weights is over: it would begin on them
+// later. The function that it returns stops that, once the answer begins or fails, and says whether it was done.
+func (c *call) withdraw(cancel context.CancelFunc, instance instances.Instance, version int64) (stop func() (done bool)) {
+	if c.prompt == nil {
+		return func() bool { return false }
+	}
+	by := c.s.weights.BeginBy(c.prompt.model, version)
+	if by.IsZero() {
+		return func() bool { return false }
+	}
+	timer := time.AfterFunc(time.Until(by), func() {
+		c.s.logger.Info().Str("request", c.id).Str("instance", instance.ID).Int64("version", version).Msg("taken back: its weights' time is over")
+		cancel()
+	})
+	return func() bool { return !timer.Stop() }
+}
+
 // cause tells apart what this broker or its client broke off, which says nothing of the instance.
 func (c *call) cause(outcome logic.Outcome) logic.Outcome {
 	recalled, ended := c.exchange.end()
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -195,6 +195,13 @@
 	return ctx, cancel
 }
 
+// withdraw notes that this broker itself took the attempt under way back.
+func (x *exchange) withdraw() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.recalled = true
+}
+
 // end says how the module ended the attempt, if it did.
 func (x *exchange) end() (recalled, ended bool) {
 	x.mu.Lock()
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -18,6 +19,7 @@
 	"gullstair/internal/instances"
 	"gullstair/internal/netio"
 	"gullstair/internal/settings"
+	"gullstair/internal/weights"
 )
 
 // The table of docs/control.md, "Calls": what the first instance that a request reaches does, by the kind of the route,
@@ -229,7 +231,7 @@
 		t.Fatal(err)
 	}
 	logger := &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
-	server := New(parsed, logger, netio.Host{}, 1, func(string) {})
+	server := New(parsed, logger, netio.Host{}, 1, weights.New(6*time.Second), func(string) {})
 	server.SetConfiguration(config)
 	arrivals := make(chan int, 1)
 	arrivals <- 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"gullstair/internal/netio"
 	"gullstair/internal/settings"
 	"gullstair/internal/upstream"
+	"gullstair/internal/weights"
 	"gullstair/logic"
 )
 
@@ -28,8 +29,6 @@
 	refusedRetry  = 150.0 // ms; the longest that a refused client is told to wait
 	slackShare    = 0.6   // of the retry budget's fixed part that the brokers use together
 	ratioShare    = 0.8   // of the retry budget's ratio
-	// versionMargin is how long before the bound on old weights requests stop going to them.
-	versionMargin = 900 * time.Millisecond
 )
 
 // Server is the data path of one broker.
@@ -45,20 +44,14 @@
 	mu        sync.Mutex
 	instances map[string]instances.Instance // that are not gone, by id
 	holders   lockedTable
-	newest    map[string]namedWeights // by model
-	oldest    map[string]int64        // the version below which instances get no requests, as logged last, by model
-	onStale   func(id string)         // an instance was seen to be another one
+	weights   *weights.Ledger
+	oldest    map[string]int64 // the version below which instances get no requests, as logged last, by model
+	onStale   func(id string)  // an instance was seen to be another one
 
 	// Served counts answers that were passed on whole; Refused and Failed those that were not.
 	Served, Refused, Failed atomic.Int64
 }
 
-// namedWeights is the newest version of a model's weights that has been named, and when this broker learned of it.
-type namedWeights struct {
-	version int64
-	since   time.Time
-}
-
 // lockedTable is the holder table for the goroutines of many requests.
 type lockedTable struct {
 	mu    sync.Mutex
@@ -81,9 +74,10 @@
 // WithHolders gives the holder table to f, alone.
 func (s *Server) WithHolders(f func(*holders.Table)) { s.holders.with(f) }
 
-// New makes the data path. onStale is called with the id of an instance whose address answers as another one.
-func New(s *settings.Settings, logger *log.Logger, network netio.Network, seed uint64, onStale func(string)) *Server {
-	server := &Server{settings: s, logger: logger, pool: upstream.New(network), instances: map[string]instances.Instance{}, newest: map[string]namedWeights{},
+// New makes the data path. named are the versions of the models' weights; onStale is called with the id of an instance whose
+// address answers as another one.
+func New(s *settings.Settings, logger *log.Logger, network netio.Network, seed uint64, named *weights.Ledger, onStale func(string)) *Server {
+	server := &Server{settings: s, logger: logger, pool: upstream.New(network), instances: map[string]instances.Instance{}, weights: named,
 		oldest: map[string]int64{}, onStale: onStale}
 	server.holders = lockedTable{table: holders.New(), start: time.Now()}
 	server.dispatcher = newDispatcher(seed, server.fleet(1))
@@ -133,18 +127,6 @@
 // Configuration is the one in force; nil: none yet.
 func (s *Server) Configuration() *configuration.Configuration { return s.config.Load() }
 
-// SetWeights tells the newest version of each model's weights.
-func (s *Server) SetWeights(weights map[string]int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for model, version := range weights {
-		if version > s.newest[model].version {
-			s.newest[model] = namedWeights{version, time.Now()}
-			s.logger.Info().Str("model", model).Int64("version", version).Msg("weights named")
-		}
-	}
-}
-
 // SetInstances tells all instances that are not gone.
 func (s *Server) SetInstances(all []instances.Instance) {
 	list := make([]balance.Instance, 0, len(all))
@@ -194,10 +176,7 @@
 func (s *Server) candidates(service, model string) (list []instances.Instance, limited bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	least := int64(1)
-	if newest := s.newest[model]; newest.version > 0 && time.Since(newest.since) > s.settings.Bounds.Version-versionMargin {
-		least = newest.version
-	}
+	least := s.weights.Oldest(time.Now(), model)
 	s.logOldest(model, least)
 	for _, i := range s.instances {
 		if i.Service != service || i.State != instances.Ready {
--- a/internal/planted/control.go
+++ b/internal/planted/control.go
@@ -14,6 +14,9 @@
 	attemptFile  = "internal/register/round.go"
 	lookFile     = "internal/register/look.go"
 	membersFile  = "internal/register/members.go"
+	weightsFile  = "internal/weights/weights.go"
+	rolesFile    = "internal/router/roles.go"
+	callFile     = "internal/gateway/call.go"
 )
 
 // controlFaults are the rules of docs/control.md, each taken out.
@@ -36,6 +39,11 @@
 	{"control: a change begun while one is open", membersFile, "if present.Unsettled() || !from.Equal(present.Members) {", "if !from.Equal(present.Members) {", "", ""},
 	{"control: who missed a value stays behind", settleFile, "if err := n.replica.learn(known); err != nil {", "if err := error(nil); err != nil || known.Ballot.Counter > 1<<62 {", "", ""},
 	{"control: founded on another disk", foundFile, "if !members.Has(a.Self) {", "if false {", "", ""},
+	{"control: a newer version restarts the time of older weights", weightsFile, "	for _, n := range Merge(before, named, Grace(l.bound)) {", "	for _, n := range named[len(named)-1:] {", "", ""},
+	{"control: the ages of versions are not kept", rolesFile, "AgeWeights(model, r.b.weights.Named(time.Now(), model),", "AgeWeights(model, nil,", "", ""},
+	{"control: nobody is told that the time of older weights is over", rolesFile, "&& r.b.weights.Settled(time.Now(), model, state.Named[model])", "", "", ""},
+	{"control: weights are judged at a request's arrival alone", callFile, "instances.Gone || c.outdated(instance)", "instances.Gone", "", ""},
+	{"control: requests wait at older weights", callFile, "	if by.IsZero() {", "	if by.IsZero() || true {", "", ""},
 	{"control: founded with other members", foundFile, "a.State.Value.Sequence > 0 || a.State.Value.Members.Equal(members)", "true", "", ""},
 }
 
@@ -45,6 +53,7 @@
 	{Name: "histories of losses", Package: "./internal/voters", Args: []string{"-test.run=TestHistoriesOfLosses", "-test.short", "-test.timeout=300s"}, Among: "control: "},
 	{Name: "states of a move", Package: "./internal/register", Args: []string{"-test.run=TestEveryOrderOfAMove|TestLook|TestReconfigure", "-test.short", "-test.timeout=300s"}, Among: "control: "},
 	{Name: "fleet in virtual time", Package: "./internal/router", Args: []string{"-test.run=CutOff|HeardOf|Unknown|TakenOnce|Replaced|Whole|Leaving|Hundreds", "-test.timeout=300s"}, Among: "control: "},
+	{Name: "old weights", Package: "./internal/router", Args: []string{"-test.run=TestOldWeights", "-test.timeout=120s"}, Among: "control: "},
 	{Name: "founding's cases", Package: "./internal/cluster", Args: []string{"-test.timeout=60s"}, Among: "control: "},
 	{Name: "slots", Package: "./internal/slots", Args: []string{"-test.timeout=120s"}, Among: "control: "},
 	{Name: "table of calls", Package: "./internal/gateway", Args: []string{"-test.run=TestCallTable", "-test.timeout=120s"}, Among: "control: "},
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -20,6 +20,7 @@
 	firstLook   = 350 * time.Millisecond  // an instance is asked so long after it took an order whether it is done,
 	lookEvery   = 150 * time.Millisecond  // and then as often
 	giveUpAfter = 8 * time.Second         // an order that is not done by then is sent anew
+	silentFor   = time.Second             // an instance of which nothing is heard for so long makes room for another
 	hurryAfter  = 2500 * time.Millisecond // after so long more load at a time,
 	hurryEvery  = 500 * time.Millisecond  // and more again each time so much has passed
 	retryAfter  = 300 * time.Millisecond  // an instance that did not take an order is ordered again
@@ -49,6 +50,7 @@
 	version int64
 	at      time.Time
 	look    time.Time
+	heard   time.Time // of the instance
 	taken   bool
 }
 
@@ -75,18 +77,19 @@
 	return out
 }
 
-// Plan returns the instances to be ordered now and those to be asked whether they are done. since is when the version
-// was named: the longer ago that is, the more load at a time.
-func (p *Planner) Plan(now, since time.Time, all []instances.Instance, version int64) (order, look []instances.Instance) {
+// Plan returns the instances to be ordered now and those to be asked whether they are done. since tells when the first version
+// above one was named: the longer ago that is, the more instances that have that one load at a time. Those with the oldest
+// weights go first.
+func (p *Planner) Plan(now time.Time, since func(version int64) time.Time, all []instances.Instance, version int64) (order, look []instances.Instance) {
 	lagging := Lagging(all, p.model, version)
 	p.clean(now, lagging, version)
-	most := mostAtOnce(p.running(all), now.Sub(since))
-	slices.SortStableFunc(lagging, func(a, b instances.Instance) int { return cmp.Compare(a.State, b.State) }) // the draining last
+	running := p.running(all)
+	slices.SortStableFunc(lagging, p.urgency)
 	for _, i := range lagging {
 		f := p.flights[i.ID]
 		switch {
-		case f == nil && len(p.flights) < most && now.After(p.retry[i.ID]):
-			p.flights[i.ID] = &flight{version: version, at: now, look: now.Add(firstLook)}
+		case f == nil && now.After(p.retry[i.ID]) && len(p.flights) < mostAtOnce(running, now.Sub(since(i.VersionOf(p.model)))):
+			p.flights[i.ID] = &flight{version: version, at: now, heard: now, look: now.Add(firstLook)}
 			order = append(order, i)
 		case f != nil && f.taken && !now.Before(f.look):
 			f.look = now.Add(lookEvery)
@@ -96,6 +99,11 @@
 	return order, look
 }
 
+// urgency orders instances: the draining last, before that the oldest weights first.
+func (p *Planner) urgency(a, b instances.Instance) int {
+	return cmp.Or(cmp.Compare(a.State, b.State), cmp.Compare(a.VersionOf(p.model), b.VersionOf(p.model)))
+}
+
 // mostAtOnce is how many of n instances load at a time.
 func mostAtOnce(n int, elapsed time.Duration) int {
 	part := partAtOnce
@@ -129,7 +137,21 @@
 // Taken notes that an instance has taken its order.
 func (p *Planner) Taken(id string, now time.Time) {
 	if f := p.flights[id]; f != nil {
-		f.taken, f.look = true, now.Add(firstLook)
+		f.taken, f.look, f.heard = true, now.Add(firstLook), now
+	}
+}
+
+// Heard notes that an instance is at work on its order.
+func (p *Planner) Heard(id string, now time.Time) {
+	if f := p.flights[id]; f != nil {
+		f.heard = now
+	}
+}
+
+// Silent notes that an instance did not say whether it is done. It may have crashed: others need not wait for it.
+func (p *Planner) Silent(id string, now time.Time) {
+	if f := p.flights[id]; f != nil && now.Sub(f.heard) > silentFor {
+		p.Failed(id, now)
 	}
 }
 
--- a/internal/router/roles.go
+++ b/internal/router/roles.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +17,7 @@
 	"gullstair/internal/rollout"
 	"gullstair/internal/standing"
 	"gullstair/internal/upstream"
+	"gullstair/internal/weights"
 )
 
 const (
@@ -36,12 +36,12 @@
 	leases   map[string]*ownership.Lease
 	pool     *upstream.Pool
 	results  chan func(time.Time)
-	since    map[string]time.Time // when a version was learned of, by model and version
+	work     map[string]time.Time // when there came to be something to do, by model
 }
 
 func newRoles(b *Broker) *roles {
 	return &roles{b: b, pool: upstream.New(b.environment.Network), woken: make(chan struct{}, 1), planners: map[string]*rollout.Planner{}, leases: map[string]*ownership.Lease{},
-		results: make(chan func(time.Time), 256), since: map[string]time.Time{}}
+		results: make(chan func(time.Time), 256), work: map[string]time.Time{}}
 }
 
 // wake has the roles looked at now.
@@ -78,13 +78,25 @@
 		r.lease(role).Observe(time.Now(), present)
 	}
 	for model, version := range state.Weights {
-		if !mayOrder || len(rollout.Lagging(all, model, version)) == 0 {
-			continue
+		if mayOrder && r.due(model, version, state, all) {
+			r.stepModel(ctx, model, version, state, all)
 		}
-		r.stepModel(ctx, model, version, state, all)
 	}
 }
 
+// due says whether there is something to do for a model: instances lag, or the register does not know that the time of older
+// weights is over. It notes since when.
+func (r *roles) due(model string, version int64, state controlstate.State, all []instances.Instance) bool {
+	if len(rollout.Lagging(all, model, version)) == 0 && r.b.weights.Settled(time.Now(), model, state.Named[model]) {
+		delete(r.work, model)
+		return false
+	}
+	if r.work[model].IsZero() {
+		r.work[model] = time.Now()
+	}
+	return true
+}
+
 func (r *roles) stepModel(ctx context.Context, model string, version int64, state controlstate.State, all []instances.Instance) {
 	role := roleWeights + model
 	lease := r.lease(role)
@@ -93,8 +105,8 @@
 	for _, member := range r.b.node.Members() {
 		live = append(live, member.Name)
 	}
-	if lease.Due(time.Now(), r.workSince(model, version), live) {
-		r.acquire(ctx, lease, state.Leases[role])
+	if lease.Due(time.Now(), r.work[model], live) {
+		r.acquire(ctx, lease, model, state.Leases[role])
 	}
 	if !lease.Held(time.Now()) {
 		return
@@ -104,7 +116,8 @@
 		planner = rollout.New(model)
 		r.planners[model] = planner
 	}
-	order, look := planner.Plan(time.Now(), r.workSince(model, version), all, version)
+	since := func(version int64) time.Time { return r.b.weights.Since(model, version) }
+	order, look := planner.Plan(time.Now(), since, all, version)
 	for _, i := range order {
 		go r.order(ctx, planner, lease, i, model, version)
 	}
@@ -113,15 +126,6 @@
 	}
 }
 
-// workSince is when this broker learned of a version.
-func (r *roles) workSince(model string, version int64) time.Time {
-	key := model + "/" + strconv.FormatInt(version, 10)
-	if r.since[key].IsZero() {
-		r.since[key] = time.Now()
-	}
-	return r.since[key]
-}
-
 // lease is this broker's view of a role's lease.
 func (r *roles) lease(role string) *ownership.Lease {
 	lease := r.leases[role]
@@ -132,8 +136,9 @@
 	return lease
 }
 
-// acquire takes or renews the lease of a role.
-func (r *roles) acquire(ctx context.Context, lease *ownership.Lease, seen controlstate.Lease) {
+// acquire takes or renews the lease of a model's roll-out. With it goes what this broker knows of the versions' ages: a broker
+// that starts or learns late has them from the register.
+func (r *roles) acquire(ctx context.Context, lease *ownership.Lease, model string, seen controlstate.Lease) {
 	begun := time.Now()
 	var got controlstate.Lease
 	_, err := r.b.node.Change(ctx, func(payload []byte) ([]byte, error) {
@@ -146,7 +151,7 @@
 			return nil, err
 		}
 		got = next.Leases[lease.Role]
-		return next.Encode(), nil
+		return next.AgeWeights(model, r.b.weights.Named(time.Now(), model), weights.Grace(r.b.settings.Bounds.Version)).Encode(), nil
 	})
 	if err != nil {
 		r.b.logger.Info().Err(err).Str("role", lease.Role).Msg("the lease was not acquired")
@@ -184,11 +189,13 @@
 		r.results <- func(now time.Time) { planner.Failed(i.ID, now) }
 		return
 	}
-	status, _, err := r.send(ctx, i, http.MethodPost, "/v1/order", body)
+	status, _, progress, err := r.send(ctx, i, http.MethodPost, "/v1/order", body)
 	r.b.logger.Info().Err(err).Str("instance", i.ID).Int("status", status).Int64("from", i.VersionOf(model)).Int64("version", version).
 		Msg("ordered new weights")
 	r.results <- func(now time.Time) {
 		switch {
+		case err != nil && progress == upstream.NotSent:
+			planner.Failed(i.ID, now)
 		case err != nil || status == http.StatusAccepted || status == http.StatusConflict:
 			planner.Taken(i.ID, now) // one without an answer may have been taken
 		case status == http.StatusOK:
@@ -207,9 +214,10 @@
 
 // look asks an instance whether it runs the version that it was ordered.
 func (r *roles) look(ctx context.Context, planner *rollout.Planner, i instances.Instance, model string, version int64) {
-	status, body, err := r.send(ctx, i, http.MethodGet, "/v1/report", nil)
+	status, body, _, err := r.send(ctx, i, http.MethodGet, "/v1/report", nil)
 	told := report{}
 	if err != nil || status != http.StatusOK || json.Unmarshal(body, &told) != nil {
+		r.results <- func(now time.Time) { planner.Silent(i.ID, now) }
 		return
 	}
 	has := (&instances.Instance{Models: told.Models}).VersionOf(model)
@@ -219,6 +227,8 @@
 			r.done(planner, i, model, has)
 		case !told.Busy:
 			planner.Failed(i.ID, now) // it forgot the order, or never took it
+		default:
+			planner.Heard(i.ID, now)
 		}
 	}
 }
@@ -230,19 +240,19 @@
 
 // send makes one call to an instance. An order has a connection of its own: its answer names nothing that would tell it
 // from the answer to an earlier one.
-func (r *roles) send(ctx context.Context, i instances.Instance, method, target string, body []byte) (int, []byte, error) {
+func (r *roles) send(ctx context.Context, i instances.Instance, method, target string, body []byte) (int, []byte, upstream.Progress, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	header := http.Header{"X-Expect-Instance": {i.ID}}
 	if body != nil {
 		header.Set("Content-Type", "application/json")
 	}
-	response, _, err := r.pool.Send(ctx, i.Address, &upstream.Request{Method: method, Target: target, Host: i.Address, Header: header,
+	response, progress, err := r.pool.Send(ctx, i.Address, &upstream.Request{Method: method, Target: target, Host: i.Address, Header: header,
 		Body: bytes.Clone(body), Once: method == http.MethodPost})
 	if err != nil {
-		return 0, nil, err
+		return 0, nil, progress, err
 	}
 	defer response.Close()
 	text, err := io.ReadAll(io.LimitReader(response, mostReport))
-	return response.Status, text, errors.Wrap(err, "read the answer")
+	return response.Status, text, progress, errors.Wrap(err, "read the answer")
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,6 +26,7 @@
 	"gullstair/internal/rollout"
 	"gullstair/internal/settings"
 	"gullstair/internal/slots"
+	"gullstair/internal/weights"
 )
 
 const (
@@ -45,6 +46,7 @@
 	logger   *log.Logger
 	node     *cluster.Node
 	gateway  *gateway.Server
+	weights  *weights.Ledger
 	started  time.Time
 
 	mu       sync.Mutex
@@ -73,7 +75,8 @@
 		return nil, errors.Wrap(err, "join the cluster")
 	}
 	b.node = node
-	b.gateway = gateway.New(s, logger, environment.Network, seedOf(s.NodeName), b.staleInstance)
+	b.weights = weights.New(s.Bounds.Version)
+	b.gateway = gateway.New(s, logger, environment.Network, seedOf(s.NodeName), b.weights, b.staleInstance)
 	b.roles = newRoles(b)
 	b.index = kvindex.New(environment.Network, b.gateway.WithHolders)
 	node.OnRecord(b.takeRecord)
@@ -264,11 +267,21 @@
 		b.gateway.SetConfiguration(c)
 		b.logger.Info().Int64("version", c.Version).Int("routes", len(c.Routes)).Msg("configuration in force")
 	}
-	b.gateway.SetWeights(state.Weights)
+	b.learnWeights(state)
 	b.state, b.sequence = state, known.Value.Sequence
 	b.roles.wake()
 }
 
+// learnWeights takes the versions of weights that a state names.
+func (b *Broker) learnWeights(state controlstate.State) {
+	for model, newest := range state.Weights {
+		for _, version := range b.weights.Learn(time.Now(), model, newest, state.Named[model]) {
+			since := time.Since(b.weights.Since(model, version-1))
+			b.logger.Info().Str("model", model).Int64("version", version).Float64("age_s", since.Seconds()).Msg("weights named")
+		}
+	}
+}
+
 // ready says whether the platform should send clients here.
 func (b *Broker) ready() bool {
 	b.mu.Lock()
