--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -35,6 +35,7 @@
 
 	hosts   map[string][]*Route // longest prefix first
 	tenants map[string]*Tenant  // by key
+	named   map[string]*Tenant  // the same by name
 	walls   uint64              // names the set of isolated tenants
 
 	storeName string
@@ -141,6 +142,9 @@
 // TenantOf finds the tenant that holds a key; nil if none does.
 func (c *Configuration) TenantOf(key string) *Tenant { return c.tenants[key] }
 
+// TenantNamed finds a tenant by its name; nil if there is none.
+func (c *Configuration) TenantNamed(name string) *Tenant { return c.named[name] }
+
 // KVStore returns the store of kept prompts, the first by name; nil: there is none.
 func (c *Configuration) KVStore() (service string, store *Store) { return c.storeName, c.store }
 
@@ -167,7 +171,7 @@
 
 func (b *builder) build() *Configuration {
 	c := &Configuration{Version: b.message.Version, Services: map[string]*Service{}, hosts: map[string][]*Route{},
-		tenants: map[string]*Tenant{}, Limits: limitsOf(b.message.Limits)}
+		tenants: map[string]*Tenant{}, named: map[string]*Tenant{}, Limits: limitsOf(b.message.Limits)}
 	if c.Version <= 0 {
 		b.findings.Add("version", "%d is not above 0", c.Version)
 	}
@@ -278,6 +282,7 @@
 		b.findings.Add(place, "has no name")
 	}
 	tenant := &Tenant{Name: t.Name, Priority: int(t.Priority), Isolated: t.Isolated}
+	c.named[t.Name] = tenant
 	for _, key := range t.ApiKeys {
 		if other := c.tenants[key]; other != nil && other.Name != t.Name {
 			b.findings.Add(place, "shares a key with tenant %q", other.Name)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -37,6 +37,7 @@
 
 	exchange *exchange
 	attempts int
+	memory   string  // that the attempt under way runs on
 	mayRun   bool    // an instance may have begun to work on it
 	answer   *answer // what is passed on to the client; nil until something is
 	failure  *failed // the last answer of an instance that was a failure
@@ -213,7 +214,7 @@
 	if withdrawn() {
 		c.exchange.withdraw()
 	}
-	outcome := c.take(response, progress, err, instance, version, number, begun)
+	outcome := c.take(response, progress, err, instance, number, begun)
 	if response != nil {
 		response.Close()
 	}
@@ -264,8 +265,8 @@
 }
 
 // take reads an answer and says how the attempt ended.
-func (c *call) take(response *upstream.Response, progress upstream.Progress, err error, instance instances.Instance, version int64,
-	number int, begun time.Time) logic.Outcome {
+func (c *call) take(response *upstream.Response, progress upstream.Progress, err error, instance instances.Instance, number int,
+	begun time.Time) logic.Outcome {
 	if err != nil {
 		if progress == upstream.NotSent {
 			return logic.ConnRefused
@@ -284,7 +285,7 @@
 	if response.Status >= http.StatusInternalServerError {
 		return c.keepFailure(response)
 	}
-	return c.pass(response, instance, version, number, begun)
+	return c.pass(response, instance, number, begun)
 }
 
 // rejected says whether an instance did not run the request.
@@ -314,7 +315,7 @@
 }
 
 // pass passes an answer on to the client.
-func (c *call) pass(response *upstream.Response, instance instances.Instance, version int64, number int, begun time.Time) logic.Outcome {
+func (c *call) pass(response *upstream.Response, instance instances.Instance, number int, begun time.Time) logic.Outcome {
 	if c.answer == nil {
 		c.answer = &answer{w: c.w, stream: c.route.Kind == configuration.Streaming, resumable: c.route.Resumable, last: c.r.Header.Get(lastEventID)}
 	}
@@ -325,7 +326,7 @@
 		}
 		began = true
 		c.s.dispatcher.began(c.exchange, number, time.Since(begun))
-		c.noteRead(instance.ID, version)
+		c.noteRead(instance.ID)
 	}
 	if err := c.answer.copy(response, onData); err != nil {
 		if errors.Is(err, errClientGone) {
@@ -337,12 +338,11 @@
 }
 
 // noteRead notes in the holder table that an instance has read the request's prompt.
-func (c *call) noteRead(id string, version int64) {
+func (c *call) noteRead(id string) {
 	if c.prompt == nil {
 		return
 	}
-	memory := salt(c.prompt.model, version, c.config.Walls(), c.tenant)
-	c.s.holders.with(func(t *holders.Table) { t.Read(id, c.prompt.keys(memory), c.prompt.counts()) })
+	c.s.holders.with(func(t *holders.Table) { t.Read(id, c.prompt.keys(c.memory), c.prompt.counts()) })
 }
 
 // learnVersion takes the version of the weights that an answer tells.
@@ -396,7 +396,8 @@
 	if c.prompt != nil {
 		version = instance.VersionOf(c.prompt.model)
 		header.Set("Expect-Version", strconv.FormatInt(version, 10))
-		header.Set("Cache-Salt", salt(c.prompt.model, version, c.config.Walls(), c.tenant))
+		c.memory = c.salt(version)
+		header.Set("Cache-Salt", c.memory)
 		if address := c.sourceAddress(command.Source, version); address != "" {
 			header.Set("Kv-Fetch", address)
 		}
@@ -410,6 +411,18 @@
 		}}, version
 }
 
+// salt names the memory that an attempt which is sent now runs on. Who is isolated goes by the configuration in force now: the
+// request may have arrived long ago.
+func (c *call) salt(version int64) string {
+	config, tenant := c.s.Configuration(), c.tenant
+	if tenant != nil {
+		if now := config.TenantNamed(tenant.Name); now != nil {
+			tenant = now
+		}
+	}
+	return salt(c.prompt.model, version, config.Walls(), tenant)
+}
+
 // sourceAddress is the address of an instance or store to fetch from; empty: there is none, or it has other weights.
 func (c *call) sourceAddress(source string, version int64) string {
 	if name, store := c.config.KVStore(); store != nil && source == StoreName(name) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -71,6 +72,30 @@
 	}
 }
 
+// TestSaltGoesByTheConfigurationInForce has a tenant isolated, and another set of isolated tenants named, after a request arrived:
+// what is sent of it from then on runs on other memory.
+func TestSaltGoesByTheConfigurationInForce(t *testing.T) {
+	parse := func(version int, isolated bool) *configuration.Configuration {
+		c, err := configuration.Parse(fmt.Appendf(nil, `{"version":%d,"services":[{"name":"s"}],"routes":[{"name":"r","host":"h","path_prefix":"/","kind":"safe",
+"timeout_ms":1000,"target_latency_ms":100,"service":"s","max_attempts":1}],"tenants":[{"name":"a","api_keys":["k"],"isolated":%t}]}`, version, isolated))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	before, after := parse(1, false), parse(2, true)
+	s := &Server{}
+	s.config.Store(before)
+	c := &call{s: s, config: before, tenant: before.TenantOf("k"), prompt: &prompt{model: "m"}}
+	if c.salt(1) != salt("m", 1, before.Walls(), before.TenantNamed("a")) {
+		t.Error("the salt of the configuration at the arrival")
+	}
+	s.config.Store(after)
+	if c.salt(1) != salt("m", 1, after.Walls(), after.TenantNamed("a")) {
+		t.Error("the salt is that of an earlier configuration")
+	}
+}
+
 // TestForwarded checks that nothing a client sends passes for the broker's own word.
 func TestForwarded(t *testing.T) {
 	h := http.Header{"X-Other": {"kept"}, "Connection": {"close, X-Hop"}, "X-Hop": {"1"}}
--- a/internal/router/weights_test.go
+++ b/internal/router/weights_test.go
@@ -23,6 +23,7 @@
 		"all brokers start again":     allStartAgain,
 		"versions and a cut holder":   holderIsCut,
 		"instances of every age wait": mixedVersions,
+		"an address is used again":    addressUsedAgain,
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -115,6 +116,23 @@
 	tr.end()
 }
 
+// addressUsedAgain has an instance crash and another start at its address, which tells other brokers of itself than the one that
+// orders loads. Each broker orders the one that is gone once at most; two may have the lease in turn.
+func addressUsedAgain(w *world, operator *http.Client) {
+	old := w.models()[0]
+	old.stop()
+	w.net.Start(old.ip)
+	next := w.startServerWith("llm", old.zone, func(s *modelServer) { s.ip = old.ip })
+	time.Sleep(time.Second)
+	w.nameWeights(operator, w.machines[0], 2)
+	time.Sleep(5 * time.Second)
+	next.mu.Lock()
+	defer next.mu.Unlock()
+	if next.version != 2 || next.misdirected > 2 {
+		w.fault("%s runs version %d and got %d orders for the one before", next.id, next.version, next.misdirected)
+	}
+}
+
 // fill has all instances with a model refuse what comes.
 func (w *world) fill() {
 	for _, s := range w.models() {
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -296,27 +296,29 @@
 	server  *http.Server
 	stopped chan struct{}
 
-	mu       sync.Mutex
-	version  int64
-	busy     bool
-	full     bool          // refuses whatever comes
-	deaf     bool          // gives no answer to orders
-	queued   time.Duration // how long a request waits until it begins to run
-	reading  time.Duration // how long it runs at least before its first event
-	pace     time.Duration // between its events, if that is longer than usual
-	soon     bool          // it tells of itself at once
-	state    string
-	sequence uint64
-	running  int
-	parts    map[string]cachedPart // by salt and id
-	events   [][]any
-	ackedAt  time.Time // that it drains
-	fence    uint64
-	holder   string
-	breakAt  int // streams are cut after so many events; 0: they are not
-	orders   int
-	retained map[string]bool // parts of the runs that go on while new weights are loaded
-	loads    int
+	mu      sync.Mutex
+	version int64
+	busy    bool
+	full    bool          // refuses whatever comes
+	deaf    bool          // gives no answer to orders
+	queued  time.Duration // how long a request waits until it begins to run
+	reading time.Duration // how long it runs at least before its first event
+	pace    time.Duration // between its events, if that is longer than usual
+	soon    bool          // it tells of itself at once
+
+	misdirected int // orders to the instance that had its address before
+	state       string
+	sequence    uint64
+	running     int
+	parts       map[string]cachedPart // by salt and id
+	events      [][]any
+	ackedAt     time.Time // that it drains
+	fence       uint64
+	holder      string
+	breakAt     int // streams are cut after so many events; 0: they are not
+	orders      int
+	retained    map[string]bool // parts of the runs that go on while new weights are loaded
+	loads       int
 }
 
 const (
@@ -424,6 +426,9 @@
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.id {
 		w.Header().Set("X-Instance-Id", s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
+		if r.URL.Path == "/v1/order" {
+			s.set(func(s *modelServer) { s.misdirected++ })
+		}
 		return
 	}
 	switch r.URL.Path {
