--- a/cmd/gullstair/control_test.go
+++ b/cmd/gullstair/control_test.go
@@ -27,6 +27,9 @@
 type controlProcess struct {
 	t         *testing.T
 	ip        string
+	seeds     string
+	extra     []string // settings
+	logged    int64    // bytes that earlier processes wrote
 	folder    string
 	disk      bool
 	bootstrap bool
@@ -39,7 +42,8 @@
 )
 
 func newControl(t *testing.T, number int, disk, bootstrap bool) *controlProcess {
-	c := &controlProcess{t: t, ip: fmt.Sprintf("127.9.0.%d", number), folder: t.TempDir(), disk: disk, bootstrap: bootstrap}
+	c := &controlProcess{t: t, ip: fmt.Sprintf("127.9.0.%d", number), seeds: controlSeeds, extra: []string{"bounds.grace_s=4"}, folder: t.TempDir(),
+		disk: disk, bootstrap: bootstrap}
 	t.Cleanup(func() { c.process.Kill() })
 	c.start()
 	return c
@@ -48,17 +52,20 @@
 func (c *controlProcess) start() {
 	data := filepath.Join(c.folder, "data")
 	lines := []string{"node_name=" + c.ip, "ip=" + c.ip, "zone=z", "region=r", "listen.front=" + c.ip + ":18388", "listen.readiness=" + c.ip + ":18384",
-		"listen.control=" + c.ip + ":18381", "ephemeral_ports=17560,17575", "seeds=" + controlSeeds, "bootstrap=" + strconv.FormatBool(c.bootstrap),
-		"fault_tolerance.machines=1", "bounds.grace_s=4"}
+		"listen.control=" + c.ip + ":18381", "ephemeral_ports=17560,17575", "seeds=" + c.seeds, "bootstrap=" + strconv.FormatBool(c.bootstrap),
+		"fault_tolerance.machines=1"}
+	lines = append(lines, c.extra...)
 	if c.disk {
 		require.NoError(c.t, os.MkdirAll(data, 0o700))
 		lines = append(lines, "counts_for_quorum=true", "data_dir="+data)
 	}
 	path := filepath.Join(c.folder, "local.conf")
 	require.NoError(c.t, os.WriteFile(path, []byte(strings.Join(lines, "\n")), 0o600))
-	out, err := os.Create(filepath.Join(c.folder, "out"))
+	out, err := os.OpenFile(filepath.Join(c.folder, "out"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(c.t, err)
 	defer out.Close()
+	c.logged, err = out.Seek(0, io.SeekEnd)
+	require.NoError(c.t, err)
 	program, err := os.Executable()
 	require.NoError(c.t, err)
 	c.process, err = rig.Launch([]string{program, "broker"}, []string{"GULLSTAIR_TEST_CHILD=1", settings.EnvironmentVariable + "=" + path}, out)
@@ -66,6 +73,17 @@
 	c.bootstrap = false
 }
 
+// awaitSignals waits until the process takes signals: until then the default of each ends it, as it does with any program.
+func (c *controlProcess) awaitSignals() {
+	for begun := time.Now(); time.Since(begun) < controlWaiting; time.Sleep(time.Millisecond) {
+		text, err := os.ReadFile(filepath.Join(c.folder, "out"))
+		if err == nil && bytes.Contains(text[min(c.logged, int64(len(text))):], []byte(`"broker starting"`)) {
+			return
+		}
+	}
+	c.t.Errorf("%s takes no signals %v after its start", c.ip, controlWaiting)
+}
+
 // wipe has the process killed and started again with an empty disk.
 func (c *controlProcess) wipe() {
 	c.process.Kill()
--- a/cmd/gullstair/fleet.go
+++ b/cmd/gullstair/fleet.go
@@ -80,6 +80,11 @@
 		_, err := settings.Path()
 		return err
 	}
+	taken := &signals{}
+	if broker.Used {
+		taken = takeSignals()
+		defer taken.stop()
+	}
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
@@ -91,27 +96,39 @@
 	case status.Used:
 		return printStatus(s.ListenControl, out)
 	}
-	return runBroker(s, path, level)
+	return runBroker(s, path, level, taken)
+}
+
+// signals are what a broker is told by its operator.
+type signals struct {
+	ended   context.Context // by SIGTERM or SIGINT
+	stop    context.CancelFunc
+	hangups chan os.Signal
+}
+
+// takeSignals takes the signals from now on. It goes before anything else: the default of each ends the process.
+func takeSignals() *signals {
+	s := &signals{hangups: make(chan os.Signal, 1)}
+	signal.Notify(s.hangups, syscall.SIGHUP)
+	s.ended, s.stop = signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	return s
 }
 
-func runBroker(s *settings.Settings, path, level string) error {
+func runBroker(s *settings.Settings, path, level string, taken *signals) error {
 	logger := &log.Logger{Level: log.ParseLevel(level), Writer: log.IOWriter{Writer: os.Stderr}}
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * bytesPerMB))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	logger.Info().Str("node", s.NodeName).Msg("broker starting")
 	broker, err := router.New(s, path, logger, cluster.Machine())
 	if err != nil {
 		return err
 	}
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
-		for range hangups {
+		for range taken.hangups {
 			broker.Reload()
 		}
 	}()
-	return broker.Run(ctx)
+	return broker.Run(taken.ended)
 }
 
 func checkConfigurationFile(path string, out io.Writer) error {
--- /dev/null
+++ b/cmd/gullstair/soak_clients_test.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// begins notes that a request runs, and checks that it may.
+func (s *soak) begins(id string, i *soakInstanceProcess, version int64, drained time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q, now := s.requests[id], time.Now()
+	var faults []string
+	if q == nil {
+		s.faults = append(s.faults, "a request that nobody sent runs: "+id)
+		return
+	}
+	q.runs++
+	if q.kind != "chat" && q.runs > 1 {
+		faults = append(faults, "runs twice")
+	}
+	if q.promise {
+		faults = append(faults, "runs after a promise that it never will")
+	}
+	calm := q.broker.unhurt(now)
+	if !drained.IsZero() && now.Sub(drained) > soakDrain && calm {
+		faults = append(faults, fmt.Sprintf("reaches %s %v after its drain was acknowledged", i.id, now.Sub(drained)))
+	}
+	for named, at := range s.named {
+		if i.service == "llm" && named > version && now.Sub(at) > soakVersion && calm && s.coreHurt.Before(at) {
+			faults = append(faults, fmt.Sprintf("begins on version %d, %v after version %d was acknowledged", version, now.Sub(at), named))
+		}
+	}
+	for _, text := range faults {
+		s.faults = append(s.faults, fmt.Sprintf("%s %s (%s at %s) %s", now.Format("05.000"), id, q.kind, q.broker.ip, text))
+	}
+}
+
+// client sends requests on one connection until it is closed, and then on the next, to a broker that is ready.
+func (s *soak) client(number int) {
+	var conn net.Conn
+	var reader *bufio.Reader
+	var broker *soakBroker
+	for n := 0; s.pause(s.between(5*time.Millisecond, 60*time.Millisecond)); n++ {
+		if conn == nil {
+			if broker = s.ready(); broker == nil {
+				continue
+			}
+			c, err := net.DialTimeout("tcp4", broker.ip+":18388", time.Second)
+			if err != nil {
+				continue
+			}
+			conn, reader = c, bufio.NewReader(c)
+		}
+		kind := []string{"chat", "chat", "post"}[(n+number)%3]
+		if !s.ask(broker, conn, reader, kind) {
+			conn.Close()
+			conn = nil
+		}
+	}
+	if conn != nil {
+		conn.Close()
+	}
+}
+
+// ready draws a broker that says it is ready.
+func (s *soak) ready() *soakBroker {
+	for range 5 {
+		b := s.any()
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 500 * time.Millisecond}
+		response, err := client.Get("http://" + b.ip + ":18384/v1/ready")
+		if err != nil {
+			continue
+		}
+		response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return b
+		}
+	}
+	return nil
+}
+
+// ask sends one request and reads its answer; false: the connection cannot be used further.
+func (s *soak) ask(b *soakBroker, conn net.Conn, reader *bufio.Reader, kind string) bool {
+	s.mu.Lock()
+	s.serial++
+	id := fmt.Sprintf("q-%d", s.serial)
+	q := &soakRequest{kind: kind, broker: b, sent: time.Now()}
+	s.requests[id] = q
+	s.mu.Unlock()
+	request, _ := http.NewRequest(http.MethodPost, "http://h/"+kind+"/x", strings.NewReader("body"))
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", strconv.Itoa(int(soakAnswer/time.Millisecond)))
+	if kind == "chat" {
+		request.Header.Set("X-Model", soakModel)
+		request.Header.Set("X-Prompt-Prefix", fmt.Sprintf("head:300,s%d:200,own%s:50", s.draw(10), id))
+		request.Header.Set("X-Token-Count", "550,5")
+	}
+	_ = conn.SetDeadline(time.Now().Add(soakAnswer + time.Second))
+	keep := s.converse(q, id, request, conn, reader)
+	s.judge(id, q)
+	return keep
+}
+
+func (s *soak) converse(q *soakRequest, id string, request *http.Request, conn net.Conn, reader *bufio.Reader) (keep bool) {
+	defer func() { q.ended = time.Now() }()
+	if request.Write(conn) != nil {
+		return false
+	}
+	response, err := http.ReadResponse(reader, request)
+	if err != nil {
+		return false
+	}
+	text, err := io.ReadAll(response.Body)
+	s.mu.Lock()
+	q.status, q.whole = response.StatusCode, err == nil
+	q.promise = response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
+	s.mu.Unlock()
+	if response.StatusCode == http.StatusOK && err == nil {
+		s.judgeBody(id, q.kind, response, string(text))
+	}
+	return err == nil && !response.Close
+}
+
+// judgeBody checks a success.
+func (s *soak) judgeBody(id, kind string, response *http.Response, text string) {
+	want := "done " + id
+	if kind == "chat" {
+		want = ""
+		for n := 1; n <= soakEvents; n++ {
+			want += fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n)
+		}
+	}
+	if text != want || response.Header.Get("X-Request-Id") != id || !strings.HasSuffix(response.Header.Get("X-Server-Stamp"), "."+id) {
+		s.fault("%s (%s) got %q with stamp %q", id, kind, text, response.Header.Get("X-Server-Stamp"))
+	}
+}
+
+// judge checks how a request ended. A broker that was neither killed nor stopped answers whatever it passed on.
+func (s *soak) judge(id string, q *soakRequest) {
+	unhurt := q.broker.unhurt(q.sent)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	what := strconv.Itoa(q.status)
+	if !q.whole {
+		what = "cut"
+	}
+	s.counts[what]++
+	switch {
+	case q.promise && q.runs > 0:
+		s.faults = append(s.faults, fmt.Sprintf("%s %s (%s) got %d and had run", q.ended.Format("05.000"), id, q.kind, q.status))
+	case !q.whole && q.runs > 0 && unhurt:
+		s.faults = append(s.faults, fmt.Sprintf("%s %s (%s at %s) was passed on and cut after %v, at a broker that was neither killed nor stopped",
+			q.ended.Format("05.000"), id, q.kind, q.broker.ip, q.ended.Sub(q.sent)))
+	}
+}
--- /dev/null
+++ b/cmd/gullstair/soak_instances_test.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// soakInstanceProcess is an emulated instance.
+type soakInstanceProcess struct {
+	s        *soak
+	id       string
+	service  string
+	server   *http.Server
+	address  string
+	stopped  chan struct{}
+	mu       sync.Mutex
+	version  int64
+	busy     bool
+	fence    uint64
+	sequence uint64
+	state    string
+	ackedAt  time.Time // that it drains
+}
+
+// startInstance begins one with the newest weights that are acknowledged.
+func (s *soak) startInstance(service string) *soakInstanceProcess {
+	listener, err := net.Listen("tcp4", s.net+".250.1:0")
+	require.NoError(s.t, err)
+	s.mu.Lock()
+	s.serial++
+	i := &soakInstanceProcess{s: s, id: fmt.Sprintf("i-%d", s.serial), service: service, address: listener.Addr().String(), version: s.version,
+		state: "ready", stopped: make(chan struct{})}
+	s.instances = append(s.instances, i)
+	s.mu.Unlock()
+	i.server = &http.Server{Handler: i}
+	s.t.Cleanup(func() { i.server.Close() })
+	go func() { _ = i.server.Serve(listener) }()
+	s.wait.Go(i.beat)
+	return i
+}
+
+// tell sends one heartbeat or the end to some broker; false: it was not acknowledged.
+func (i *soakInstanceProcess) tell(what string) bool {
+	i.mu.Lock()
+	i.sequence++
+	body, _ := json.Marshal(map[string]any{"service": i.service, "address": i.address, "zone": "z", "slots": 16, "state": i.state, "sequence": i.sequence,
+		"models": []map[string]any{{"name": soakModel, "version": i.version}}})
+	i.mu.Unlock()
+	status, _ := i.s.any().call(time.Second, http.MethodPost, "/v1/instances/"+i.id+"/"+what, "", string(body))
+	return status == http.StatusOK
+}
+
+func (i *soakInstanceProcess) beat() {
+	for {
+		for try := 0; try < 20 && !i.tell("heartbeat"); try++ {
+			select {
+			case <-i.stopped:
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+		select {
+		case <-i.stopped:
+			return
+		case <-i.s.stop:
+			return
+		case <-time.After(600 * time.Millisecond):
+		}
+	}
+}
+
+// replaceInstance starts a successor, drains one, and ends it when the fleet has acknowledged that for long enough.
+func (s *soak) replaceInstance() {
+	s.mu.Lock()
+	old := s.instances[s.rng.IntN(len(s.instances))]
+	s.mu.Unlock()
+	s.startInstance(old.service)
+	close(old.stopped)
+	old.mu.Lock()
+	old.state = "draining"
+	old.mu.Unlock()
+	for !old.tell("heartbeat") {
+		if !s.pause(50 * time.Millisecond) {
+			return
+		}
+	}
+	old.mu.Lock()
+	old.ackedAt = time.Now()
+	old.mu.Unlock()
+	s.mu.Lock()
+	s.instances = slices.DeleteFunc(s.instances, func(i *soakInstanceProcess) bool { return i == old })
+	s.mu.Unlock()
+	if s.pause(soakDrain + time.Second) {
+		old.tell("deregister")
+		s.pause(soakAnswer) // what it has begun
+		old.server.Close()
+	}
+	s.count("instances replaced")
+}
+
+func (i *soakInstanceProcess) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != i.id {
+		w.Header().Set("X-Instance-Id", i.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.URL.Path {
+	case "/v1/order":
+		i.order(w, r)
+	case "/v1/report":
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(map[string]any{"busy": i.busy, "models": []map[string]any{{"name": soakModel, "version": i.version}}})
+	case "/v1/kv-events":
+		select {
+		case <-time.After(time.Second):
+		case <-r.Context().Done():
+		}
+		_, _ = io.WriteString(w, `{"epoch":1,"next_page_token":0,"lost":false,"events":[]}`)
+	case "/v1/kv-list":
+		_, _ = io.WriteString(w, `{"epoch":1,"next_page_token":0,"held":[]}`)
+	default:
+		i.work(w, r)
+	}
+}
+
+func (i *soakInstanceProcess) order(w http.ResponseWriter, r *http.Request) {
+	order := struct {
+		Version int64  `json:"version"`
+		Fence   uint64 `json:"fence_token"`
+	}{}
+	_ = json.NewDecoder(r.Body).Decode(&order)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch {
+	case order.Fence < i.fence:
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case i.busy:
+		w.WriteHeader(http.StatusConflict)
+	case i.version < order.Version:
+		i.fence, i.busy = order.Fence, true
+		time.AfterFunc(200*time.Millisecond, func() {
+			i.mu.Lock()
+			defer i.mu.Unlock()
+			i.version, i.busy = order.Version, false
+		})
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+// work runs a request of a client, after a while in a queue.
+func (i *soakInstanceProcess) work(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", id)
+	_, _ = io.Copy(io.Discard, r.Body)
+	i.mu.Lock()
+	expected, _ := strconv.ParseInt(r.Header.Get("Expect-Version"), 10, 64)
+	busy, version, drained := i.busy, i.version, i.ackedAt
+	i.mu.Unlock()
+	switch {
+	case i.service == "llm" && expected != version:
+		w.Header().Set("Versions", strconv.FormatInt(version, 10))
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case busy:
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	i.s.begins(id, i, version, drained)
+	w.Header().Set("X-Server-Stamp", i.id+"."+id)
+	if i.service == "plain" {
+		time.Sleep(time.Duration(5+i.s.draw(40)) * time.Millisecond)
+		_, _ = io.WriteString(w, "done "+id)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := last + 1; n <= soakEvents; n++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+		time.Sleep(time.Duration(5+i.s.draw(60)) * time.Millisecond)
+	}
+}
+
+const soakEvents = 5
--- /dev/null
+++ b/cmd/gullstair/soak_signals_test.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// take gives a broker that nothing is being done to; nil: none was found.
+func (s *soak) take(mayBeCore bool) *soakBroker {
+	for range 20 {
+		number := s.draw(len(s.brokers))
+		if number < soakCore && !mayBeCore {
+			continue
+		}
+		b := s.brokers[number]
+		b.mu.Lock()
+		free := !b.busy
+		b.busy = true
+		b.mu.Unlock()
+		if free {
+			return b
+		}
+	}
+	return nil
+}
+
+// takeCore says whether a machine of the core may be lost now; if so it counts as lost until then and its catching up.
+func (s *soak) takeCore() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Now().Before(s.catchingUp) {
+		return false
+	}
+	s.catchingUp = time.Now().Add(time.Hour)
+	return true
+}
+
+func (s *soak) giveCore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.catchingUp = time.Now().Add(soakCatchUp)
+}
+
+func (b *soakBroker) release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.busy = false
+}
+
+// hurts notes that a broker is being killed or stopped, and, at the end, that it was until now.
+func (s *soak) hurts(b *soakBroker, until time.Time) {
+	b.mu.Lock()
+	b.hurt = until
+	b.mu.Unlock()
+	if b.disk {
+		s.mu.Lock()
+		s.coreHurt = time.Now()
+		s.mu.Unlock()
+	}
+}
+
+// disturb does something to a broker that nothing is being done to.
+func (s *soak) disturb() {
+	core := s.takeCore()
+	b := s.take(core)
+	if core && (b == nil || !b.disk) {
+		s.mu.Lock()
+		s.catchingUp = time.Time{}
+		s.mu.Unlock()
+	}
+	if b == nil {
+		return
+	}
+	if b.disk {
+		defer s.giveCore()
+	}
+	defer b.release()
+	what := []string{"term", "term", "kill", "stop", "hang up", "wipe"}[s.draw(6)]
+	s.count(what)
+	switch what {
+	case "term":
+		s.terminate(b)
+	case "kill", "wipe":
+		s.hurts(b, time.Now().Add(time.Hour))
+		b.process.Kill()
+		s.pause(s.between(0, 2*time.Second))
+		if what == "wipe" && b.disk {
+			require.NoError(s.t, os.RemoveAll(filepath.Join(b.folder, "data")))
+		}
+		b.start()
+		s.hurts(b, time.Now())
+	case "stop":
+		s.hurts(b, time.Now().Add(time.Hour))
+		b.process.Signal(syscall.SIGSTOP)
+		s.pause(s.between(10*time.Millisecond, 3*time.Second))
+		b.process.Signal(syscall.SIGCONT)
+		s.hurts(b, time.Now())
+	case "hang up":
+		b.awaitSignals()
+		for range 1 + s.draw(4) {
+			b.process.Signal(syscall.SIGHUP)
+			s.pause(s.between(0, 300*time.Millisecond))
+		}
+	}
+}
+
+// terminate ends a broker by plan, with signals while it ends, and starts it again.
+func (s *soak) terminate(b *soakBroker) {
+	if b.disk {
+		s.mu.Lock()
+		s.coreHurt = time.Now()
+		s.mu.Unlock()
+	}
+	b.awaitSignals()
+	begun := time.Now()
+	b.process.Signal(syscall.SIGTERM)
+	for range s.draw(3) {
+		s.pause(s.between(0, time.Second))
+		b.process.Signal([]syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}[s.draw(2)])
+	}
+	select {
+	case <-b.process.Ended():
+		if code := b.process.Code(); code != 0 {
+			s.fault("%s ended with %d after SIGTERM", b.ip, code)
+		}
+	case <-time.After(time.Until(begun.Add(soakGrace + soakEnds))):
+		s.fault("%s is there %v after SIGTERM", b.ip, soakGrace+soakEnds)
+		b.process.Kill()
+	}
+	s.pause(s.between(0, time.Second))
+	b.start()
+	if s.draw(3) == 0 { // a series
+		b.awaitSignals()
+		s.pause(s.between(0, 30*time.Millisecond))
+		b.process.Signal(syscall.SIGHUP)
+	}
+}
+
+// herd kills all brokers at once; their disks are kept.
+func (s *soak) herd() {
+	for _, b := range s.brokers {
+		b.mu.Lock()
+		for b.busy {
+			b.mu.Unlock()
+			time.Sleep(10 * time.Millisecond)
+			b.mu.Lock()
+		}
+		b.busy = true
+		b.mu.Unlock()
+	}
+	for _, b := range s.brokers {
+		s.hurts(b, time.Now().Add(time.Hour))
+	}
+	for _, b := range s.brokers {
+		b.process.Signal(syscall.SIGKILL)
+	}
+	for _, b := range s.brokers {
+		<-b.process.Ended()
+		b.start()
+	}
+	for _, b := range s.brokers {
+		s.hurts(b, time.Now())
+		b.release()
+	}
+	s.count("herd")
+}
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -46,6 +46,12 @@
 // Ended is closed when it is gone.
 func (p *Process) Ended() <-chan struct{} { return p.ended }
 
+// Code is what it ended with, once it is gone; -1: a signal ended it.
+func (p *Process) Code() int {
+	<-p.ended
+	return p.cmd.ProcessState.ExitCode()
+}
+
 // Pid is its number.
 func (p *Process) Pid() int { return p.cmd.Process.Pid }
 
