--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -79,6 +79,7 @@
 	client   *peerlink.Client
 	listener net.Listener
 	notes    netio.Datagrams
+	paced    *pacer // notes of what instances keep
 	onNote   map[NoteKind]func([]byte)
 	random   *rand.Rand
 
@@ -114,7 +115,7 @@
 	n := &Node{settings: s, logger: logger, environment: environment, client: peerlink.NewClient(environment.Network), store: dissemination.New(), heard: map[string]time.Time{},
 		proposer: rand.Uint64() | 1, started: time.Now(), changed: make(chan struct{}), seeds: s.SeedIPs(),
 		proposing: make(chan struct{}, 1), contacts: voters.NewContacts(s.Bounds.CatchUp), reviewNow: make(chan struct{}, 1), onNote: map[NoteKind]func([]byte){},
-		offers: map[dissemination.ID]dissemination.Version{}}
+		offers: map[dissemination.ID]dissemination.Version{}, paced: newPacer(s.LinkMbps)}
 	n.random = rand.New(rand.NewPCG(n.proposer, 1))
 	n.view = peers.New(s.IP, n.proposer)
 	n.epoch = uint64(time.Now().UnixNano())
--- a/internal/cluster/notes.go
+++ b/internal/cluster/notes.go
@@ -76,8 +76,31 @@
 	n.tell(WorkNote, note, members)
 }
 
-// TellKept sends a note of what an instance keeps to these brokers.
-func (n *Node) TellKept(note []byte, members []Member) { n.tell(KeptNote, note, members) }
+// TellKept sends a note of what an instance keeps to these brokers, as the link has room for it.
+func (n *Node) TellKept(note []byte, members []Member) {
+	datagram := append([]byte{byte(KeptNote)}, note...)
+	for _, member := range members {
+		if member.IP != n.self.IP {
+			n.paced.put(outgoing{datagram, n.settings.PeerAddress(member.IP)})
+		}
+	}
+	n.sendPaced(false)
+}
+
+// KeptWaits says whether notes of what instances keep wait for room on the link. What else there is to tell is better told
+// later, as it is by then.
+func (n *Node) KeptWaits() bool { return n.paced.waits() }
+
+// sendPaced sends what the link has room for, and comes back for the rest.
+func (n *Node) sendPaced(back bool) {
+	send, again := n.paced.take(time.Now(), back)
+	for _, o := range send {
+		n.notes.Send(o.datagram, o.address)
+	}
+	if again {
+		time.AfterFunc(paceEvery, func() { n.sendPaced(true) })
+	}
+}
 
 func (n *Node) tell(kind NoteKind, note []byte, members []Member) {
 	datagram := append([]byte{byte(kind)}, note...)
--- a/internal/router/index.go
+++ b/internal/router/index.go
@@ -36,11 +36,7 @@
 	all := b.registry.All()
 	b.mu.Unlock()
 	members := b.node.Members()
-	now := time.Now()
-	tells := now.Sub(b.told) >= min(mostShareWait, time.Duration(len(members))*sharePerMem)
-	if tells {
-		b.told = now
-	}
+	var told []polled
 	var targets []kvindex.Target
 	for _, i := range all {
 		service := c.Services[i.Service]
@@ -53,35 +49,62 @@
 			continue
 		}
 		targets = append(targets, kvindex.Target{ID: i.ID, Name: i.ID, Address: i.Address})
-		if place == 0 && tells {
-			b.tellKept(i, members, pollers)
+		if place == 0 {
+			told = append(told, polled{i.ID, pollers})
 		}
 	}
 	if name, store := c.KVStore(); store != nil {
-		targets = append(targets, b.stepStore(name, store, members, tells)...)
+		target, pollers := b.stepStore(name, store, members)
+		targets = append(targets, target...)
+		if len(pollers) > 0 && pollers[0] == b.settings.NodeName {
+			told = append(told, polled{target[0].Name, pollers})
+		}
 	}
 	b.index.SetTargets(ctx, targets)
-	b.sharing.Expire(now)
+	b.tellAll(told, members, time.Now())
+	b.sharing.Expire(time.Now())
+}
+
+// polled is an instance of which this broker tells the others.
+type polled struct {
+	id      string
+	pollers []string // its own
+}
+
+// tellAll tells the others of the instances whose turn it is, those first that were told of longest ago. What finds no room
+// on the link has its turn later.
+func (b *Broker) tellAll(all []polled, members []cluster.Member, now time.Time) {
+	before := b.told
+	b.told = make(map[string]time.Time, len(all))
+	for _, p := range all {
+		b.told[p.id] = before[p.id]
+	}
+	slices.SortStableFunc(all, func(x, y polled) int { return b.told[x.id].Compare(b.told[y.id]) })
+	wait := min(mostShareWait, time.Duration(len(members))*sharePerMem)
+	for _, p := range all {
+		if b.node.KeptWaits() || now.Sub(b.told[p.id]) < wait {
+			return
+		}
+		b.told[p.id] = now
+		b.tellKept(p, members)
+	}
 }
 
-// stepStore is stepIndex for the store of kept prompts, which is no instance.
-func (b *Broker) stepStore(service string, store *configuration.Store, members []cluster.Member, tells bool) []kvindex.Target {
+// stepStore is stepIndex for the store of kept prompts, which is no instance. It returns the target, if it is polled here,
+// and who polls it.
+func (b *Broker) stepStore(service string, store *configuration.Store, members []cluster.Member) ([]kvindex.Target, []string) {
 	i := instances.Instance{ID: gateway.StoreName(service), Zone: store.Zone}
 	pollers := pollersOf(i, members, max(1, store.MaxConcurrency-pollersSpare))
-	place := slices.Index(pollers, b.settings.NodeName)
-	if place < 0 {
-		return nil
-	}
-	if place == 0 && tells {
-		b.tellKept(i, members, pollers)
+	if !slices.Contains(pollers, b.settings.NodeName) {
+		return nil, nil
 	}
-	return []kvindex.Target{{Name: i.ID, Address: store.Address}}
+	return []kvindex.Target{{Name: i.ID, Address: store.Address}}, pollers
 }
 
 // tellKept tells the brokers that do not poll an instance what it keeps.
-func (b *Broker) tellKept(i instances.Instance, members []cluster.Member, pollers []string) {
-	others := slices.DeleteFunc(slices.Clone(members), func(m cluster.Member) bool { return slices.Contains(pollers, m.Name) })
-	for _, note := range b.sharing.Notes(i.ID, time.Now()) {
+func (b *Broker) tellKept(p polled, members []cluster.Member) {
+	others := slices.DeleteFunc(slices.Clone(members), func(m cluster.Member) bool { return slices.Contains(p.pollers, m.Name) })
+	for _, note := range b.sharing.Notes(p.id, time.Now()) {
 		b.node.TellKept(note, others)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -31,7 +31,8 @@
 
 const (
 	tickEvery       = 200 * time.Millisecond
-	trustWait       = 3 * time.Second // a copy of the configuration that no majority confirms is used after so long
+	heldUp          = 300 * time.Millisecond // a step that comes so late is worth a log line
+	trustWait       = 3 * time.Second        // a copy of the configuration that no majority confirms is used after so long
 	headerTimeout   = 10 * time.Second
 	mostHeaderBytes = 1 << 20
 	controlIdle     = 20 * time.Second
@@ -60,8 +61,8 @@
 	roles    *roles
 	index    *kvindex.Index
 	sharing  *kvindex.Sharing
-	told     time.Time    // when notes of what instances keep were sent last
-	snapshot *slots.Store // of the instances; nil on a machine without a disk
+	told     map[string]time.Time // when a note of what an instance keeps was sent last, of those that this broker tells of
+	snapshot *slots.Store         // of the instances; nil on a machine without a disk
 	unsaved  bool
 	idle     idleConns
 }
@@ -119,13 +120,17 @@
 func (b *Broker) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
-	last := 0
+	last, at := 0, time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		if late := time.Since(at) - tickEvery; late > heldUp {
+			b.logger.Warn().Dur("late", late).Msg("this broker was held up")
+		}
+		at = time.Now()
 		if members := len(b.node.Members()); members != last {
 			last = members
 			b.gateway.SetBrokers(members)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,9 @@
 // EnvironmentVariable names the variable that holds the path of the settings file.
 const EnvironmentVariable = "GULLSTAIR_SETTINGS"
 
+// defaultLinkMbps is what a machine's link is taken to carry where nothing is said of it.
+const defaultLinkMbps = 1000
+
 // Settings is what a process is told about itself, its machine and its deployment.
 type Settings struct {
 	NodeName        string
@@ -37,6 +40,7 @@
 	CountsForQuorum bool     // this machine's disk holds a replica of the register
 	MemoryMB        int
 	MaxDescriptors  int
+	LinkMbps        float64 // of the machine's own link
 	DataDir         string // empty: no disk
 	Heartbeat       time.Duration
 	Contracts       []string
@@ -123,6 +127,7 @@
 		CountsForQuorum: r.flag("counts_for_quorum"),
 		MemoryMB:        int(r.number("limits.memory_mb", 128)),
 		MaxDescriptors:  int(r.number("limits.max_fds", 1024)),
+		LinkMbps:        r.number("limits.link_mbps", defaultLinkMbps),
 		DataDir:         r.text("data_dir"),
 		Heartbeat:       r.milliseconds("heartbeat_ms", 1000),
 		Contracts:       r.list("contracts"),
