--- a/cmd/gullstair/limits_test.go
+++ b/cmd/gullstair/limits_test.go
@@ -347,6 +347,7 @@
 	assert.LessOrEqual(t, judge(high, limitRate*2/5, limitBurst*2/5+1), 0.0, "who did not goes by its members' share of the old size")
 	assert.Greater(t, float64(len(high)), 0.7*limitRate*2/5*(to-from).Seconds())
 	set(4, "40")
+	ordered := time.Now()
 	f.let(time.Second)
 	f.Switch.Heal()
 	require.NoError(t, rig.Until(10*time.Second, func() bool {
@@ -355,6 +356,10 @@
 	from = time.Since(f.begun)
 	f.let(1500 * time.Millisecond)
 	assert.LessOrEqual(t, judge(f.between(from, time.Since(f.begun), 0, 1, 2, 3, 4), limitRate/2, limitBurst/2+1), 0.0)
+	require.NoError(t, rig.Until(12*time.Second, func() bool {
+		return !slices.ContainsFunc(orders(), func(by string) bool { return by != "" })
+	}), "the order ends by itself")
+	assert.InDelta(t, 9, time.Since(ordered).Seconds(), 1.5, "when the order ends")
 	f.near("over by itself", 0.85, 100, 100, 100, 100, 100)
 	assert.Equal(t, []string{"", "", "", "", ""}, orders())
 	f.kept()
