--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,7 +41,7 @@
 	MemoryMB        int
 	MaxDescriptors  int
 	LinkMbps        float64 // of the machine's own link
-	DataDir         string // empty: no disk
+	DataDir         string  // empty: no disk
 	Heartbeat       time.Duration
 	Contracts       []string
 	Tolerance       Tolerance
