--- a/internal/cluster/pacing_test.go
+++ b/internal/cluster/pacing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 // recorder notes when how much is sent.
 type recorder struct {
 	netio.Datagrams
+	mu    sync.Mutex
 	begun time.Time
 	bytes map[time.Duration]int // in each 100 ms
 	last  time.Duration
@@ -20,6 +22,8 @@
 }
 
 func (r *recorder) Send(b []byte, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	at := time.Since(r.begun)
 	r.bytes[at.Truncate(100*time.Millisecond)] += len(b) + datagramHeader
 	r.last = at
@@ -48,6 +52,8 @@
 				t.Errorf("%v Mbit/s: something waits: %t", c.mbps, waits)
 			}
 			time.Sleep(10 * time.Second)
+			r.mu.Lock()
+			defer r.mu.Unlock()
 			if n.KeptWaits() || len(r.order) != 4*len(members) {
 				t.Fatalf("%v Mbit/s: %d datagrams were sent", c.mbps, len(r.order))
 			}
