--- a/cmd/gullstair/soak_signals_test.go
+++ b/cmd/gullstair/soak_signals_test.go
@@ -117,6 +117,9 @@
 	}
 	b.awaitSignals()
 	begun := time.Now()
+	b.mu.Lock()
+	b.ends = begun
+	b.mu.Unlock()
 	b.process.Signal(syscall.SIGTERM)
 	for range s.draw(3) {
 		s.pause(s.between(0, time.Second))
@@ -128,6 +131,10 @@
 			s.fault("%s ended with %d after SIGTERM", b.ip, code)
 		}
 	case <-time.After(time.Until(begun.Add(soakGrace + soakEnds))):
+		if s.stalledSince(begun) {
+			<-b.process.Ended()
+			break
+		}
 		s.fault("%s is there %v after SIGTERM", b.ip, soakGrace+soakEnds)
 		b.process.Kill()
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -351,12 +351,17 @@
 
 const (
 	unreadyFor = 2800 * time.Millisecond // the platform looks once a second and believes the second miss
-	endMargin  = 800 * time.Millisecond  // before the platform kills the process
+	endMargin  = 800 * time.Millisecond  // before the platform kills the process, at most,
+	endPart    = 8                       // and at most one part in so many of the time until then
 )
 
+// servesFor is how long a broker that is told to end gives answers that are owed: until well within the last sixth of the time
+// until it is killed, for what is at work still then is not owed an answer.
+func servesFor(grace time.Duration) time.Duration { return grace - min(endMargin, grace/endPart) }
+
 // end withdraws readiness, serves on until the platform sends no more clients, and waits for what is open.
 func (b *Broker) end(s *servers) {
-	deadline := time.Now().Add(b.settings.Bounds.Grace - endMargin)
+	deadline := time.Now().Add(servesFor(b.settings.Bounds.Grace))
 	b.mu.Lock()
 	b.leaving = true
 	b.mu.Unlock()
