POST /v1/config/update changes items of the configuration by their names

Ruled out: merging in the broker that takes the order, before the register: the base may have changed; patches kept in the register: what is stored and proved stays one whole value. Change: configuration.Patch is parsed with protojson, checked by itself, applied to the text of the base inside the register's compare-and-swap, and the whole is checked with findings placed in the patch. Digests of taken updates are apart from those of whole configurations; base, resending, conflict and oblivion are one path for both. A body over the bound gets 413 where it was cut and answered 400. Items not named keep all their fields.

--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -114,13 +114,16 @@
 )
 
 // Parse reads and checks a configuration; the error lists every finding.
-func Parse(raw []byte) (*Configuration, error) {
+func Parse(raw []byte) (*Configuration, error) { return parse(raw, placeOf) }
+
+// parse has findings in items of lists placed by a function.
+func parse(raw []byte, place func(list string, i int, name string) string) (*Configuration, error) {
 	message := &configpb.Configuration{}
 	options := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err := options.Unmarshal(raw, message); err != nil {
 		return nil, errors.Wrap(err, "configuration cannot be read")
 	}
-	b := builder{message: message}
+	b := builder{message: message, place: place}
 	c := b.build()
 	if err := b.findings.Err(); err != nil {
 		return nil, errors.Wrap(err, "configuration")
@@ -166,6 +169,7 @@
 // builder turns a message into a Configuration and collects findings.
 type builder struct {
 	message  *configpb.Configuration
+	place    func(list string, i int, name string) string
 	findings finding.List
 }
 
@@ -192,7 +196,7 @@
 }
 
 func (b *builder) addService(c *Configuration, i int, s *configpb.Service) {
-	place := placeOf("services", i, s.Name)
+	place := b.place("services", i, s.Name)
 	if s.Name == "" {
 		b.findings.Add(place, "has no name")
 	}
@@ -217,7 +221,7 @@
 }
 
 func (b *builder) addRoute(c *Configuration, i int, r *configpb.Route) {
-	place := placeOf("routes", i, r.Name)
+	place := b.place("routes", i, r.Name)
 	route := &Route{Name: r.Name, Host: hostName(r.Host), Prefix: r.PathPrefix, Kind: kindOf(r.Kind),
 		Timeout: milliseconds(r.TimeoutMs), Target: milliseconds(r.TargetLatencyMs), GapTarget: milliseconds(r.GapAimMs),
 		Priority: int(r.Priority), MaxAttempts: max(1, int(r.MaxAttempts)), Public: r.Public, Sticky: r.Sticky,
@@ -277,7 +281,7 @@
 }
 
 func (b *builder) addTenant(c *Configuration, i int, t *configpb.Tenant) {
-	place := placeOf("tenants", i, t.Name)
+	place := b.place("tenants", i, t.Name)
 	if t.Name == "" {
 		b.findings.Add(place, "has no name")
 	}
--- /dev/null
+++ b/internal/configuration/patch.go
@@ -0,0 +1,233 @@
+package configuration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"gullstair/internal/configuration/configpb"
+	"gullstair/internal/finding"
+)
+
+// Patch is a change of a configuration's items by their names. It is checked by itself; whether it makes a valid
+// configuration shows when it is applied to one. Nobody changes it.
+type Patch struct {
+	Version int64
+	Raw     []byte // as the operator sent it
+
+	version json.RawMessage
+	lists   []listPatch
+}
+
+// listPatch is what a patch does to one of the lists of a configuration.
+type listPatch struct {
+	list   string
+	upsert []item
+	remove []string
+}
+
+// item is one entry of a list, with all that was sent of it.
+type item struct {
+	name string
+	raw  json.RawMessage
+}
+
+// namedLists are the lists of a configuration whose items have names.
+var namedLists = []string{"routes", "services", "tenants"}
+
+// ParsePatch reads a patch and checks it by itself; the error lists every finding.
+func ParsePatch(raw []byte) (*Patch, error) {
+	message := &configpb.Update{}
+	options := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err := options.Unmarshal(raw, message); err != nil {
+		return nil, errors.Wrap(err, "update cannot be read")
+	}
+	fields, err := objectOf(raw)
+	if err != nil {
+		return nil, err
+	}
+	upsert, err := objectOf(fields["upsert"])
+	if err != nil {
+		return nil, err
+	}
+	remove, err := objectOf(fields["remove"])
+	if err != nil {
+		return nil, err
+	}
+	p := &Patch{Version: message.Version, Raw: raw, version: fields["version"]}
+	var findings finding.List
+	if p.Version <= 0 {
+		findings.Add("version", "%d is not above 0", p.Version)
+	}
+	checkLists(&findings, "upsert", upsert)
+	checkLists(&findings, "remove", remove)
+	for _, list := range namedLists {
+		change := listPatch{list: list}
+		if change.upsert, err = itemsOf(upsert[list]); err != nil {
+			return nil, err
+		}
+		if err := unmarshalField(remove[list], &change.remove); err != nil {
+			return nil, err
+		}
+		change.check(&findings)
+		p.lists = append(p.lists, change)
+	}
+	if err := findings.Err(); err != nil {
+		return nil, errors.Wrap(err, "update")
+	}
+	return p, nil
+}
+
+// checkLists finds what has no items with names and would be passed over.
+func checkLists(findings *finding.List, part string, lists map[string]json.RawMessage) {
+	var unknown []string
+	for list := range lists {
+		if !slices.Contains(namedLists, list) {
+			unknown = append(unknown, list)
+		}
+	}
+	slices.Sort(unknown)
+	for _, list := range unknown {
+		findings.Add(part+"."+list, "is no list of items with names")
+	}
+}
+
+func (c *listPatch) check(findings *finding.List) {
+	seen := map[string]bool{}
+	for i, changed := range c.upsert {
+		place := upsertPlace(c.list, i, changed.name)
+		if changed.name == "" {
+			findings.Add(place, "has no name")
+		}
+		if seen[changed.name] {
+			findings.Add(place, "is there twice")
+		}
+		if slices.Contains(c.remove, changed.name) {
+			findings.Add(place, "is to be removed as well")
+		}
+		seen[changed.name] = true
+	}
+}
+
+func upsertPlace(list string, i int, name string) string {
+	return "upsert." + placeOf(list, i, name)
+}
+
+// Apply changes a configuration, as the operator sent it, and checks the whole that comes of it. What is not named stays as
+// it was sent, with fields that this program does not know. An item to be removed that is not there is no fault.
+func (p *Patch) Apply(base []byte) (*Configuration, error) {
+	if len(base) == 0 {
+		base = []byte("{}")
+	}
+	whole, err := objectOf(base)
+	if err != nil {
+		return nil, err
+	}
+	upserted := map[string][]int{} // by list: the place in the patch that each item of the whole has, or notUpserted
+	for _, change := range p.lists {
+		before, err := itemsOf(whole[change.list])
+		if err != nil {
+			return nil, err
+		}
+		after, from := change.apply(before)
+		if len(after) == 0 && whole[change.list] == nil {
+			continue
+		}
+		upserted[change.list] = from
+		if whole[change.list], err = encode(after); err != nil {
+			return nil, err
+		}
+	}
+	whole["version"] = p.version
+	raw, err := encode(whole)
+	if err != nil {
+		return nil, err
+	}
+	return parse(raw, func(list string, i int, name string) string {
+		if from := upserted[list]; i < len(from) && from[i] != notUpserted {
+			return upsertPlace(list, from[i], name)
+		}
+		return placeOf(list, i, name)
+	})
+}
+
+const notUpserted = -1
+
+// apply returns the list after the change, and for each of its items which of the patch's it is.
+func (c *listPatch) apply(before []item) (after []json.RawMessage, from []int) {
+	placed := make([]bool, len(c.upsert))
+	for _, kept := range before {
+		at := slices.IndexFunc(c.upsert, func(changed item) bool { return changed.name == kept.name })
+		switch {
+		case slices.Contains(c.remove, kept.name):
+		case at < 0:
+			after, from = append(after, kept.raw), append(from, notUpserted)
+		case !placed[at]:
+			placed[at] = true
+			after, from = append(after, c.upsert[at].raw), append(from, at)
+		}
+	}
+	for at, added := range c.upsert {
+		if !placed[at] {
+			after, from = append(after, added.raw), append(from, at)
+		}
+	}
+	return after, from
+}
+
+// objectOf reads the fields of a JSON object; of none there are none.
+func objectOf(raw json.RawMessage) (map[string]json.RawMessage, error) {
+	fields := map[string]json.RawMessage{}
+	if err := unmarshalField(raw, &fields); err != nil {
+		return nil, err
+	}
+	if fields == nil { // null
+		fields = map[string]json.RawMessage{}
+	}
+	return fields, nil
+}
+
+// itemsOf reads a list of items with names.
+func itemsOf(raw json.RawMessage) ([]item, error) {
+	var all []json.RawMessage
+	if err := unmarshalField(raw, &all); err != nil {
+		return nil, err
+	}
+	items := make([]item, len(all))
+	for i, one := range all {
+		fields, err := objectOf(one)
+		if err != nil {
+			return nil, err
+		}
+		items[i].raw = one
+		if err := unmarshalField(fields["name"], &items[i].name); err != nil {
+			return nil, err
+		}
+	}
+	return items, nil
+}
+
+func unmarshalField(raw json.RawMessage, into any) error {
+	if len(raw) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return errors.Wrap(err, fmt.Sprintf("%T cannot be read", into))
+	}
+	return nil
+}
+
+// encode writes a value as JSON, its text unchanged.
+func encode(value any) (json.RawMessage, error) {
+	var text bytes.Buffer
+	encoder := json.NewEncoder(&text)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(value); err != nil {
+		return nil, errors.Wrap(err, "write the configuration")
+	}
+	return bytes.TrimRight(text.Bytes(), "\n"), nil
+}
--- /dev/null
+++ b/internal/configuration/patch_test.go
@@ -0,0 +1,183 @@
+package configuration
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+
+	"gullstair/internal/finding"
+)
+
+// document is a configuration as an operator writes it.
+type document struct {
+	Version  int64            `json:"version"`
+	Routes   []map[string]any `json:"routes"`
+	Services []map[string]any `json:"services"`
+	Tenants  []map[string]any `json:"tenants"`
+	Limits   map[string]any   `json:"limits"`
+	Unknown  string           `json:"unknown_to_this_program"`
+}
+
+func routeNamed(name, service string, timeout int) map[string]any {
+	return map[string]any{"name": name, "host": "<" + name + ">.example", "path_prefix": "/x/", "kind": "safe", "timeout_ms": timeout,
+		"service": service, "public": false, "later_field": map[string]any{"a": 1.5}}
+}
+
+func (d *document) lists() map[string]*[]map[string]any {
+	return map[string]*[]map[string]any{"routes": &d.Routes, "services": &d.Services, "tenants": &d.Tenants}
+}
+
+func parsedAs[T any](t *testing.T, raw []byte) T {
+	t.Helper()
+	var out T
+	if err := json.Unmarshal(raw, &out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func written(t *testing.T, value any) []byte {
+	t.Helper()
+	raw, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// TestPatchMakesTheWhole draws histories of patches. After each the configuration is the one that the same changes make of a
+// plain document, field for field, also those that the program does not know.
+func TestPatchMakesTheWhole(t *testing.T) {
+	for seed := range uint64(50) {
+		chance := rand.New(rand.NewPCG(seed, 1))
+		want := document{Version: 1, Limits: map[string]any{"max_body_bytes": 4096.0}, Unknown: "a & b"}
+		for i := range 5 {
+			service := fmt.Sprint("s", i)
+			want.Services = append(want.Services, map[string]any{"name": service, "health_check": "/h", "tls": false})
+			want.Routes = append(want.Routes, routeNamed(fmt.Sprint("r", i), service, 100))
+			want.Tenants = append(want.Tenants, map[string]any{"name": fmt.Sprint("t", i), "api_keys": []string{fmt.Sprint("k", i)}})
+		}
+		raw := written(t, want)
+		for step := range 40 {
+			upsert, remove := map[string][]map[string]any{}, map[string][]string{}
+			version := want.Version + 1 + int64(chance.IntN(3))
+			for _, list := range []string{"routes", "tenants"} {
+				for _, at := range chance.Perm(8)[:chance.IntN(5)] {
+					name := fmt.Sprint(list[:1], at)
+					if chance.IntN(3) == 0 {
+						remove[list] = append(remove[list], name)
+						continue
+					}
+					changed := routeNamed(name, fmt.Sprint("s", chance.IntN(5)), 1+chance.IntN(1000))
+					if list == "tenants" {
+						changed = map[string]any{"name": name, "api_keys": []string{fmt.Sprintf("%s-%d-%d", name, step, chance.IntN(3))}}
+					}
+					upsert[list] = append(upsert[list], changed)
+				}
+				apply(want.lists()[list], upsert[list], remove[list])
+			}
+			want.Version = version
+			patch, err := ParsePatch(written(t, map[string]any{"version": version, "upsert": upsert, "remove": remove}))
+			if err != nil {
+				t.Fatalf("seed %d step %d: %v", seed, step, err)
+			}
+			c, err := patch.Apply(raw)
+			if err != nil {
+				t.Fatalf("seed %d step %d: %v", seed, step, err)
+			}
+			raw = c.Raw
+			if got, whole := parsedAs[any](t, raw), parsedAs[any](t, written(t, want)); !reflect.DeepEqual(got, whole) {
+				t.Fatalf("seed %d step %d:\n%v\nwant\n%v", seed, step, got, whole)
+			}
+			if c.Version != version || len(c.Routes) != len(want.Routes) {
+				t.Fatalf("seed %d step %d: version %d, %d routes", seed, step, c.Version, len(c.Routes))
+			}
+		}
+	}
+}
+
+// apply changes a list as the page has it, in the plainest way.
+func apply(list *[]map[string]any, upsert []map[string]any, remove []string) {
+	for _, changed := range upsert {
+		at := slices.IndexFunc(*list, func(kept map[string]any) bool { return kept["name"] == changed["name"] })
+		if at < 0 {
+			*list = append(*list, changed)
+			continue
+		}
+		(*list)[at] = changed
+	}
+	*list = slices.DeleteFunc(*list, func(kept map[string]any) bool { return slices.Contains(remove, kept["name"].(string)) })
+}
+
+const patchBase = `{"version":4,"services":[{"name":"a"},{"name":"b"}],"routes":[
+{"name":"one","host":"h","path_prefix":"/1/","timeout_ms":10,"service":"a"},{"name":"two","host":"h","path_prefix":"/2/","timeout_ms":10,"service":"b"}],
+"tenants":[{"name":"t","api_keys":["k"]}]}`
+
+// TestPatchFindings has patches that are wrong, by themselves or by what they make, each with the places of its faults.
+func TestPatchFindings(t *testing.T) {
+	for text, want := range map[string][]string{
+		`{}`: {"version"},
+		`{"version":5,"upsert":{"routes":[{"host":"h","path_prefix":"/3/","timeout_ms":1,"service":"a"}]}}`:                                                                            {"upsert.routes[0] "},
+		`{"version":5,"upsert":{"routes":[{"name":"x"},{"name":"x"}]},"remove":{"routes":["x"]}}`:                                                                                      {"upsert.routes[0] x", "upsert.routes[1] x", "upsert.routes[1] x"},
+		`{"version":5,"upsert":{"limits":{"idle_timeout_ms":1}},"remove":{"keys":["a"]}}`:                                                                                              {"upsert.limits", "remove.keys"},
+		`{"version":5,"upsert":{"routes":[{"name":"one","host":"h","path_prefix":"/1/","timeout_ms":9,"service":"a"},{"name":"three","host":"h","path_prefix":"/3/","service":"a"}]}}`: {"upsert.routes[1] three"},
+		`{"version":5,"upsert":{"routes":[{"name":"new","host":"h","path_prefix":"/2/","timeout_ms":9,"service":"a"}]}}`:                                                               {"upsert.routes[0] new"},
+		`{"version":5,"remove":{"services":["b"]}}`:                                                                                                                                    {"routes[1] two"},
+		`{"version":5,"upsert":{"tenants":[{"name":"u","api_keys":["k"]}]}}`:                                                                                                           {"upsert.tenants[0] u"},
+	} {
+		patch, err := ParsePatch([]byte(text))
+		if err == nil {
+			_, err = patch.Apply([]byte(patchBase))
+		}
+		var found *finding.Error
+		if !errors.As(err, &found) {
+			t.Errorf("%s: %v", text, err)
+			continue
+		}
+		var places []string
+		for _, f := range found.Findings {
+			places = append(places, f.Place)
+		}
+		if !slices.Equal(places, want) {
+			t.Errorf("%s: %q, want %q", text, places, want)
+		}
+	}
+}
+
+// TestPatchesThatCannotBeRead has none of them taken.
+func TestPatchesThatCannotBeRead(t *testing.T) {
+	for _, text := range []string{"", `{"version":5`, `{"version":5,"upsert":{"routes":"one"}}`, `{"version":5,"remove":{"routes":[1]}}`, `{"version":5,"version":6}`} {
+		if _, err := ParsePatch([]byte(text)); err == nil {
+			t.Errorf("%q was read", text)
+		}
+	}
+}
+
+// TestPatchesThatChangeLittle are valid: one that names nothing, one that removes what is not there, one that makes the
+// first configuration.
+func TestPatchesThatChangeLittle(t *testing.T) {
+	for _, c := range []struct {
+		base, patch string
+		routes      int
+	}{
+		{patchBase, `{"version":5}`, 2},
+		{patchBase, `{"version":5,"upsert":{},"remove":null}`, 2},
+		{patchBase, `{"version":5,"remove":{"routes":["r-old"],"tenants":["nobody"]}}`, 2},
+		{patchBase, `{"version":5,"remove":{"routes":["two"],"services":["b"]}}`, 1},
+		{"", `{"version":5,"upsert":{"services":[{"name":"a"}],"routes":[{"name":"one","host":"h","path_prefix":"/1/","timeout_ms":10,"service":"a"}]}}`, 1},
+	} {
+		patch, err := ParsePatch([]byte(c.patch))
+		if err != nil {
+			t.Errorf("%s: %v", c.patch, err)
+			continue
+		}
+		after, err := patch.Apply([]byte(c.base))
+		if err != nil || after.Version != 5 || len(after.Routes) != c.routes {
+			t.Errorf("%s: %v, %+v", c.patch, err, after)
+		}
+	}
+}
--- a/internal/controlstate/controlstate.go
+++ b/internal/controlstate/controlstate.go
@@ -107,7 +107,21 @@
 
 // Replace takes a configuration that builds on version base. taken: it had been taken before, and nothing changes.
 func (s State) Replace(base, version int64, raw []byte) (next State, taken bool, err error) {
-	digest := DigestOf(base, raw)
+	return s.take(DigestOf(base, raw), base, version, func([]byte) ([]byte, error) { return raw, nil })
+}
+
+// Update takes a change of the configuration with version base; apply makes the whole of what that was. taken: the change
+// had been taken before, and nothing changes.
+func (s State) Update(base, version int64, raw []byte, apply func(whole []byte) ([]byte, error)) (next State, taken bool, err error) {
+	return s.take(DigestOf(base, slices.Concat([]byte(updateMark), raw)), base, version, apply)
+}
+
+// updateMark sets the digests of changes apart from those of whole configurations, which are JSON objects.
+const updateMark = "update\x00"
+
+// take takes an order that builds on version base and makes the whole of what that was. Whether it was taken before is
+// looked at first: what was acknowledged is never refused, whatever has followed it.
+func (s State) take(digest Digest, base, version int64, apply func(whole []byte) ([]byte, error)) (next State, taken bool, err error) {
 	if slices.Contains(s.Taken, digest) {
 		return s, true, nil
 	}
@@ -120,6 +134,14 @@
 	if version <= s.Version {
 		return s, false, ErrOld
 	}
+	before, err := s.Configuration()
+	if err != nil {
+		return s, false, err
+	}
+	raw, err := apply(before)
+	if err != nil {
+		return s, false, err
+	}
 	next = s
 	next.Version = version
 	next.Config = compress(raw)
--- a/internal/controlstate/controlstate_test.go
+++ b/internal/controlstate/controlstate_test.go
@@ -147,3 +147,53 @@
 		t.Errorf("the forgotten order: %v", err)
 	}
 }
+
+// TestUpdate takes changes by name on the terms of whole configurations: what was taken is acknowledged again, also after
+// its successors, another one on the same version conflicts, and one that makes nothing valid changes nothing.
+func TestUpdate(t *testing.T) {
+	s, _, err := State{}.Replace(0, 3, []byte("three"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	adds := func(text string) func([]byte) ([]byte, error) {
+		return func(whole []byte) ([]byte, error) { return append(whole, text...), nil }
+	}
+	updated, taken, err := s.Update(3, 5, []byte("+1"), adds(" and more"))
+	if err != nil || taken || updated.Version != 5 {
+		t.Fatalf("an update: %v, %t, version %d", err, taken, updated.Version)
+	}
+	if raw, err := updated.Configuration(); err != nil || string(raw) != "three and more" {
+		t.Errorf("read back: %q, %v", raw, err)
+	}
+	if _, taken, err := updated.Update(3, 5, []byte("+1"), adds(" and more")); err != nil || !taken {
+		t.Errorf("sent again: %v, %t", err, taken)
+	}
+	if _, _, err := updated.Update(3, 5, []byte("+2"), adds(" and other")); !errors.Is(err, ErrConflict) {
+		t.Errorf("another one on the same version: %v", err)
+	}
+	if _, _, err := updated.Replace(3, 5, []byte("+1")); !errors.Is(err, ErrConflict) {
+		t.Errorf("a whole configuration with the text of an update: %v", err)
+	}
+	if _, _, err := updated.Update(5, 5, []byte("+3"), adds("")); !errors.Is(err, ErrOld) {
+		t.Errorf("one whose version does not rise: %v", err)
+	}
+	invalid := errors.New("invalid")
+	if after, _, err := updated.Update(5, 6, []byte("+4"), func([]byte) ([]byte, error) { return nil, invalid }); !errors.Is(err, invalid) || after.Version != 5 {
+		t.Errorf("one that makes nothing valid: %v, version %d", err, after.Version)
+	}
+	next, _, err := updated.Replace(5, 9, []byte("nine"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, taken, err := next.Update(3, 5, []byte("+1"), adds(" and more")); err != nil || !taken {
+		t.Errorf("sent again after its successor: %v, %t", err, taken)
+	}
+	for v := int64(10); v < 10+mostTaken; v++ {
+		if next, _, err = next.Replace(v-1, v, []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, _, err := next.Update(3, 5, []byte("+1"), adds(" and more")); !errors.Is(err, ErrForgotten) {
+		t.Errorf("one whose base is forgotten: %v", err)
+	}
+}
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -32,6 +32,8 @@
 type Control interface {
 	// Replace has a checked configuration take the place of version base.
 	Replace(ctx context.Context, base int64, c *configuration.Configuration) error
+	// Update has a patch change version base.
+	Update(ctx context.Context, base int64, patch *configuration.Patch) error
 	// Configuration returns the newest configuration as it was sent; nil: there is none yet.
 	Configuration(ctx context.Context) ([]byte, error)
 	// NameWeights names a version of a model's weights.
@@ -54,6 +56,7 @@
 	a := &api{control: control, logger: logger}
 	router := httprouter.New()
 	router.POST("/v1/config/replace", a.replace)
+	router.POST("/v1/config/update", a.update)
 	router.GET("/v1/config/read", a.read)
 	router.POST("/v1/version-put", a.nameWeights)
 	router.POST("/v1/instances/:id/heartbeat", a.heartbeat)
@@ -91,32 +94,66 @@
 }
 
 func (a *api) replace(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	raw, err := io.ReadAll(io.LimitReader(r.Body, mostBody))
+	base, raw, ok := a.readChange(w, r)
+	if !ok {
+		return
+	}
+	c, err := configuration.Parse(raw)
 	if err != nil {
-		a.refuse(w, http.StatusBadRequest, errors.Wrap(err, "read the body"))
+		a.refuse(w, http.StatusBadRequest, err)
 		return
 	}
-	base, err := strconv.ParseInt(strings.TrimSpace(r.Header.Get(baseVersion)), 10, 64)
-	if err != nil && r.Header.Get(baseVersion) != "" {
-		a.refuse(w, http.StatusBadRequest, errors.Newf("%s is not a number", baseVersion))
+	ctx, cancel := bound(r)
+	defer cancel()
+	a.answerChange(w, c.Version, a.control.Replace(ctx, base, c))
+}
+
+func (a *api) update(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	base, raw, ok := a.readChange(w, r)
+	if !ok {
 		return
 	}
-	c, err := configuration.Parse(raw)
+	patch, err := configuration.ParsePatch(raw)
 	if err != nil {
 		a.refuse(w, http.StatusBadRequest, err)
 		return
 	}
 	ctx, cancel := bound(r)
 	defer cancel()
-	err = a.control.Replace(ctx, base, c)
+	a.answerChange(w, patch.Version, a.control.Update(ctx, base, patch))
+}
+
+// readChange reads a change of the configuration and the version that it builds on; false: it has been refused.
+func (a *api) readChange(w http.ResponseWriter, r *http.Request) (base int64, raw []byte, ok bool) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		a.refuse(w, http.StatusRequestEntityTooLarge, errors.Newf("the body has more than %d bytes", tooLarge.Limit))
+		return 0, nil, false
+	}
+	if err != nil {
+		a.refuse(w, http.StatusBadRequest, errors.Wrap(err, "read the body"))
+		return 0, nil, false
+	}
+	base, err = strconv.ParseInt(strings.TrimSpace(r.Header.Get(baseVersion)), 10, 64)
+	if err != nil && r.Header.Get(baseVersion) != "" {
+		a.refuse(w, http.StatusBadRequest, errors.Newf("%s is not a number", baseVersion))
+		return 0, nil, false
+	}
+	return base, raw, true
+}
+
+// answerChange tells the operator what became of a change of the configuration to a version.
+func (a *api) answerChange(w http.ResponseWriter, version int64, err error) {
+	var found *finding.Error
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, struct {
 			Version int64 `json:"version"`
-		}{c.Version})
+		}{version})
 	case errors.Is(err, controlstate.ErrConflict):
 		a.refuse(w, http.StatusPreconditionFailed, err)
-	case errors.Is(err, controlstate.ErrOld):
+	case errors.Is(err, controlstate.ErrOld), errors.As(err, &found):
 		a.refuse(w, http.StatusBadRequest, err)
 	default:
 		a.unclear(w, "configuration", err)
--- /dev/null
+++ b/internal/operatorapi/operatorapi_test.go
@@ -0,0 +1,92 @@
+package operatorapi
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/phuslu/log"
+
+	"gullstair/internal/configuration"
+	"gullstair/internal/controlstate"
+	"gullstair/internal/instances"
+)
+
+// register is the control state alone, without a fleet.
+type register struct{ state controlstate.State }
+
+func (r *register) Replace(_ context.Context, base int64, c *configuration.Configuration) error {
+	next, _, err := r.state.Replace(base, c.Version, c.Raw)
+	r.state = next
+	return err
+}
+
+func (r *register) Update(_ context.Context, base int64, p *configuration.Patch) error {
+	next, _, err := r.state.Update(base, p.Version, p.Raw, func(whole []byte) ([]byte, error) {
+		c, err := p.Apply(whole)
+		if err != nil {
+			return nil, err
+		}
+		return c.Raw, nil
+	})
+	r.state = next
+	return err
+}
+
+func (r *register) Configuration(context.Context) ([]byte, error)     { return r.state.Configuration() }
+func (*register) NameWeights(context.Context, string, int64) error    { return nil }
+func (*register) Heartbeat(context.Context, instances.Instance) error { return nil }
+func (*register) Deregister(context.Context, string) error            { return nil }
+func (*register) Status() any                                         { return nil }
+
+const route = `{"name":"one","host":"h","path_prefix":"/1/","timeout_ms":10,"service":"a"}`
+
+// TestUpdateOverHTTP sends changes by name as the operator does.
+func TestUpdateOverHTTP(t *testing.T) {
+	handler := New(&register{}, &log.Logger{Level: log.PanicLevel})
+	send := func(path, base, body string) (int, problem) {
+		request := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+		request.Header.Set(baseVersion, base)
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		answer := problem{}
+		if err := json.Unmarshal(recorder.Body.Bytes(), &answer); err != nil {
+			t.Fatalf("%s: %v", recorder.Body, err)
+		}
+		return recorder.Code, answer
+	}
+	if status, _ := send("/v1/config/replace", "0", `{"version":2,"services":[{"name":"a"}],"routes":[`+route+`]}`); status != http.StatusOK {
+		t.Fatalf("the first configuration: %d", status)
+	}
+	valid := `{"version":4,"upsert":{"services":[{"name":"b"}]},"remove":{"routes":["r-old"]}}`
+	for _, c := range []struct {
+		base, body string
+		status     int
+		finding    string
+	}{
+		{"x", valid, http.StatusBadRequest, ""},
+		{"1", valid, http.StatusPreconditionFailed, ""},
+		{"2", `{"version":4`, http.StatusBadRequest, ""},
+		{"2", `{"version":2,"remove":{"routes":["one"]}}`, http.StatusBadRequest, ""},
+		{"2", `{"version":4,"remove":{"services":["a"]}}`, http.StatusBadRequest, `routes[0] one names the unknown service "a"`},
+		{"2", `{"version":4,"upsert":{"routes":[` + strings.Replace(route, "10", "0", 1) + `]}}`, http.StatusBadRequest, "upsert.routes[0] one timeout_ms is not above 0"},
+		{"2", valid, http.StatusOK, ""},
+		{"2", valid, http.StatusOK, ""}, // its answer was lost
+		{"2", strings.Replace(valid, "r-old", "r-other", 1), http.StatusPreconditionFailed, ""},
+		{"4", `{"version":5}`, http.StatusOK, ""},
+		{"2", valid, http.StatusOK, ""},
+	} {
+		status, answer := send("/v1/config/update", c.base, c.body)
+		if status != c.status || c.finding != "" && fmt.Sprint(answer.Findings) != "["+c.finding+"]" {
+			t.Errorf("%s on %s: %d %+v, want %d", c.body, c.base, status, answer, c.status)
+		}
+	}
+	huge := strings.Repeat(" ", mostBody+1)
+	if status, _ := send("/v1/config/update", "5", huge); status != http.StatusRequestEntityTooLarge {
+		t.Errorf("a body over the limit got %d", status)
+	}
+}
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -31,6 +31,30 @@
 
 // Replace has a configuration take the place of version base.
 func (b *Broker) Replace(ctx context.Context, base int64, c *configuration.Configuration) error {
+	return b.change(ctx, func(state controlstate.State) (controlstate.State, bool, error) {
+		next, taken, err := state.Replace(base, c.Version, c.Raw)
+		return next, !taken, err
+	})
+}
+
+// Update has a patch change version base.
+func (b *Broker) Update(ctx context.Context, base int64, patch *configuration.Patch) error {
+	apply := func(whole []byte) ([]byte, error) {
+		c, err := patch.Apply(whole)
+		if err != nil {
+			return nil, err
+		}
+		return c.Raw, nil
+	}
+	return b.change(ctx, func(state controlstate.State) (controlstate.State, bool, error) {
+		next, taken, err := state.Update(base, patch.Version, patch.Raw, apply)
+		return next, !taken, err
+	})
+}
+
+// change has the register take a change of the control state; the function returns the state after it, and whether that
+// differs.
+func (b *Broker) change(ctx context.Context, next func(controlstate.State) (controlstate.State, bool, error)) error {
 	if err := b.permit(standing.TakeOrder); err != nil {
 		return err
 	}
@@ -39,11 +63,11 @@
 		if err != nil {
 			return nil, err
 		}
-		next, taken, err := state.Replace(base, c.Version, c.Raw)
-		if err != nil || taken {
+		after, changed, err := next(state)
+		if err != nil || !changed {
 			return nil, err
 		}
-		return next.Encode(), nil
+		return after.Encode(), nil
 	})
 	return err
 }
@@ -66,21 +90,10 @@
 
 // NameWeights names a version of a model's weights.
 func (b *Broker) NameWeights(ctx context.Context, model string, version int64) error {
-	if err := b.permit(standing.TakeOrder); err != nil {
-		return err
-	}
-	_, err := b.node.Change(ctx, func(payload []byte) ([]byte, error) {
-		state, err := controlstate.Decode(payload)
-		if err != nil {
-			return nil, err
-		}
+	return b.change(ctx, func(state controlstate.State) (controlstate.State, bool, error) {
 		next, changed := state.NameWeights(model, version)
-		if !changed {
-			return nil, nil
-		}
-		return next.Encode(), nil
+		return next, changed, nil
 	})
-	return err
 }
 
 // Heartbeat takes what an instance says of itself. That it drains is acknowledged once that is known widely enough.
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -757,10 +757,15 @@
 
 // replace sends a configuration to brokers until one gives a clear answer.
 func (w *world) replace(client *http.Client, base, version int64, body string) int {
+	return w.change(client, "/v1/config/replace", base, version, body)
+}
+
+// change sends a change of the configuration, to any broker, until there is a clear answer.
+func (w *world) change(client *http.Client, path string, base, version int64, body string) int {
 	for try := 0; ; try++ {
 		m := w.anyMachine()
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-		request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.ip+":"+controlPort+"/v1/config/replace", strings.NewReader(body))
+		request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.ip+":"+controlPort+path, strings.NewReader(body))
 		request.Header.Set("X-If-Base-Version", strconv.FormatInt(base, 10))
 		response, err := client.Do(request)
 		cancel()
