Streams are counted by route and by what made them late

Cause: neither the logs nor status told why a stream was late: at its start or by a pause, behind other work or by its own prompt. Change: the module's dispatch carries the work it takes to be outstanding and what it adds; the data path measures the first event and the longest pause of each answer that was passed on whole, counts by route (status: streams) and logs each at debug. Counting at the module was ruled out: it sees no events after the first.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -37,6 +37,8 @@
 
 	exchange *exchange
 	attempts int
+	chosen   balance.Command // of the newest attempt
+	pace     pace
 	memory   string  // that the attempt under way runs on
 	mayRun   bool    // an instance may have begun to work on it
 	answer   *answer // what is passed on to the client; nil until something is
@@ -188,6 +190,7 @@
 		return false
 	case balance.Finish:
 		c.s.Served.Add(1)
+		c.notePace()
 		return true
 	case balance.Refuse:
 		if c.mayRun {
@@ -207,6 +210,7 @@
 func (c *call) attempt(command balance.Command) {
 	number := c.attempts
 	c.attempts++
+	c.chosen = command
 	instance, known := c.s.instance(command.Instance)
 	if !known || instance.State == instances.Gone || c.outdated(instance) {
 		c.s.dispatcher.ended(c.exchange, number, logic.Superseded, 0)
@@ -330,6 +334,7 @@
 	}
 	began := false
 	onData := func() {
+		c.pace.event(time.Now())
 		if began || c.route.Kind != configuration.Streaming {
 			return
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,8 @@
 	oldest    map[string]int64 // the version below which instances get no requests, as logged last, by model
 	onStale   func(id string)  // an instance was seen to be another one
 
+	streams streamFigures
+
 	// Served counts answers that were passed on whole; Refused and Failed those that were not.
 	Served, Refused, Failed atomic.Int64
 }
@@ -111,6 +113,7 @@
 func (s *Server) SetConfiguration(c *configuration.Configuration) {
 	s.dispatcher.setConfiguration(c)
 	s.config.Store(c)
+	s.streams.keep(c)
 }
 
 // awaitConfiguration returns the configuration in force. A broker that has just started waits a little for its first:
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -9,6 +9,7 @@
 	"gullstair/internal/cluster"
 	"gullstair/internal/configuration"
 	"gullstair/internal/controlstate"
+	"gullstair/internal/gateway"
 	"gullstair/internal/instances"
 	"gullstair/internal/standing"
 )
@@ -174,13 +175,14 @@
 	Refused   int64                `json:"refused"`
 	Failed    int64                `json:"failed"`
 	InFlight  int64                `json:"in_flight"`
+	Streams   []gateway.Streams    `json:"streams"`
 }
 
 // Status describes this broker and what it knows.
 func (b *Broker) Status() any {
 	known, _ := b.node.Known()
 	status := Status{Node: b.settings.NodeName, Zone: b.settings.Zone, Standing: b.node.Standing().String(), Ready: b.ready(), Brokers: b.node.Members(),
-		Served: b.gateway.Served.Load(), Refused: b.gateway.Refused.Load(), Failed: b.gateway.Failed.Load(), InFlight: b.gateway.InFlight()}
+		Served: b.gateway.Served.Load(), Refused: b.gateway.Refused.Load(), Failed: b.gateway.Failed.Load(), InFlight: b.gateway.InFlight(), Streams: b.gateway.Streams()}
 	for _, replica := range known.Value.Members.Last() {
 		status.Voters = append(status.Voters, replica.Address)
 	}
--- a/logic/dispatch.go
+++ b/logic/dispatch.go
@@ -189,7 +189,7 @@
 		fresh: !b.linked(n), load: b.load(n), read: p.read, open: true, ran: true})
 	p.open++
 	b.do(Action{Kind: Dispatch, ID: p.id, Node: b.nodeID[n], After: limit - b.now, Source: source, Save: save,
-		Rank: int(min(lastRank, (lastRank+1)*p.work/typ.target))})
+		Rank: int(min(lastRank, (lastRank+1)*p.work/typ.target)), Load: b.load(n) - p.work, Work: p.work})
 	return late
 }
 
