--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -107,7 +107,7 @@
 	numbers   map[string]int64 // instances and stores, by id
 	ids       map[int64]string
 	instances []Instance
-	notes     [][]byte // for the other brokers
+	notes     []Note // for the other brokers
 }
 
 // typeKey tells routes apart as far as the module's figures of them go.
@@ -258,8 +258,14 @@
 	return b.step(now, logic.Event{Kind: logic.PeerNote, Note: note})
 }
 
+// Note is what other brokers are to be told: all of them, or as many as usual.
+type Note struct {
+	Text []byte
+	Wide bool
+}
+
 // Notes returns what the other brokers are to be told, once.
-func (b *Balancer) Notes() [][]byte {
+func (b *Balancer) Notes() []Note {
 	notes := b.notes
 	b.notes = nil
 	return notes
@@ -306,7 +312,7 @@
 		case logic.Abandon:
 			commands = append(commands, Command{Kind: Fail, Request: a.ID})
 		case logic.Tell:
-			b.notes = append(b.notes, a.Note)
+			b.notes = append(b.notes, Note{Text: a.Note, Wide: a.Wide})
 		case logic.SetTimer:
 			heap.Push(&b.timers, timer{at: b.now + a.After, number: a.Timer})
 		}
--- a/internal/cluster/alive_test.go
+++ b/internal/cluster/alive_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"testing"
 	"time"
 
 	"gullstair/internal/dissemination"
 	"gullstair/internal/peers"
+	"gullstair/internal/settings"
 )
 
 // listening is a node that takes records and calls nobody.
@@ -150,3 +152,30 @@
 		t.Errorf("%d of three were drawn", len(got))
 	}
 }
+
+// sentNotes is a socket that keeps to whom datagrams were sent.
+type sentNotes struct{ to []string }
+
+func (s *sentNotes) Send(_ []byte, address string) { s.to = append(s.to, address) }
+func (s *sentNotes) Receive([]byte) (int, error)   { return 0, net.ErrClosed }
+func (s *sentNotes) Close() error                  { return nil }
+
+// TestWideNotesReachAll sends notes of work in a fleet in which most of them go to some neighbors: a wide one goes to all,
+// once each.
+func TestWideNotesReachAll(t *testing.T) {
+	n, f, sent := listening(), newFleet(90, 5), &sentNotes{}
+	n.settings, n.notes = &settings.Settings{}, sent
+	for number := range f.members {
+		n.take([]dissemination.Record{f.renewal(number, nil)}, "10.0.1.1")
+	}
+	n.TellWork([]byte("abc"), false)
+	if len(sent.to) != workFanout {
+		t.Errorf("a note went to %d brokers", len(sent.to))
+	}
+	sent.to = nil
+	n.TellWork([]byte("abc"), true)
+	slices.Sort(sent.to)
+	if different := len(slices.Compact(slices.Clone(sent.to))); different != len(f.members) || len(sent.to) != different {
+		t.Errorf("a wide note went to %d brokers, %d of them different", len(sent.to), different)
+	}
+}
--- a/internal/cluster/notes.go
+++ b/internal/cluster/notes.go
@@ -64,11 +64,11 @@
 	}
 }
 
-// TellWork sends a note of work to the other brokers: to all in a small fleet, else to some of the same zone, drawn
-// anew for each note.
-func (n *Node) TellWork(note []byte) {
+// TellWork sends a note of work to the other brokers: to all in a small fleet or if it is wide, else to some of the same
+// zone, drawn anew for each note.
+func (n *Node) TellWork(note []byte, wide bool) {
 	near, all := n.neighbors()
-	if all > wideFleet {
+	if all > wideFleet && !wide {
 		n.tell(WorkNote, note, sample(near, workFanout))
 		return
 	}
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -19,8 +19,8 @@
 	open     map[int64]*exchange
 	timer    *time.Timer
 	timerAt  float64
-	tell     func([]byte) // sends a note to the other brokers
-	unsent   []byte
+	tell     func(note []byte, wide bool) // sends a note to other brokers; wide: to all
+	unsent   map[bool][]byte              // by whether it is for all
 	flushing bool
 }
 
@@ -31,7 +31,8 @@
 )
 
 func newDispatcher(seed uint64, fleet balance.Fleet) *dispatcher {
-	d := &dispatcher{balancer: balance.New(seed, fleet), start: time.Now(), open: map[int64]*exchange{}, timerAt: math.Inf(1)}
+	d := &dispatcher{balancer: balance.New(seed, fleet), start: time.Now(), open: map[int64]*exchange{}, unsent: map[bool][]byte{},
+		timerAt: math.Inf(1)}
 	d.timer = time.AfterFunc(time.Hour, d.advance)
 	return d
 }
@@ -58,11 +59,11 @@
 }
 
 // queue has a note sent soon; d.mu is held.
-func (d *dispatcher) queue(note []byte) {
-	if len(d.unsent)+len(note) > mostNote {
-		d.send()
+func (d *dispatcher) queue(note balance.Note) {
+	if len(d.unsent[note.Wide])+len(note.Text) > mostNote {
+		d.send(note.Wide)
 	}
-	d.unsent = append(d.unsent, note...)
+	d.unsent[note.Wide] = append(d.unsent[note.Wide], note.Text...)
 	if !d.flushing {
 		d.flushing = true
 		time.AfterFunc(noteDelay, d.flush)
@@ -73,14 +74,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.flushing = false
-	d.send()
+	d.send(false)
+	d.send(true)
 }
 
-func (d *dispatcher) send() {
-	if len(d.unsent) > 0 && d.tell != nil {
-		d.tell(d.unsent)
+func (d *dispatcher) send(wide bool) {
+	if unsent := d.unsent[wide]; len(unsent) > 0 && d.tell != nil {
+		d.tell(unsent, wide)
 	}
-	d.unsent = nil
+	delete(d.unsent, wide)
 }
 
 // heard takes a note of another broker.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// SetTell has notes for the other brokers sent by f.
-func (s *Server) SetTell(f func([]byte)) { s.dispatcher.tell = f }
+// SetTell has notes for other brokers sent by f; wide ones are for all of them.
+func (s *Server) SetTell(f func(note []byte, wide bool)) { s.dispatcher.tell = f }
 
 // Heard takes a note of another broker.
 func (s *Server) Heard(note []byte) { s.dispatcher.heard(note) }
--- a/logic/gossip.go
+++ b/logic/gossip.go
@@ -8,12 +8,14 @@
 
 // tell lets the other brokers know which work went where this turn, and which nodes failed or recovered.
 func (b *Broker) tell() {
+	wide := false
 	for _, c := range b.calls {
 		b.news = report(b.news, b.nodeID[c.node], worded(c.work))
+		wide = wide || c.work > wideWork*b.typTarget
 	}
 	b.compareNotes()
 	for i := 0; i < len(b.news) && b.flag("limit.peers"); i += noteMost {
-		b.do(Action{Kind: Tell, Note: b.news[i:min(i+noteMost, len(b.news))]})
+		b.do(Action{Kind: Tell, Note: b.news[i:min(i+noteMost, len(b.news))], Wide: wide})
 	}
 }
 
--- a/logic/prompt.go
+++ b/logic/prompt.go
@@ -17,6 +17,7 @@
 	paceLeast  = 0.25 // of the mean work that a latency is taken to have waited for at least
 	awayWeighs = 0.5  // of what the shared parts take to read counts against a first copy elsewhere than home
 
+	wideWork    = 0.1  // of the mean target: work that holds up others for longer is told to all brokers
 	zoneWeighs  = 0.07 // of the target time that a call to another zone weighs, at a price that is not told
 	lastRank    = 2.0  // of a request whose reading takes most of its target time; shorter ones come before it
 	resendExtra = 2    // dispatches beyond the limit, for those that never ran
@@ -69,6 +70,7 @@
 // it reads: where nobody keeps all that other requests may have in common with it.
 func (b *Broker) prepare(p *part, n int) (source int64, save bool) {
 	if q := p.prompt; q != nil {
+		b.reads[b.kind[n]] = true
 		p.work, source, p.read = b.reading(q, n)
 		save = q.Shared > 0 && q.Held[b.nodeID[n]] < q.Shared && q.Tokens-p.read < q.Shared
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -99,6 +99,7 @@
 	inCell                                [][]int   // the holder table: ready nodes by cell
 	meanLat, meanUnder, meanValue, valued float64
 	kinds                                 map[int][2]float64   // latency, and under how much work, by kind
+	reads                                 map[int]bool         // kinds of nodes that read prompts
 	typTarget                             float64              // mean target
 	full                                  map[int]float64      // share of dispatches without room, by what budgets hold for
 	connecting, refusing                  float64              // what a new connection adds, by target; refused
@@ -200,7 +201,7 @@
 		differs: e.Differs, scans: map[int64]*scan{}, byNum: map[int64]*scan{},
 		parts: map[int64]*part{}, index: map[int64]int{}, turn: map[int]*call{},
 		full: map[int]float64{}, extras: map[int][][2]float64{}, taken: map[int][][2]float64{},
-		notebook: notebook{byCode: map[uint16]int{}}, kinds: map[int][2]float64{},
+		notebook: notebook{byCode: map[uint16]int{}}, kinds: map[int][2]float64{}, reads: map[int]bool{},
 		pcg: seeded(e.Seed), spare: spareMost, readTime: readStart, startAt: b.now, fleetSpare: math.Inf(1)}
 	for i, name := range []string{"turn", "rules.cold", "rules.fall", "rules.fallMultiple",
 		"rules.startCapacity", "layout.cells", "layout.reach", "layout.shards", "layout.batch", "brokers",
--- a/logic/types.go
+++ b/logic/types.go
@@ -151,6 +151,7 @@
 	Work     float64 // and what it adds
 	Whole    bool
 	Late     bool
+	Wide     bool // of a Tell: it tells of work that all brokers should know of, also where others are told to some
 	Text     string
 	Note     []byte
 }
