Prompts go home, past little work; reading in one go counts by what it holds up

Sums of work, not the first event, made summaries late: a stream waits for all that is read meanwhile. Change: the latency of a request with a prompt is not learned and does not weigh its node (its load is told); the price of a first copy away from home is no work and counts six times the reading of the shared parts, not half; what a node would read in one go counts once more by three times its share of the target; a store is sent prompts that are shared for two thirds.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -69,7 +69,6 @@
 	Attempt  int
 	Instance string
 	Source   string  // id of the instance or store to fetch from; empty: none
-	Rank     int     // among what is as urgent and waits at the instance, from 0 up to 2
 	Save     bool    // a store is to keep what is read
 	Timeout  float64 // ms; of a send
 	Backlog  float64 // ms; work that is taken to be outstanding at the instance before this
@@ -302,7 +301,7 @@
 		switch a.Kind {
 		case logic.Dispatch:
 			commands = append(commands, Command{Kind: Send, Request: b.requests[a.ID], Instance: b.ids[a.Node], Source: b.ids[a.Source],
-				Save: a.Save, Rank: a.Rank, Backlog: a.Load, Work: a.Work, Timeout: a.After})
+				Save: a.Save, Backlog: a.Load, Work: a.Work, Timeout: a.After})
 		case logic.Recall:
 			commands = append(commands, Command{Kind: Recall, Request: b.requests[a.ID], Attempt: a.Dispatch})
 		case logic.Answer:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -61,8 +61,6 @@
 
 	mostFailureBody = 256 << 10
 	mostPriority    = 9
-	// ranksPerPriority is how many ranks the instances are told within one priority of the operator.
-	ranksPerPriority = 3
 )
 
 func newCall(s *Server, w http.ResponseWriter, r *http.Request) *call {
@@ -399,9 +397,6 @@
 		header.Set("X-Tenant", c.tenant.Name)
 		priority = c.tenant.Priority
 	}
-	if c.prompt != nil {
-		priority = priority*ranksPerPriority + command.Rank
-	}
 	header.Set("Priority", strconv.Itoa(min(max(0, priority), mostPriority)))
 	if c.answer != nil && c.answer.last != "" {
 		header.Set(lastEventID, c.answer.last)
--- a/logic/cover.go
+++ b/logic/cover.go
@@ -46,7 +46,7 @@
 			}
 			cost := load[n] * weight[n]
 			for k := j; k < len(asks) && k < j+room && slices.Contains(asks[k].nodes, n); k++ {
-				cost += b.workAt(asks[k], n)*weight[n] + away[n]
+				cost += b.workAt(asks[k], n, load[n])*weight[n] + away[n]
 				runs = append(runs, run{j, k + 1, n, cost})
 				if least[k+1] == 0 || least[k+1] > least[j]+1 {
 					least[k+1] = least[j] + 1
@@ -82,7 +82,7 @@
 	for i, a := range asks {
 		lowest := math.Inf(1)
 		for _, n := range a.nodes {
-			cost := (load[n]+b.workAt(a, n))*weight[n] + away[n]
+			cost := (load[n]+b.workAt(a, n, load[n]))*weight[n] + away[n]
 			if !chosen[n] {
 				cost += overCap / 2
 			}
@@ -134,7 +134,11 @@
 	if b.now-b.lateAt[n] < recent {
 		lat *= lateWeighs
 	}
-	return min(max(lat/b.meanLat, 0.2), 8) * 8 / max(1, float64(bits.OnesCount8(b.history[n])))
+	mean := b.meanLat
+	if b.reads[b.kind[n]] {
+		mean = lat // a long prompt is no slow node, and what others sent there is told
+	}
+	return min(max(lat/mean, 0.2), 8) * 8 / max(1, float64(bits.OnesCount8(b.history[n])))
 }
 
 // lat is the node's recent latency against its target, and the work it was under; without one it is the
@@ -147,8 +151,8 @@
 	return k[0], k[1]
 }
 
-// load is the known work outstanding at n: its own, and what others told of. Prompts are read one after another, a ms of
-// work in a ms; other work runs side by side, and fades in half the latency.
+// load is the known work outstanding at n: its own, and what others told of. Prompts are read one by one, a ms
+// of work in a ms; other work runs side by side, and fades in half the latency.
 func (b *Broker) load(n int) float64 {
 	if b.reads[b.kind[n]] {
 		return b.outWork[n] + max(0, b.others[n]-(b.now-b.othersAt[n]))
--- a/logic/dispatch.go
+++ b/logic/dispatch.go
@@ -56,7 +56,7 @@
 				}
 			} else if !gone && !d.slowSeen {
 				d.slowSeen = true
-				b.sawLatency(d, s, b.now-d.at, true)
+				b.sawLatency(p, d, b.now-d.at, true)
 			}
 		}
 		if p.done || p.open > 0 && !late {
@@ -189,7 +189,7 @@
 		fresh: !b.linked(n), load: b.load(n), read: p.read, open: true, ran: true})
 	p.open++
 	b.do(Action{Kind: Dispatch, ID: p.id, Node: b.nodeID[n], After: limit - b.now, Source: source, Save: save,
-		Rank: int(min(lastRank, (lastRank+1)*p.work/typ.target)), Load: b.load(n) - p.work, Work: p.work})
+		Load: b.load(n) - p.work, Work: p.work})
 	return late
 }
 
@@ -221,7 +221,7 @@
 		b.full[b.budgetOf(p)] -= typShare * b.full[b.budgetOf(p)]
 		b.answers, b.newsAt = b.answers+1, b.now
 		if !d.began { // of a stream its first event has told
-			b.sawLatency(d, s, took, false)
+			b.sawLatency(p, d, took, false)
 			typ.saw(e.Elapsed, b.num("layout.callWork"))
 		}
 		b.done, b.doneAt = b.done*math.Exp((b.doneAt-b.now)/recent)+p.work, b.now
@@ -245,7 +245,7 @@
 		}
 	case Saturated: // full, not ill: it counts as slow
 		b.heard[n], b.full[b.budgetOf(p)] = b.now, b.full[b.budgetOf(p)]+typShare*(1-b.full[b.budgetOf(p)])
-		b.sawLatency(d, s, typ.target, true)
+		b.sawLatency(p, d, typ.target, true)
 	}
 	d.ran = e.Outcome != Saturated && e.Outcome != ConnRefused && e.Outcome != Superseded // else it never ran
 	if s.ended && p.open == 0 {
--- a/logic/health.go
+++ b/logic/health.go
@@ -7,10 +7,11 @@
 // Latencies seen and outlier ejection.
 
 // sawLatency keeps a node's recent latency; atLeast: the true one is longer and never counts in its favour.
-func (b *Broker) sawLatency(d *dispatch, s *scan, elapsed float64, atLeast bool) {
-	n, target := d.node, b.types[s.typ].target
+// Prompts differ too much in length for theirs to tell of the node.
+func (b *Broker) sawLatency(p *part, d *dispatch, elapsed float64, atLeast bool) {
+	n, target := d.node, b.types[p.scan.typ].target
 	lat, under := b.lat(n)
-	if atLeast && elapsed/target < lat {
+	if atLeast && elapsed/target < lat || !atLeast && p.prompt != nil {
 		return
 	}
 	b.latency[n] = lat + latShare*(elapsed/target-lat)
--- a/logic/prompt.go
+++ b/logic/prompt.go
@@ -12,24 +12,29 @@
 	readStart  = 0.02 // ms to read a token until one has been seen
 	readLeast  = 256  // a first event after fewer tokens tells nothing of the time to read one
 	readForget = 1.01 // what was seen gives way to longer times by this for each event
-	streamLoad = 0.1  // of the work of a request that stays while its stream runs
 	readHolds  = 3.0  // reading holds up a node's other requests, a move does not: it weighs that much more
-	paceLeast  = 0.25 // of the mean work that a latency is taken to have waited for at least
-	awayWeighs = 0.5  // of what the shared parts take to read counts against a first copy elsewhere than home
+	awayWeighs = 6.0  // times what the shared parts take to read counts against a first copy elsewhere than home
+	busyWeighs = 3.0  // times what a node reads in one go counts once more by its share of the target time
+	saveShare  = 2.0  // shared tokens for each that is not, at least, or no store keeps the prompt
 
 	wideWork    = 0.1  // of the mean target: work that holds up others for longer is told to all brokers
 	zoneWeighs  = 0.07 // of the target time that a call to another zone weighs, at a price that is not told
-	lastRank    = 2.0  // of a request whose reading takes most of its target time; shorter ones come before it
 	resendExtra = 2    // dispatches beyond the limit, for those that never ran
 )
 
-// workAt is what part p costs node n: reading what it lacks, or fetching some of that first.
-func (b *Broker) workAt(p *part, n int) float64 {
-	if p.prompt == nil {
+// workAt is what part p costs at node n beyond its load: reading what it lacks, or fetching some of that.
+// What is read in one go holds up streams, the longer the worse; a first copy away from home takes memory.
+func (b *Broker) workAt(p *part, n int, load float64) float64 {
+	q := p.prompt
+	if q == nil {
 		return p.work
 	}
-	work, _, _ := b.reading(p.prompt, n)
-	return work
+	work, _, _ := b.reading(q, n)
+	busy, own := load+work, q.Held[b.nodeID[n]]
+	if len(q.Home) > 0 && own < q.Shared && q.Home[0] != b.nodeID[n] {
+		work += awayWeighs * (q.Shared - own) * b.readTime
+	}
+	return work + busyWeighs*busy*busy/b.types[p.scan.typ].target
 }
 
 // reading says how long node n needs for a prompt, its source, and how many tokens it reads.
@@ -51,19 +56,13 @@
 			least, work, source, tokens = with, read+move, id, q.Tokens-held
 		}
 	}
-	if len(q.Home) > 0 && own < q.Shared && q.Home[0] != b.nodeID[n] {
-		work += awayWeighs * (q.Shared - own) * b.readTime
-	}
 	return work, source, tokens
 }
 
 // offers says whether kept parts may be fetched from a node or store.
 func (b *Broker) offers(q *Prompt, id int64) bool {
-	if slices.Contains(q.Stores, id) {
-		return true
-	}
 	n, known := b.index[id]
-	return known && b.state[n] != Gone && !b.poor(n)
+	return slices.Contains(q.Stores, id) || known && b.state[n] != Gone && !b.poor(n)
 }
 
 // prepare settles what p costs the node that it is sent to, its source, and whether a store is to keep what
@@ -72,7 +71,7 @@
 	if q := p.prompt; q != nil {
 		b.reads[b.kind[n]] = true
 		p.work, source, p.read = b.reading(q, n)
-		save = q.Shared > 0 && q.Held[b.nodeID[n]] < q.Shared && q.Tokens-p.read < q.Shared
+		save = q.Shared > saveShare*(q.Tokens-q.Shared) && max(q.Held[b.nodeID[n]], q.Tokens-p.read) < q.Shared
 	}
 	return source, save
 }
@@ -88,23 +87,13 @@
 	d.began, p.began, d.late, d.silent = true, true, math.Inf(1), math.Inf(1) // it may pause from now on
 	b.heard[n], b.used[n], b.passed[n] = b.now, b.now, max(b.passed[n], d.at)
 	b.answers, b.newsAt = b.answers+1, b.now
-	b.sawLatency(d, s, b.pace(p, d, e.Elapsed), false)
+	b.sawLatency(p, d, e.Elapsed, false)
 	typ.saw(e.Elapsed, b.num("layout.callWork"))
 	if d.read >= readLeast {
 		b.readTime = min(b.readTime*readForget, e.Elapsed/d.read)
 	}
-	done := p.work * (1 - streamLoad)
-	b.outWork[n] = max(0, b.outWork[n]-done)
-	p.work -= done
-}
-
-// pace is a latency as it would have been with the mean work outstanding: prompts differ too much in length
-// for their latencies to tell of their nodes as they are.
-func (b *Broker) pace(p *part, d *dispatch, elapsed float64) float64 {
-	if p.prompt == nil {
-		return elapsed
-	}
-	return elapsed * b.meanWork / max(d.load, b.meanWork*paceLeast)
+	b.outWork[n] = max(0, b.outWork[n]-p.work)
+	p.work = 0
 }
 
 // triesLeft says whether p may go to one more node: what may have run counts, and the rest up to a bound.
--- a/logic/types.go
+++ b/logic/types.go
@@ -145,7 +145,6 @@
 	After    float64 // time-out of a dispatch, delay of a timer, or when a throttled client may return
 	Timer    int64
 	Source   int64   // of a dispatch: the node or store to fetch kept prompt parts from; 0: none
-	Rank     int     // of a dispatch: among what is as urgent and waits at its node, 0 first
 	Save     bool    // of a dispatch: a store is to keep what is read
 	Load     float64 // of a dispatch: the work taken to be outstanding at the node before it, in ms,
 	Work     float64 // and what it adds
