--- a/logic/cover.go
+++ b/logic/cover.go
@@ -151,8 +151,8 @@
 	return k[0], k[1]
 }
 
-// load is the known work outstanding at n: its own, and what others told of. Prompts are read one by one, a ms
-// of work in a ms; other work runs side by side, and fades in half the latency.
+// load is the known work outstanding at n: its own, and what others told of. Prompts are read one by one, a
+// ms of work in a ms; other work runs side by side, and fades in half the latency.
 func (b *Broker) load(n int) float64 {
 	if b.reads[b.kind[n]] {
 		return b.outWork[n] + max(0, b.others[n]-(b.now-b.othersAt[n]))
