--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -303,8 +303,8 @@
 func (c *call) rejected(response *upstream.Response, instance instances.Instance) (bool, logic.Outcome) {
 	if response.Status == http.StatusMisdirectedRequest {
 		_, _ = io.Copy(io.Discard, response)
-		if other := response.Header.Get("X-Instance-Id"); other != "" && other != instance.ID {
-			c.s.onStale(instance.ID)
+		if response.FromAnother(instance.ID) {
+			c.s.displaced(instance.ID)
 		}
 		return true, logic.Superseded
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,7 +47,7 @@
 	holders   lockedTable
 	weights   *weights.Ledger
 	oldest    map[string]int64 // the version below which instances get no requests, as logged last, by model
-	onStale   func(id string)  // an instance was seen to be another one
+	displaced func(id string)  // another instance answered at an instance's address
 
 	streams streamFigures
 
@@ -77,11 +77,11 @@
 // WithHolders gives the holder table to f, alone.
 func (s *Server) WithHolders(f func(*holders.Table)) { s.holders.with(f) }
 
-// New makes the data path. named are the versions of the models' weights; onStale is called with the id of an instance whose
-// address answers as another one.
-func New(s *settings.Settings, logger *log.Logger, network netio.Network, seed uint64, named *weights.Ledger, onStale func(string)) *Server {
+// New makes the data path. named are the versions of the models' weights; displaced is called with the id of an instance at whose
+// address another one answered.
+func New(s *settings.Settings, logger *log.Logger, network netio.Network, seed uint64, named *weights.Ledger, displaced func(string)) *Server {
 	server := &Server{settings: s, logger: logger, pool: upstream.New(network), instances: map[string]instances.Instance{}, weights: named,
-		oldest: map[string]int64{}, onStale: onStale}
+		oldest: map[string]int64{}, displaced: displaced}
 	server.holders = lockedTable{table: holders.New(), start: time.Now()}
 	server.dispatcher = newDispatcher(seed, server.fleet(1))
 	return server
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net"
 	"slices"
 	"strings"
@@ -22,7 +23,12 @@
 	ReportEvery = 4 * time.Second
 	staleAfter  = 20 * time.Second // an instance that nobody has heard of for so long is gone
 	forgetAfter = 60 * time.Second // one that is gone is forgotten after so long
-	goneEpoch   = 1                // versions of a record which says that an instance is gone come after all others
+
+	// goneEpoch is the epoch of records which say that an instance is gone. Earlier releases write 1.
+	goneEpoch = math.MaxUint64
+	// firstDisplaced is the epoch of the first record which says that an instance is displaced; 1 is what earlier releases give
+	// to records of those that are gone. When the instance tells of itself again the epoch rises by one, and so on.
+	firstDisplaced = 2
 )
 
 // State is what an instance says of itself.
@@ -32,6 +38,8 @@
 	Ready State = iota + 1
 	Draining
 	Gone
+	// Displaced: another instance answers at its address. It is used no more until it tells of itself again.
+	Displaced
 )
 
 // Model is a model that an instance runs, with the version of its weights.
@@ -51,6 +59,7 @@
 	Cold     time.Duration // how much longer it is slow from its start
 	Models   []Model
 	Sequence uint64 // of the heartbeat that told this
+	Epoch    uint64 // rises when the instance is displaced, and when it tells of itself after that
 }
 
 // VersionOf is the version of a model's weights that the instance runs; 0: it has not told.
@@ -97,9 +106,12 @@
 	return i, nil
 }
 
+// used says whether requests may go to the instance, as far as its state goes.
+func (i *Instance) used() bool { return i.State != Gone && i.State != Displaced }
+
 // Record is the instance as it is told to the other brokers.
 func (i Instance) Record() dissemination.Record {
-	version := dissemination.Version{Sequence: i.Sequence}
+	version := dissemination.Version{Epoch: i.Epoch, Sequence: i.Sequence}
 	if i.State == Gone {
 		version.Epoch = goneEpoch
 	}
@@ -117,7 +129,7 @@
 	Instance
 	heard     time.Time // that it lives
 	told      time.Time // by this broker to the others
-	goneSince time.Time
+	unused    time.Time // since when it is gone or displaced
 	ending    time.Time // when this broker first knew that it drains or has gone
 	confirmed State     // Draining or Gone, once enough brokers were told by this one
 }
@@ -131,36 +143,63 @@
 // New makes an empty registry.
 func New() *Registry { return &Registry{entries: map[string]*entry{}} }
 
-// Heartbeat takes what an instance said to this broker. tell: the other brokers are to be told. late: a newer one has
-// been heard.
-func (r *Registry) Heartbeat(i Instance, now time.Time) (tell, late bool) {
+// Heard is what follows from a heartbeat.
+type Heard struct {
+	Tell      bool       // the other brokers are to be told of the instance
+	Late      bool       // a newer heartbeat has been heard, or the instance is gone
+	Displaced []Instance // earlier instances at its address; the others are to be told of them
+}
+
+// Heartbeat takes what an instance said to this broker.
+func (r *Registry) Heartbeat(i Instance, now time.Time) Heard {
 	e := r.entries[i.ID]
 	if e != nil && (e.State == Gone || i.Sequence <= e.Sequence) {
-		return false, true
+		return Heard{Late: true}
 	}
-	tell = e == nil || !same(e.Instance, i) || now.Sub(e.told) >= ReportEvery
-	if e == nil {
-		r.displace(i, now)
+	heard := Heard{Tell: e == nil || !same(e.Instance, i) || now.Sub(e.told) >= ReportEvery}
+	switch {
+	case e == nil:
+		heard.Displaced = r.displaceOthers(i, now)
+	case e.State == Displaced:
+		i.Epoch = e.Epoch + 1
+	default:
+		i.Epoch = e.Epoch
 	}
 	r.put(i, now)
-	if tell {
+	if heard.Tell {
 		r.entries[i.ID].told = now
 	}
-	return tell, false
+	return heard
 }
 
 // Take takes what another broker told. changed: something other than the time it was heard.
 func (r *Registry) Take(i Instance, now time.Time) (changed bool) {
 	e := r.entries[i.ID]
-	if e != nil && (e.State == Gone || i.State != Gone && i.Sequence <= e.Sequence) {
+	if e != nil && (e.State == Gone || !e.Record().Version.Less(i.Record().Version)) {
 		return false
 	}
 	changed = e == nil || !same(e.Instance, i)
+	if e != nil {
+		i.Sequence = max(i.Sequence, e.Sequence) // earlier heartbeats that are on their way say nothing any more
+	}
 	r.put(i, now)
 	r.entries[i.ID].told = now
 	return changed
 }
 
+// Displace notes that another instance answered at an instance's address. news: the others are to be told.
+func (r *Registry) Displace(id string, now time.Time) (displaced Instance, news bool) {
+	e := r.entries[id]
+	if e == nil || e.State == Gone || e.State == Displaced {
+		return Instance{}, false
+	}
+	i := e.Instance
+	i.State = Displaced
+	i.Epoch = max(firstDisplaced, e.Epoch+1)
+	r.put(i, now)
+	return i, true
+}
+
 // Leave notes that an instance has ended, also one that is not known here. It returns what the others are to be told, and
 // whether that is news here.
 func (r *Registry) Leave(id string, now time.Time) (gone Instance, news bool) {
@@ -209,35 +248,38 @@
 		r.entries[i.ID] = e
 	}
 	e.Instance, e.heard = i, now
-	if i.State == Gone {
-		e.goneSince = now
+	if !i.used() {
+		e.unused = now
 	}
-	if i.State != Ready && e.ending.IsZero() {
+	if (i.State == Draining || i.State == Gone) && e.ending.IsZero() {
 		e.ending = now
 	}
 }
 
-// displace marks earlier instances at the same address as gone: one process holds an address. Only an instance's own
-// word does that; what other brokers tell may be older than what is here.
-func (r *Registry) displace(i Instance, now time.Time) {
-	for _, other := range r.entries {
-		if other.Address == i.Address && other.ID != i.ID && other.State != Gone && i.State != Gone {
-			other.State, other.goneSince = Gone, now
-			r.changes++
+// displaceOthers displaces earlier instances at the same address: one process holds an address. Only an instance's own word
+// does that; what other brokers tell may be older than what is here.
+func (r *Registry) displaceOthers(i Instance, now time.Time) (displaced []Instance) {
+	for id, other := range r.entries {
+		if other.Address != i.Address || id == i.ID || i.State == Gone {
+			continue
+		}
+		if earlier, news := r.Displace(id, now); news {
+			displaced = append(displaced, earlier)
 		}
 	}
+	return displaced
 }
 
-// Expire forgets instances that nobody has heard of, and those that have long been gone. It returns their ids and
-// whether any was not gone.
+// Expire forgets instances that nobody has heard of, and those that have long been gone or displaced. It returns their ids and
+// whether any was used.
 func (r *Registry) Expire(now time.Time) (forgotten []string, changed bool) {
 	for id, e := range r.entries {
 		switch {
-		case e.State == Gone && now.Sub(e.goneSince) > forgetAfter:
+		case !e.used() && now.Sub(e.unused) > forgetAfter:
 			delete(r.entries, id)
 			r.changes++
 			forgotten = append(forgotten, id)
-		case e.State != Gone && now.Sub(e.heard) > staleAfter:
+		case e.used() && now.Sub(e.heard) > staleAfter:
 			delete(r.entries, id)
 			r.changes++
 			forgotten, changed = append(forgotten, id), true
@@ -249,12 +291,12 @@
 // Changes counts what has changed in the registry, apart from the times of heartbeats.
 func (r *Registry) Changes() uint64 { return r.changes }
 
-// All returns the instances that are not gone, by id.
+// All returns the instances that are neither gone nor displaced, by id.
 func (r *Registry) All() []Instance {
-	return slices.DeleteFunc(r.Known(), func(i Instance) bool { return i.State == Gone })
+	return slices.DeleteFunc(r.Known(), func(i Instance) bool { return !i.used() })
 }
 
-// Known returns all instances that are not forgotten, also those that are gone, by id.
+// Known returns all instances that are not forgotten, also those that are gone or displaced, by id.
 func (r *Registry) Known() []Instance {
 	var out []Instance
 	for _, e := range r.entries {
--- a/internal/instances/instances_test.go
+++ b/internal/instances/instances_test.go
@@ -18,21 +18,21 @@
 
 func TestHeartbeats(t *testing.T) {
 	r := New()
-	if tell, late := r.Heartbeat(instance("a", 5), start); !tell || late {
-		t.Fatalf("the first: %t %t", tell, late)
+	if heard := r.Heartbeat(instance("a", 5), start); !heard.Tell || heard.Late {
+		t.Fatalf("the first: %+v", heard)
 	}
-	if tell, late := r.Heartbeat(instance("a", 4), start); tell || !late {
-		t.Errorf("a late one: %t %t", tell, late)
+	if heard := r.Heartbeat(instance("a", 4), start); heard.Tell || !heard.Late {
+		t.Errorf("a late one: %+v", heard)
 	}
-	if tell, _ := r.Heartbeat(instance("a", 6), start.Add(time.Second)); tell {
+	if r.Heartbeat(instance("a", 6), start.Add(time.Second)).Tell {
 		t.Error("an unchanged one is told at once")
 	}
-	if tell, _ := r.Heartbeat(instance("a", 7), start.Add(ReportEvery)); !tell {
+	if !r.Heartbeat(instance("a", 7), start.Add(ReportEvery)).Tell {
 		t.Error("an unchanged one is not told after a while")
 	}
 	draining := instance("a", 8)
 	draining.State = Draining
-	if tell, _ := r.Heartbeat(draining, start.Add(ReportEvery)); !tell {
+	if !r.Heartbeat(draining, start.Add(ReportEvery)).Tell {
 		t.Error("a drain is not told at once")
 	}
 	if r.Take(instance("a", 7), start) {
@@ -47,7 +47,7 @@
 	if !was || i.Record().Version.Epoch == 0 {
 		t.Fatalf("left: %t, %+v", was, i.Record())
 	}
-	if _, late := r.Heartbeat(instance("a", 99), start); !late || len(r.All()) > 0 {
+	if !r.Heartbeat(instance("a", 99), start).Late || len(r.All()) > 0 {
 		t.Error("an instance that has ended came back")
 	}
 	if r.Take(instance("a", 100), start) || len(r.All()) > 0 {
@@ -64,7 +64,10 @@
 func TestAddressIsHandedOn(t *testing.T) {
 	r := New()
 	r.Heartbeat(instance("old", 5), start)
-	r.Heartbeat(instance("new", 1), start.Add(time.Second))
+	heard := r.Heartbeat(instance("new", 1), start.Add(time.Second))
+	if len(heard.Displaced) != 1 || heard.Displaced[0].ID != "old" || heard.Displaced[0].State != Displaced {
+		t.Errorf("the others are told of %+v", heard.Displaced)
+	}
 	if all := r.All(); len(all) != 1 || all[0].ID != "new" {
 		t.Errorf("known: %+v", all)
 	}
@@ -90,7 +93,7 @@
 	if forgotten, _ := r.Expire(start.Add(forgetAfter + time.Second)); !slices.Equal(forgotten, []string{"b"}) {
 		t.Errorf("long gone: %v", forgotten)
 	}
-	if tell, late := r.Heartbeat(instance("a", 6), start.Add(time.Hour)); !tell || late {
+	if heard := r.Heartbeat(instance("a", 6), start.Add(time.Hour)); !heard.Tell || heard.Late {
 		t.Error("one that was cut off for long does not come back")
 	}
 }
@@ -162,7 +165,7 @@
 	plain := func() []Instance {
 		all := r.Known()
 		for at := range all {
-			all[at].Sequence, all[at].Cold = 0, min(all[at].Cold, 1)
+			all[at].Sequence, all[at].Epoch, all[at].Cold = 0, 0, min(all[at].Cold, 1)
 			all[at].Models = slices.Clone(all[at].Models)
 		}
 		return all
@@ -171,6 +174,8 @@
 	for step := range 20000 {
 		now = now.Add(time.Duration(random.IntN(100)) * time.Millisecond)
 		switch random.IntN(20) {
+		case 6:
+			r.Displace(fmt.Sprint("i-", random.IntN(14)), now)
 		case 0:
 			r.Leave(fmt.Sprint("i-", random.IntN(14)), now)
 		case 1:
--- a/internal/kvindex/index.go
+++ b/internal/kvindex/index.go
@@ -31,6 +31,8 @@
 	table  func(func(*holders.Table))
 	// Took is called with changes that were put in the table; whole: they are all that is kept. May be nil.
 	Took func(name string, c Changes, whole bool)
+	// Displaced is called with the id of an instance at whose address another one answered. May be nil.
+	Displaced func(id string)
 
 	mu      sync.Mutex
 	running map[string]context.CancelFunc
@@ -90,7 +92,7 @@
 		x.table(func(table *holders.Table) { table.Lost(t.Name) })
 		return 0
 	case err != nil:
-		return retryAfter
+		return x.failed(t, err)
 	}
 	if len(changes.List) > 0 || changes.To != changes.From {
 		x.table(func(table *holders.Table) { table.Apply(t.Name, changes.Epoch, changes.From, changes.To, changes.List) })
@@ -103,13 +105,21 @@
 func (x *Index) whole(ctx context.Context, t Target) time.Duration {
 	changes, err := x.client.List(ctx, t.ID, t.Address)
 	if err != nil {
-		return retryAfter
+		return x.failed(t, err)
 	}
 	x.table(func(table *holders.Table) { table.Replace(t.Name, changes.Epoch, changes.To, changes.List) })
 	x.took(t.Name, changes, true)
 	return pollSpacing
 }
 
+// failed takes the failure of a call and says how long to wait before the next.
+func (x *Index) failed(t Target, err error) time.Duration {
+	if errors.Is(err, ErrAnother) && x.Displaced != nil {
+		x.Displaced(t.ID)
+	}
+	return retryAfter
+}
+
 func (x *Index) took(name string, c Changes, whole bool) {
 	if x.Took != nil {
 		x.Took(name, c, whole)
--- a/internal/kvindex/poll.go
+++ b/internal/kvindex/poll.go
@@ -27,6 +27,9 @@
 // ErrBusy says that the instance holds as many calls as it takes.
 var ErrBusy = errors.New("the instance holds too many calls")
 
+// ErrAnother says that another instance answered at the address.
+var ErrAnother = errors.New("another instance answered")
+
 // Changes are what an instance told in one answer.
 type Changes struct {
 	Epoch uint64
@@ -143,6 +146,8 @@
 	switch {
 	case err != nil:
 		return errors.Wrap(err, "read the answer")
+	case response.FromAnother(instance):
+		return ErrAnother
 	case response.Status == http.StatusTooManyRequests:
 		return ErrBusy
 	case response.Status != http.StatusOK:
--- a/internal/planted/control.go
+++ b/internal/planted/control.go
@@ -52,6 +52,9 @@
 	{"control: nobody is told that the time of older weights is over", rolesFile, "&& r.b.weights.Settled(time.Now(), model, state.Named[model])", "", "", ""},
 	{"control: weights are judged at a request's arrival alone", callFile, "instances.Gone || c.outdated(instance)", "instances.Gone", "", ""},
 	{"control: requests wait at older weights", callFile, "	if by.IsZero() {", "	if by.IsZero() || true {", "", ""},
+	{"control: nobody is told that an address is another's", operatorFile, `	b.node.Publish(i.Record())
+}`, "}", "", ""},
+	{"control: renewals from before bring a displaced instance back", registryFile, "max(firstDisplaced, e.Epoch+1)", "e.Epoch", "", ""},
 	{"control: founded with other members", foundFile, "a.State.Value.Sequence > 0 || a.State.Value.Members.Equal(members)", "true", "", ""},
 }
 
@@ -62,6 +65,8 @@
 	{Name: "states of a move", Package: "./internal/register", Args: []string{"-test.run=TestEveryOrderOfAMove|TestLook|TestReconfigure", "-test.short", "-test.timeout=300s"}, Among: "control: "},
 	{Name: "fleet in virtual time", Package: "./internal/router", Args: []string{"-test.run=CutOff|HeardOf|Unknown|TakenOnce|Replaced|Whole|Leaving|Hundreds", "-test.timeout=300s"}, Among: "control: "},
 	{Name: "old weights", Package: "./internal/router", Args: []string{"-test.run=TestOldWeights", "-test.timeout=120s"}, Among: "control: "},
+	{Name: "addresses used again", Package: "./internal/router", Args: []string{"-test.run=TestAddressesUsedAgain", "-test.timeout=120s"}, Among: "control: "},
+	{Name: "instances", Package: "./internal/instances", Args: []string{"-test.timeout=60s"}, Among: "control: "},
 	{Name: "founding's cases", Package: "./internal/cluster", Args: []string{"-test.timeout=60s"}, Among: "control: "},
 	{Name: "slots", Package: "./internal/slots", Args: []string{"-test.timeout=120s"}, Among: "control: "},
 	{Name: "table of calls", Package: "./internal/gateway", Args: []string{"-test.run=TestCallTable", "-test.timeout=120s"}, Among: "control: "},
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -101,24 +101,46 @@
 func (b *Broker) Heartbeat(ctx context.Context, i instances.Instance) error {
 	now := time.Now()
 	b.mu.Lock()
-	tell, late := b.registry.Heartbeat(i, now)
-	if tell {
+	heard := b.registry.Heartbeat(i, now)
+	if heard.Tell {
 		b.tellInstances()
 	}
 	known, _ := b.registry.Get(i.ID)
 	binding := i.State == instances.Draining && !b.registry.Confirmed(i.ID)
 	b.mu.Unlock()
+	for _, displaced := range heard.Displaced {
+		b.tellDisplaced(displaced, "another instance told of itself from its address")
+	}
 	switch {
-	case binding && known.State == instances.Ready:
+	case binding && (known.State == instances.Ready || known.State == instances.Displaced):
 		return errSpreading // an old word against a newer one
 	case binding:
 		return b.confirmEnd(ctx, known)
-	case tell && !late:
-		b.node.Publish(i.Record())
+	case heard.Tell:
+		b.node.Publish(known.Record())
 	}
 	return nil
 }
 
+// displace notes that another instance answered at the address of one, and tells the other brokers: each of them would learn
+// it by a request that is not run.
+func (b *Broker) displace(id string) {
+	b.mu.Lock()
+	displaced, news := b.registry.Displace(id, time.Now())
+	if news {
+		b.tellInstances()
+	}
+	b.mu.Unlock()
+	if news {
+		b.tellDisplaced(displaced, "another instance answered at its address")
+	}
+}
+
+func (b *Broker) tellDisplaced(i instances.Instance, why string) {
+	b.logger.Info().Str("instance", i.ID).Str("address", i.Address).Uint64("epoch", i.Epoch).Str("why", why).Msg("instance displaced")
+	b.node.Publish(i.Record())
+}
+
 // Deregister notes that an instance ends. One that this broker has never heard of may be known to others.
 func (b *Broker) Deregister(ctx context.Context, id string) error {
 	b.mu.Lock()
--- a/internal/router/roles.go
+++ b/internal/router/roles.go
@@ -196,9 +196,6 @@
 	status, _, progress, err := r.send(ctx, i, http.MethodPost, "/v1/order", body)
 	r.b.logger.Info().Err(err).Str("instance", i.ID).Int("status", status).Int64("from", i.VersionOf(model)).Int64("version", version).
 		Msg("ordered new weights")
-	if status == http.StatusMisdirectedRequest {
-		r.b.staleInstance(i.ID) // another instance answers at its address
-	}
 	r.results <- func(now time.Time) {
 		switch {
 		case err != nil && progress == upstream.NotSent:
@@ -260,6 +257,9 @@
 		return 0, nil, progress, err
 	}
 	defer response.Close()
+	if response.FromAnother(i.ID) {
+		r.b.displace(i.ID)
+	}
 	text, err := io.ReadAll(io.LimitReader(response, mostReport))
 	return response.Status, text, progress, errors.Wrap(err, "read the answer")
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -73,9 +73,10 @@
 	}
 	b.node = node
 	b.weights = weights.New(s.Bounds.Version)
-	b.gateway = gateway.New(s, logger, environment.Network, seedOf(s.NodeName), b.weights, b.staleInstance)
+	b.gateway = gateway.New(s, logger, environment.Network, seedOf(s.NodeName), b.weights, b.displace)
 	b.roles = newRoles(b)
 	b.index = kvindex.New(environment.Network, b.gateway.WithHolders)
+	b.index.Displaced = b.displace
 	node.OnRecord(b.takeRecord)
 	node.OnNote(cluster.WorkNote, b.gateway.Heard)
 	node.OnNote(cluster.KeptNote, b.takeKept)
@@ -208,15 +209,6 @@
 	return out
 }
 
-// staleInstance notes that another instance answers at the address of this one.
-func (b *Broker) staleInstance(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if _, was := b.registry.Leave(id, time.Now()); was {
-		b.tellInstances()
-	}
-}
-
 // trust waits until the newest value is sure to be that, and puts it in force.
 func (b *Broker) trust(ctx context.Context) {
 	var since time.Time
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -162,15 +162,31 @@
 	unsafe   map[string]bool
 	asked    map[string]bool
 	named    map[int64]time.Time // when a version of the weights was acknowledged
+	receipts []receipt           // of requests at instances
 	faults   []string
+
+	budgetSlack  int // the fixed part of the retry budget in the brokers' settings
+	sharedTokens int // of a prompt, for all that are about one subject
+}
+
+// receipt is the arrival of a request at an instance, whether it ran there or not.
+type receipt struct {
+	at      time.Time
+	service string // of the instance
+	request string
 }
 
 var zones = []string{"a", "b", "c"}
 
 func newWorld(t *testing.T, seed uint64, brokers, core int) *world {
+	return newWorldWith(t, seed, brokers, core, 20)
+}
+
+// newWorldWith starts brokers whose settings give the retry budget a fixed part.
+func newWorldWith(t *testing.T, seed uint64, brokers, core, budgetSlack int) *world {
 	w := &world{t: t, net: memnet.New(500 * time.Microsecond), rng: rand.New(rand.NewPCG(seed, 5)), servers: map[string]*modelServer{},
 		runs: map[string]int{}, passed: map[string]int{}, begun: map[string]bool{}, promised: map[string]bool{}, unsafe: map[string]bool{}, asked: map[string]bool{},
-		named: map[int64]time.Time{}}
+		named: map[int64]time.Time{}, budgetSlack: budgetSlack, sharedTokens: 2000}
 	for i := range brokers {
 		m := &machine{ip: fmt.Sprintf("10.0.0.%d", i+1), name: fmt.Sprintf("front-%d", i+1), zone: zones[i%len(zones)], core: i < core,
 			disk: &memoryDisk{files: map[string][]byte{}}, bootstrap: true}
@@ -218,7 +234,7 @@
 	lines := []string{"node_name=" + m.name, "ip=" + m.ip, "zone=" + m.zone, "region=r", "listen.front=" + m.ip + ":" + frontPort,
 		"listen.readiness=" + m.ip + ":" + readyPort, "listen.control=" + m.ip + ":" + controlPort, "ephemeral_ports=7000,7015",
 		"seeds=" + strings.Join(seeds, ","), "bootstrap=" + strconv.FormatBool(m.bootstrap), "limits.memory_mb=200",
-		"bounds.fencing=true", "bounds.retry_budget_ratio=0.2", "bounds.retry_budget_slack=20"}
+		"bounds.fencing=true", "bounds.retry_budget_ratio=0.2", fmt.Sprint("bounds.retry_budget_slack=", w.budgetSlack)}
 	if m.core {
 		lines = append(lines, "counts_for_quorum=true", "data_dir=/data")
 	}
@@ -317,6 +333,7 @@
 	reading time.Duration // how long it runs at least before its first event
 	pace    time.Duration // between its events, if that is longer than usual
 	soon    bool          // it tells of itself at once
+	silent  bool          // it tells nobody of itself
 
 	misdirected int // orders to the instance that had its address before
 	state       string
@@ -365,7 +382,9 @@
 	}
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(listener) }()
-	go s.beat(w.client(s.ip), number)
+	if !s.silent {
+		go s.beat(w.client(s.ip), number)
+	}
 	return s
 }
 
@@ -435,8 +454,13 @@
 }
 
 func (s *modelServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get("X-Request-Id"); id != "" {
+		s.w.received(s.service, id)
+	}
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.id {
 		w.Header().Set("X-Instance-Id", s.id)
+		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		if r.URL.Path == "/v1/order" {
 			s.set(func(s *modelServer) { s.misdirected++ })
@@ -647,6 +671,13 @@
 	}
 }
 
+// received notes that a request has come to an instance of a service.
+func (w *world) received(service, request string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.receipts = append(w.receipts, receipt{at: time.Now(), service: service, request: request})
+}
+
 // arrived counts an arrival at an instance with a model. A stream that has begun goes on where it was.
 func (w *world) arrived(id, last string) {
 	w.mu.Lock()
@@ -841,8 +872,8 @@
 	request.Header.Set("X-Tenant", "somebody else")
 	if route == "chat" || route == "once" {
 		request.Header.Set("X-Model", modelName)
-		request.Header.Set("X-Prompt-Prefix", fmt.Sprintf("head:300,s%d:2000,own%s:500", subject, id))
-		request.Header.Set("X-Token-Count", "2800,40")
+		request.Header.Set("X-Prompt-Prefix", fmt.Sprintf("head:300,s%d:%d,own%s:500", subject, w.sharedTokens, id))
+		request.Header.Set("X-Token-Count", fmt.Sprintf("%d,40", 300+w.sharedTokens+500))
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -15,6 +15,9 @@
 // RequestID is the header that tells which request an answer belongs to.
 const RequestID = "X-Request-Id"
 
+// instanceID is the header that tells which instance answers.
+const instanceID = "X-Instance-Id"
+
 const (
 	mostSurplus   = 4 // answers to earlier requests that are passed over on one connection
 	maxHeaderHint = 1 << 10
@@ -129,6 +132,13 @@
 	return nil, ErrForeign
 }
 
+// FromAnother says whether an instance other than the one that the request was for refused it because of that. Without the
+// other's id it is not known to be another.
+func (r *Response) FromAnother(instance string) bool {
+	other := r.Header.Get(instanceID)
+	return r.Status == http.StatusMisdirectedRequest && other != "" && other != instance
+}
+
 // Read reads the body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
