Histories of the register lose disks by the accounting, up to two at a time

Ruled out: time in this world, which has none; a disk counts as lost until it is a member again, or takes something again, and times are in the voters' histories. Change: four to seven acceptors, one or two losses borne, disks that fill count too, all lose power at once.

--- a/internal/register/histories_test.go
+++ b/internal/register/histories_test.go
@@ -1,6 +1,7 @@
 package register
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -35,6 +36,7 @@
 	durable,
 	volatile State
 	full bool
+	lost bool // and goes on under its old identity, which is planted
 }
 
 type proposer struct {
@@ -62,23 +64,29 @@
 	chosen    []chosen
 	acked     []string
 	ops       int
-	wiped     bool
+	losses    int
+	borne     int // disks that may be lost at one time
 	bad       error
 }
 
-const worldAcceptors = 4
+// firstIdentities are those of the disks that the world begins with; one that was lost has a higher one.
+const firstIdentities = 1000
 
+// newWorld makes a world that bears the loss of one disk or of two. One that has lost its disk, or whose disk takes nothing, counts as
+// lost until it has joined again, or takes something: no more are lost at one time.
 func newWorld(seed uint64, plant plants) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), plant: plant}
+	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), plant: plant, borne: 1 + int(seed%2)}
+	voters := 2*w.borne + 1
+	acceptors := voters + 1 + int(seed/2%2)
 	var first []Replica
-	for i := range 3 {
+	for i := range voters {
 		first = append(first, Replica{Address: fmt.Sprint(i), Disk: uint64(i + 1)})
 	}
 	members := Single(first...)
 	start := State{Promised: Ballot{Counter: 1}, Accepted: Ballot{Counter: 1}, Value: Value{Members: members}}
-	for i := range worldAcceptors {
+	for i := range acceptors {
 		d := &disk{id: uint64(i + 1)}
-		if i < 3 {
+		if i < voters {
 			d.durable, d.volatile = start, start
 		}
 		w.disks = append(w.disks, d)
@@ -111,20 +119,48 @@
 // crash ends an acceptor's process by a loss of power: its disk keeps what was synced.
 func (w *world) crash(i int) { w.startAcceptor(i) }
 
-// wipe has an acceptor lose its disk. Its next disk has another identity.
+// lost counts the disks that count as lost: those that were and are no members again, and those that take nothing.
+func (w *world) lost() (n int) {
+	for i, d := range w.disks {
+		if d.lost || d.full {
+			n++
+		} else if d.id >= firstIdentities && !w.joined(i) {
+			n++
+		}
+	}
+	return n
+}
+
+// joined says whether an acceptor's disk is a member by the newest value that is chosen, and holds a value.
+func (w *world) joined(i int) bool {
+	if len(w.chosen) == 0 {
+		return false
+	}
+	newest := slices.MaxFunc(w.chosen, func(a, b chosen) int { return cmp.Compare(a.seq, b.seq) })
+	return !newest.members.Moving() && newest.members.Has(Replica{Address: fmt.Sprint(i), Disk: w.disks[i].id})
+}
+
+// wipe has an acceptor lose its disk, unless as many are lost as may be. Its next disk has another identity.
 func (w *world) wipe(i int) {
-	if w.wiped {
-		return // one at a time: the next after it has joined again
+	if w.lost() >= w.borne && !w.disks[i].full {
+		return
 	}
-	w.wiped = true
+	w.losses++
 	id := w.disks[i].id
 	if !w.plant.voteAfterWipe {
-		id = uint64(1000 + w.ops*10 + i)
+		id = uint64(firstIdentities + w.losses*10 + i)
 	}
-	w.disks[i] = &disk{id: id}
+	w.disks[i] = &disk{id: id, lost: w.plant.voteAfterWipe}
 	w.startAcceptor(i)
 }
 
+// fill has a disk take nothing, unless as many are lost as may be, or take something again.
+func (w *world) fill(i int) {
+	if d := w.disks[i]; d.full || w.lost() < w.borne {
+		d.full = !d.full
+	}
+}
+
 func payload(ops []string) []byte { return []byte(strings.Join(ops, ",")) }
 
 func opsOf(v Value) []string {
@@ -182,7 +218,7 @@
 				set = append(set, r)
 			}
 		}
-		if slices.Equal(set, v.Members.Last()) && drop && len(set) > 3 {
+		if slices.Equal(set, v.Members.Last()) && drop && len(set) > 2*w.borne+1 {
 			set = set[1:]
 		}
 		next.Members = v.Members.Joint(set)
@@ -274,13 +310,6 @@
 	w.chosen = append(w.chosen, c)
 	w.acked = append(w.acked, c.ops...)
 	p.known = Known{Ballot: p.round.Ballot, Value: v}
-	if !v.Members.Moving() && slices.ContainsFunc(w.disks, func(d *disk) bool { return d.id >= 1000 }) {
-		joined := true
-		for i, d := range w.disks {
-			joined = joined && (d.id < 1000 || v.Members.Has(Replica{Address: fmt.Sprint(i), Disk: d.id}))
-		}
-		w.wiped = !joined
-	}
 }
 
 // run plays one history.
@@ -303,11 +332,15 @@
 			w.propose(i)
 		}
 	case n < 10:
-		w.crash(w.rng.IntN(worldAcceptors))
+		w.crash(w.rng.IntN(len(w.acceptors)))
 	case n < 11:
-		w.wipe(w.rng.IntN(worldAcceptors))
+		w.wipe(w.rng.IntN(len(w.acceptors)))
 	case n < 12:
-		w.disks[w.rng.IntN(worldAcceptors)].full = w.rng.IntN(2) == 0
+		w.fill(w.rng.IntN(len(w.acceptors)))
+	case n == 12 && w.rng.IntN(4) == 0: // all lose power at once
+		for i := range w.acceptors {
+			w.crash(i)
+		}
 	case n < 14: // a proposer's process ends; its next one has another number
 		i := w.rng.IntN(len(w.proposers))
 		w.proposers[i].round = nil
@@ -327,16 +360,17 @@
 }
 
 func TestHistories(t *testing.T) {
-	histories, chosenValues, moves := 10000, 0, 0
+	histories, chosenValues, moves, losses := 10000, 0, 0, 0
 	if testing.Short() {
 		histories = 500
 	}
 	for seed := range histories {
-		w := run(uint64(seed), plants{}, 500)
+		w := run(uint64(seed), plants{}, 800)
 		if w.bad != nil {
 			t.Fatalf("seed %d: %v", seed, w.bad)
 		}
 		chosenValues += len(w.chosen)
+		losses += w.losses
 		for _, c := range w.chosen {
 			if c.members.Moving() {
 				moves++
@@ -346,7 +380,10 @@
 	if chosenValues < histories || moves < histories/10 {
 		t.Fatalf("the histories do too little: %d values and %d moves were chosen in %d", chosenValues, moves, histories)
 	}
-	t.Logf("%d histories, %d values chosen, %d of them moves of the members", histories, chosenValues, moves)
+	if losses < histories {
+		t.Fatalf("only %d disks are lost in %d histories", losses, histories)
+	}
+	t.Logf("%d histories, %d values chosen, %d of them moves of the members, %d disks lost", histories, chosenValues, moves, losses)
 }
 
 func TestPlantedFaultsAreFound(t *testing.T) {
