--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 // cases are the scenarios by the name on the command line. trouble says whether to cause the disruption.
 var cases = map[string]func(w *world, trouble bool) error{
 	"keys":        playKeys,
+	"ends":        playEnds,
 	"services":    playServices,
 	"descriptors": playDescriptors,
 	"timeouts":    playTimeouts,
