--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 	"services":    playServices,
 	"descriptors": playDescriptors,
 	"timeouts":    playTimeouts,
+	"failures":    playFailures,
 	"founding":    playFounding,
 }
 
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -29,6 +30,9 @@
 	sequence int
 	state    string
 	running  int
+
+	// failure returns the body of a failure with which the next run ends, or "" for a success. It may be nil.
+	failure func() string
 }
 
 const serverSlots = 64
@@ -121,5 +125,13 @@
 	s.ran(s, r)
 	time.Sleep(s.work)
 	rw.Header().Set("X-Server-Stamp", s.id+"."+id)
+	if s.failure != nil {
+		if body := s.failure(); body != "" {
+			rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
+			rw.WriteHeader(http.StatusInternalServerError)
+			_, _ = io.WriteString(rw, body)
+			return
+		}
+	}
 	fmt.Fprintf(rw, "%s %s %s\n", s.service, s.id, id)
 }
