--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -30,7 +30,7 @@
 	killedFor          = 3500 * time.Millisecond
 	stayAfterReturn    = 4 * time.Second
 	calmAfter          = 10 * time.Second // contact_ms and catch_up_s, and more
-	ackPatience        = 30 * time.Second // ack_timeout_ms is 4 s
+	ackPatience        = 20 * time.Second // ack_timeout_ms is 4 s
 	descriptorDeadline = 3 * time.Second
 	ownDescriptors     = 16000 // of this process, for the clients' connections
 )
@@ -247,18 +247,11 @@
 	w.note("the clients have left: %d requests answered, %d failed", c.answered.Load(), c.failed.Load())
 	time.Sleep(calmAfter)
 	w.noteDescriptors("calm")
-	return w.checkControl(3, configurationOf{Version: 9, Routes: routes})
+	return w.checkControl(configurationOf{Version: 3, Routes: routes}, configurationOf{Version: 9, Routes: routes})
 }
 
 // checkControl sends a change in calm time and asks for the newest configuration at every broker.
-func (w *world) checkControl(base int, c configurationOf) error {
-	begun := time.Now()
-	status, answer := w.offer(ackPatience, base, c)
-	took := time.Since(begun).Round(time.Millisecond)
-	w.note("configuration %d got %d %s after %v", c.Version, status, strings.TrimSpace(answer), took)
-	if status != http.StatusOK || took > 4*time.Second {
-		w.breaking("Gate, Acks: a valid configuration got status %d after %v, in calm time; ack_timeout_ms is 4000", status, took)
-	}
+func (w *world) checkControl(newest, next configurationOf) error {
 	reads := 0
 	for _, b := range w.brokers {
 		status, answer, err := call(2*time.Second, http.MethodGet, b.ip, w.ports.control, "/v1/config/read", nil, "")
@@ -266,9 +259,19 @@
 		if status == http.StatusOK {
 			reads++
 		}
+		if status == http.StatusOK && answer != newest.text() {
+			w.breaking("LOST: %s reads back another configuration than the acknowledged one", b.name)
+		}
+	}
+	begun := time.Now()
+	status, answer := w.offer(ackPatience, newest.Version, next)
+	took := time.Since(begun).Round(time.Millisecond)
+	w.note("configuration %d got %d %s after %v", next.Version, status, strings.TrimSpace(answer), took)
+	if status != http.StatusOK || took > 4*time.Second {
+		w.breaking("Gate, Acks: a valid configuration got status %d after %v, in calm time; ack_timeout_ms is 4000", status, took)
 	}
 	if reads == 0 {
-		w.breaking("CONFIG: when read back, the configuration does not come from any broker")
+		w.breaking("CONFIG, LOST: the acknowledged configuration %d does not come back from any broker", newest.Version)
 	}
 	return nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 	"descriptors": playDescriptors,
 	"timeouts":    playTimeouts,
 	"failures":    playFailures,
+	"voters":      playVoters,
 	"founding":    playFounding,
 }
 
