--- a/review/standin/voters.go
+++ b/review/standin/voters.go
@@ -16,13 +16,13 @@
 // acknowledgements to the operator are lost, so that it sends accepted changes again.
 
 const (
-	voterLosses  = 8
+	voterLosses  = 10
 	wipeDown     = time.Second
-	wipeSpacing  = 6 * time.Second // from the return of a machine to the loss of the next disk; catch_up_s is 4
+	wipeSpacing  = 5 * time.Second // from the return of a machine to the loss of the next disk; catch_up_s is 4
 	ordersAtOnce = 8               // orders that the operator may have in flight
 	lostAcks     = 0.7             // share of the acknowledgements that are lost
-	lostAcksFor  = 3 * time.Second // after the return of a machine
-	firstPause   = 50 * time.Millisecond
+	lostAcksFor  = 4 * time.Second // after the return of a machine
+	firstPause   = 25 * time.Millisecond
 	longestPause = 400 * time.Millisecond
 )
 
