--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -260,7 +260,7 @@
 			reads++
 		}
 		if status == http.StatusOK && answer != newest.text() {
-			w.breaking("LOST: %s reads back another configuration than the acknowledged one", b.name)
+			w.breaking("CONFIG: %s reads back another configuration than the acknowledged one", b.name)
 		}
 	}
 	begun := time.Now()
@@ -271,7 +271,7 @@
 		w.breaking("Gate, Acks: a valid configuration got status %d after %v, in calm time; ack_timeout_ms is 4000", status, took)
 	}
 	if reads == 0 {
-		w.breaking("CONFIG, LOST: the acknowledged configuration %d does not come back from any broker", newest.Version)
+		w.breaking("CONFIG: the acknowledged configuration %d does not come back from any broker", newest.Version)
 	}
 	return nil
 }
