A step of a change of the voters logs what its proposer knows

The log repeated "a change of the voters goes on" under one sequence, which fits two hypotheses: the step never reaches the value that is proposed to the new set alone, or it does, and its proposer does not learn it. The line now has the number of sets that the value was proposed to, by the round and as the proposer knows it (quorums, known_quorums, known_sequence).

--- a/internal/cluster/voting.go
+++ b/internal/cluster/voting.go
@@ -203,6 +203,8 @@
 		n.logger.Info().Err(err).Msg(what + ": not done yet")
 		return false
 	}
-	n.logger.Info().Strs("voters", value.Members.Addresses()).Uint64("sequence", value.Sequence).Msg(what)
+	known, _ := n.Known()
+	n.logger.Info().Strs("voters", value.Members.Addresses()).Uint64("sequence", value.Sequence).Int("quorums", len(value.Quorums())).
+		Uint64("known_sequence", known.Value.Sequence).Int("known_quorums", len(known.Value.Quorums())).Msg(what)
 	return true
 }
