A change of the voters ends whichever order confirms the value meanwhile

Cause: a round that keeps the value proposed it again to the sets that this proposer needs. Around the last step of a change of the voters these differ, so one sequence stood for a complete and an incomplete form. Acceptors keep the form with the highest ballot, brokers the first one that they learn. CompleteReconfiguration found nothing to do, and its proposer went on asking.

Change: a kept value that is proposed to other sets gets the next sequence, so a sequence has one form and the confirmation itself completes the change. A step also compares with the value as its proposer knows it, since brokers of an earlier release still confirm without raising the sequence.

--- a/internal/cluster/voting.go
+++ b/internal/cluster/voting.go
@@ -90,10 +90,11 @@
 // completeMembershipChange completes a membership change.
 func (n *Node) completeMembershipChange(ctx context.Context) {
 	for range 2 { // the first pass reduces the members to the new set, the second proposes the value to that set alone
-		if known, _ := n.Known(); !known.Value.Reconfiguring() {
+		known, _ := n.Known()
+		if !known.Value.Reconfiguring() {
 			return
 		}
-		if !n.changeMembers(ctx, "a change of the voters goes on", register.CompleteReconfiguration) {
+		if !n.changeMembers(ctx, "a change of the voters goes on", register.CompleteReconfiguration(known.Value)) {
 			return
 		}
 	}
--- a/internal/planted/control.go
+++ b/internal/planted/control.go
@@ -55,6 +55,8 @@
 	{"control: records after a gap ignored", slotsFile, "containsRecord(rest) {", "false && containsRecord(rest) {", "", ""},
 	{"control: proposed sets not stored", registerRoundFile, "next.Voted = slices.Clone(r.sets)", "next.Voted = nil", "", ""},
 	{"control: move completed without the old set", registerRoundFile, "	next.Voted =", "	if !next.Members.Moving() {\n		r.sets = next.Members.Sets\n	}\n	next.Voted =", "", ""},
+	{"control: value confirmed to other quorums under its sequence", registerRoundFile, "		next.Sequence++\n", "", "", ""},
+	{"control: value confirmed by an earlier release not completed", membersFile, "known.Reconfiguring() && present.Sequence == known.Sequence", "false", "", ""},
 	{"control: value chosen by the new set only", quorumReadFile, "	round := Round{sets: l.value.Quorums()}\n", "	round := Round{sets: l.value.Members.Sets}\n", "", ""},
 	{"control: change of members begun during another one", membersFile, "if present.Reconfiguring() || !from.Equal(present.Members) {", "if !from.Equal(present.Members) {", "", ""},
 	{"control: missed value not learned", settlingFile, "if err := n.replica.learn(known); err != nil {", "if err := error(nil); err != nil || known.Ballot.Counter > 1<<62 {", "", ""},
--- a/internal/register/explore_members_test.go
+++ b/internal/register/explore_members_test.go
@@ -79,7 +79,7 @@
 			b = append(b, '-')
 			continue
 		}
-		b = append(b, byte(r.Phase), byte(r.highestAccepted.Ballot.Counter), byte(len(r.sets)), byte(i))
+		b = append(b, byte(r.Phase), byte(r.highestAccepted.Ballot.Counter), byte(len(r.sets)), byte(r.Value.Sequence), byte(r.known.Ballot.Counter), byte(i))
 		b = append(b, r.Value.Payload...)
 	}
 	parts := make([]string, w.total())
@@ -102,7 +102,7 @@
 func (w *memberState) replicaKey(i int) string {
 	s := w.acceptorStates[i]
 	b := make([]byte, 0, 32)
-	b = append(b, byte(s.Promised.Counter), byte(s.Accepted.Counter), byte(len(s.Value.Voted)))
+	b = append(b, byte(s.Promised.Counter), byte(s.Accepted.Counter), byte(len(s.Value.Voted)), byte(s.Value.Sequence))
 	b = append(b, s.Value.Payload...)
 	for _, ballot := range w.accepted[i] {
 		b = append(b, byte(ballot.Counter))
@@ -169,18 +169,34 @@
 	return c
 }
 
-// chosen returns the payloads of the values accepted by a majority of each set that they were proposed to.
-func (w *memberState) chosen() (out []string) {
+// chosen returns the values accepted by a majority of each set that they were proposed to, by their ballots.
+func (w *memberState) chosen() map[Ballot]Value {
+	out := map[Ballot]Value{}
 	for ballot, v := range w.values {
 		if majorityOfEach(v.Voted, func(r Replica) bool { return slices.Contains(w.accepted[r.Address[0]-'0'], ballot) }) {
-			out = append(out, string(v.Payload))
+			out[ballot] = v
 		}
 	}
 	return out
 }
 
-// exploreMembers visits all states. It returns their number and, if two chosen values disagree, the chosen values.
-func exploreMembers(l layout, plans []plannedRound, limit int) (states int, disagree []string) {
+// disagreement returns two chosen values of which neither is computed from the other, or which were proposed to
+// different sets under one sequence. It returns nil if there are none.
+func disagreement(chosen map[Ballot]Value) []Value {
+	for _, one := range chosen {
+		for _, other := range chosen {
+			first, second := string(one.Payload), string(other.Payload)
+			diverging := !strings.HasPrefix(first, second) && !strings.HasPrefix(second, first)
+			if diverging || one.Sequence == other.Sequence && !sameSets(one.Voted, other.Voted) {
+				return []Value{one, other}
+			}
+		}
+	}
+	return nil
+}
+
+// exploreMembers visits all states. It returns their number and, if two chosen values disagree, these values.
+func exploreMembers(l layout, plans []plannedRound, limit int) (states int, disagree []Value) {
 	members := Single(l.initialVoters()...)
 	start := &memberState{layout: l, accepted: make([][]Ballot, l.total()), rounds: make([]*Round, len(plans)), contacted: make([]uint16, len(plans)),
 		values: map[Ballot]Value{}}
@@ -193,13 +209,8 @@
 	for len(todo) > 0 && len(seen) < limit {
 		w := todo[len(todo)-1]
 		todo = todo[:len(todo)-1]
-		chosen := w.chosen()
-		for _, one := range chosen {
-			for _, other := range chosen {
-				if !strings.HasPrefix(one, other) && !strings.HasPrefix(other, one) {
-					return len(seen), chosen
-				}
-			}
+		if disagree := disagreement(w.chosen()); disagree != nil {
+			return len(seen), disagree
 		}
 		for i := range plans {
 			for at := range l.total() {
@@ -237,6 +248,18 @@
 	return members, Known{Ballot: initialBallot, Value: Value{Members: members}}, true
 }
 
+// fromChosenMembers starts a round of a proposer that knows the newest chosen value, once that names the new members alone.
+func fromChosenMembers(w *memberState) (Members, Known, bool) {
+	newest := Known{}
+	for ballot, v := range w.chosen() {
+		if newest.Ballot.Less(ballot) {
+			newest = Known{Ballot: ballot, Value: v}
+		}
+	}
+	ready := !newest.Value.Members.Moving() && newest.Value.Members.Equal(Single(w.nextVoters()...))
+	return newest.Value.Members, newest, ready
+}
+
 // repairFromOneReplica starts a round from the value that one replica accepted. With loose it uses the sets that the
 // value names instead of those that it was proposed to, which is wrong.
 func repairFromOneReplica(loose bool) func(*memberState) (Members, Known, bool) {
@@ -263,7 +286,28 @@
 }
 
 func finishMove(layout) plannedRound {
-	return plannedRound{"finish move", fromInitialValue, appendName("S", CompleteReconfiguration)}
+	return plannedRound{"finish move", fromInitialValue, appendName("S", completePresent)}
+}
+
+// finishKnownMove is the last step of a change, by a proposer that knows the one before it.
+func finishKnownMove(layout) plannedRound {
+	return plannedRound{"finish known move", fromChosenMembers, appendName("E", completePresent)}
+}
+
+// confirmLate confirms the present value by a proposer that knows only the initial one, as for an order that was
+// accepted before.
+func confirmLate(layout) plannedRound {
+	return plannedRound{"late confirmation", fromInitialValue, keepChange}
+}
+
+// confirmKnown is the same by a proposer that knows the new members.
+func confirmKnown(layout) plannedRound {
+	return plannedRound{"confirmation", fromChosenMembers, keepChange}
+}
+
+// completePresent completes a change that is incomplete at the acceptors.
+func completePresent(present Value) (Value, bool, error) {
+	return CompleteReconfiguration(present)(present)
 }
 
 func changeValue(layout) plannedRound {
@@ -306,17 +350,27 @@
 		"one seat of three: move, operation, repair":            {oneSeatOfThree, rounds{startMove, changeValue, repairValue}},
 		"one seat of three: move, finish, repair and operation": {oneSeatOfThree, rounds{startMove, finishMove, repairValue, changeValue}},
 		"one seat of three: two moves, operation":               {oneSeatOfThree, rounds{startMove, startMove, changeValue}},
-		"three grow to five: move, finish, operation":           {threeGrowToFive, rounds{startMove, finishMove, changeValue}},
-		"three grow to five: move, operation, repair":           {threeGrowToFive, rounds{startMove, changeValue, repairValue}},
-		"five grow to seven: move, finish":                      {fiveGrowToSeven, rounds{startMove, finishMove}},
-		"five grow to seven: move, operation":                   {fiveGrowToSeven, rounds{startMove, changeValue}},
-		"five grow to seven: move, repair":                      {fiveGrowToSeven, rounds{startMove, repairValue}},
-		"two seats of five: move, finish":                       {twoSeatsOfFive, rounds{startMove, finishMove}},
-		"two seats of five: move, operation":                    {twoSeatsOfFive, rounds{startMove, changeValue}},
-		"two seats of five: move, repair":                       {twoSeatsOfFive, rounds{startMove, repairValue}},
-		"two seats of five: move, finish, operation":            {twoSeatsOfFive, rounds{startMove, finishMove, changeValue}},
-		"one seat of five: move, finish, operation":             {oneSeatOfFive, rounds{startMove, finishMove, changeValue}},
-		"five shrink to three: move, operation, repair":         {fiveShrinkToThree, rounds{startMove, changeValue, repairValue}},
+		"one seat of three: move, finish, finish known, late confirmation": {oneSeatOfThree,
+			rounds{startMove, finishMove, finishKnownMove, confirmLate}},
+		"one seat of three: move, finish, confirmation, finish known": {oneSeatOfThree,
+			rounds{startMove, finishMove, confirmKnown, finishKnownMove}},
+		"one seat of three: move, finish, finish known, late confirmation, operation": {oneSeatOfThree,
+			rounds{startMove, finishMove, finishKnownMove, confirmLate, changeValue}},
+		"three grow to five: move, finish, finish known, late confirmation": {threeGrowToFive,
+			rounds{startMove, finishMove, finishKnownMove, confirmLate}},
+		"two seats of five: move, finish, finish known, late confirmation": {twoSeatsOfFive,
+			rounds{startMove, finishMove, finishKnownMove, confirmLate}},
+		"three grow to five: move, finish, operation":   {threeGrowToFive, rounds{startMove, finishMove, changeValue}},
+		"three grow to five: move, operation, repair":   {threeGrowToFive, rounds{startMove, changeValue, repairValue}},
+		"five grow to seven: move, finish":              {fiveGrowToSeven, rounds{startMove, finishMove}},
+		"five grow to seven: move, operation":           {fiveGrowToSeven, rounds{startMove, changeValue}},
+		"five grow to seven: move, repair":              {fiveGrowToSeven, rounds{startMove, repairValue}},
+		"two seats of five: move, finish":               {twoSeatsOfFive, rounds{startMove, finishMove}},
+		"two seats of five: move, operation":            {twoSeatsOfFive, rounds{startMove, changeValue}},
+		"two seats of five: move, repair":               {twoSeatsOfFive, rounds{startMove, repairValue}},
+		"two seats of five: move, finish, operation":    {twoSeatsOfFive, rounds{startMove, finishMove, changeValue}},
+		"one seat of five: move, finish, operation":     {oneSeatOfFive, rounds{startMove, finishMove, changeValue}},
+		"five shrink to three: move, operation, repair": {fiveShrinkToThree, rounds{startMove, changeValue, repairValue}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/register/round.go
+++ b/internal/register/round.go
@@ -15,7 +15,8 @@
 
 // Change computes the next value from the present one. It is called at most once per round. If it returns an error, the
 // present value does not change; if keep is true as well, the round still has the present value chosen, so that the
-// error rests on a value that a quorum has stored.
+// error rests on a value that a quorum has stored. A value that is kept gets the next sequence if the round proposes it
+// to other quorums than before: brokers tell values apart by their sequence.
 type Change func(present Value) (next Value, keep bool, err error)
 
 // Known is a value that the proposer has, with the ballot under which it was accepted.
@@ -103,16 +104,20 @@
 
 // propose starts the second phase with the value computed from the one with the highest ballot.
 func (r *Round) propose() []Accept {
-	next, keep, err := r.change(r.highestAccepted.Value)
+	present := r.highestAccepted.Value
+	next, keep, err := r.change(present)
 	if r.Err = err; err != nil {
 		if !keep {
 			r.Phase = Refused
 			return nil
 		}
-		next = r.highestAccepted.Value
+		next = present
 	}
 	r.addSets(next.Members)
 	next.Voted = slices.Clone(r.sets)
+	if next.Sequence == present.Sequence && r.changesQuorums(present) {
+		next.Sequence++
+	}
 	r.Value, r.Phase = next, Accepting
 	var out []Accept
 	for _, to := range r.allReplicas() {
@@ -121,6 +126,20 @@
 	return out
 }
 
+// changesQuorums reports whether the round proposes to other sets than the present value was proposed to. It is false for
+// the first value of a register.
+func (r *Round) changesQuorums(present Value) bool {
+	return len(present.Members.Sets) > 0 && !sameSets(r.sets, present.Quorums())
+}
+
+// sameSets reports whether two lists contain the same sets, in any order.
+func sameSets(a, b [][]Replica) bool {
+	contains := func(sets [][]Replica, set []Replica) bool {
+		return slices.ContainsFunc(sets, func(other []Replica) bool { return slices.Equal(set, other) })
+	}
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(set []Replica) bool { return !contains(b, set) })
+}
+
 // Accepted handles an answer of the second phase.
 func (r *Round) Accepted(m Accepted) {
 	if r.Phase != Accepting || m.Foreign {
--- a/internal/voters/histories_test.go
+++ b/internal/voters/histories_test.go
@@ -74,12 +74,15 @@
 	faults             injectedFaults
 	loss               float64
 	slow               bool
-	maxLost            int // simultaneous losses
+	repeats            bool // the operator sends accepted orders again
+	maxLost            int  // simultaneous losses
 	now                time.Duration
 	nodes              []*node
 	lastID             uint64
 	parent             map[string]string // of a proposed value, by its key
 	chosen             map[uint64]string // key of a chosen value, by sequence
+	present            string            // key of the value that the last change was computed from
+	quorums            map[uint64]string // the sets that a chosen value was proposed to, by sequence
 	acknowledged       []string          // keys of values acknowledged to the operator
 	recoveryTimes      []time.Duration   // from the end of a loss until the fleet has recovered
 	recoveringSince    time.Duration     // when the last loss ended; 0: the fleet has recovered since
@@ -92,7 +95,7 @@
 }
 
 func newSimulation(seed uint64, nodes, maxLost int, faults injectedFaults, loss float64, slow bool) *simulation {
-	m := &simulation{maxLost: maxLost, rng: rand.New(rand.NewPCG(seed, 11)), faults: faults, loss: loss, slow: slow, parent: map[string]string{}, chosen: map[uint64]string{}}
+	m := &simulation{maxLost: maxLost, rng: rand.New(rand.NewPCG(seed, 11)), faults: faults, loss: loss, slow: slow, parent: map[string]string{}, chosen: map[uint64]string{}, quorums: map[uint64]string{}}
 	var met []voters.Machine
 	for i := range nodes {
 		b := m.addNode(string(rune('a' + i)))
@@ -266,7 +269,7 @@
 	}
 	change := register.Reconfigure(members, next)
 	if b.known.Value.Reconfiguring() {
-		change = register.CompleteReconfiguration
+		change = register.CompleteReconfiguration(b.known.Value)
 	}
 	if m.faults.newSetOnly && !b.known.Value.Reconfiguring() {
 		change = func(v register.Value) (register.Value, bool, error) {
@@ -275,7 +278,7 @@
 	}
 	m.propose(b, members, b.known, change, nil, true)
 	if m.faults.newSetOnly && b.round != nil {
-		b.round.round = register.NewRound(b.round.round.Ballot, register.Single(next...), b.known, m.recordParent(change))
+		b.round.round = register.NewRound(b.round.round.Ballot, register.Single(next...), b.known, m.recordPresent(change))
 		b.round.prepares = b.round.round.Prepares()
 	}
 }
@@ -302,14 +305,18 @@
 
 func (m *simulation) clock() time.Time { return time.Unix(0, 0).Add(m.now) }
 
-// recordParent wraps a change so that the parent of each proposed value is recorded.
-func (m *simulation) recordParent(change register.Change) register.Change {
+// recordPresent wraps a change so that the value that it is computed from is recorded.
+func (m *simulation) recordPresent(change register.Change) register.Change {
 	return func(present register.Value) (register.Value, bool, error) {
-		next, keep, err := change(present)
-		if key(next) != key(present) {
-			m.parent[key(next)] = key(present)
-		}
-		return next, keep, err
+		m.present = key(present)
+		return change(present)
+	}
+}
+
+// recordParent records the value that a proposed value was computed from.
+func (m *simulation) recordParent(proposed register.Value) {
+	if k := key(proposed); k != m.present {
+		m.parent[k] = m.present
 	}
 }
 
@@ -318,7 +325,7 @@
 		return
 	}
 	b.counter = max(b.counter, known.Ballot.Counter) + 1
-	round := register.NewRound(register.Ballot{Counter: b.counter, Proposer: b.proposer}, members, known, m.recordParent(change))
+	round := register.NewRound(register.Ballot{Counter: b.counter, Proposer: b.proposer}, members, known, m.recordPresent(change))
 	b.round = &attempt{round: round, startedAt: m.now, prepares: round.Prepares(), done: done, byVoter: byVoter}
 }
 
@@ -336,7 +343,11 @@
 		if m.rng.IntN(40) == 0 {
 			return false
 		}
-		a.accepts = append(a.accepts, a.round.Promise(promise)...)
+		accepts := a.round.Promise(promise)
+		if len(accepts) > 0 {
+			m.recordParent(a.round.Value)
+		}
+		a.accepts = append(a.accepts, accepts...)
 		return true
 	})
 	a.accepts = slices.DeleteFunc(a.accepts, func(p register.Accept) bool {
@@ -377,6 +388,12 @@
 		return
 	}
 	m.chosen[v.Sequence] = k
+	quorums := describeSets(v.Voted)
+	if earlier, was := m.quorums[v.Sequence]; was && earlier != quorums {
+		m.err = fmt.Errorf("%v: sequence %d was proposed to %s and to %s", m.now, v.Sequence, earlier, quorums)
+		return
+	}
+	m.quorums[v.Sequence] = quorums
 	if before, was := m.chosen[v.Sequence-1]; v.Sequence > 0 && was && m.parent[k] != before {
 		m.err = fmt.Errorf("%v: %s was computed from %s, but %s was chosen", m.now, k, m.parent[k], before)
 		return
@@ -410,6 +427,25 @@
 	round = b.round
 }
 
+// repeatOrder submits an order at a random machine that was accepted before: it confirms the present value.
+func (m *simulation) repeatOrder() {
+	b := m.nodes[m.rng.IntN(len(m.nodes))]
+	if !b.up {
+		return
+	}
+	m.propose(b, b.known.Value.Members, b.known, func(v register.Value) (register.Value, bool, error) { return v, true, nil }, nil, false)
+}
+
+// describeSets describes sets in an order that does not depend on theirs.
+func describeSets(sets [][]register.Replica) string {
+	var out []string
+	for _, set := range sets {
+		out = append(out, fmt.Sprint(set))
+	}
+	slices.Sort(out)
+	return fmt.Sprint(out)
+}
+
 // lostCount counts the machines that count as lost now.
 func (m *simulation) lostCount() (n int) {
 	for _, b := range m.nodes {
@@ -464,6 +500,9 @@
 		if m.rng.IntN(12) == 0 {
 			m.submitOrder()
 		}
+		if m.repeats && m.rng.IntN(3) == 0 {
+			m.repeatOrder()
+		}
 		m.step()
 	}
 }
@@ -610,13 +649,21 @@
 	}
 }
 
+// conditions apply to a whole history.
+type conditions struct {
+	loss    float64 // share of the messages that are lost
+	slow    bool    // disks are slow
+	repeats bool    // the operator sends accepted orders again
+}
+
 // runHistory runs one history: three losses, each as early as the rules allow, then finish.
-func runHistory(seed uint64, faults injectedFaults, loss float64, slow bool) *simulation {
+func runHistory(seed uint64, faults injectedFaults, network conditions) *simulation {
 	nodes, maxLost := 3+int(seed%5), 1
 	if nodes >= 5 && seed%2 == 0 {
 		maxLost = 2
 	}
-	m := newSimulation(seed, nodes, maxLost, faults, loss, slow)
+	m := newSimulation(seed, nodes, maxLost, faults, network.loss, network.slow)
+	m.repeats = network.repeats
 	for range 3 {
 		for m.lostCount() >= maxLost && m.err == nil {
 			m.advanceTime(tick)
@@ -640,22 +687,19 @@
 	if testing.Short() {
 		histories = 500
 	}
-	for _, c := range []struct {
-		loss float64
-		slow bool
-	}{{0, false}, {0.05, false}, {0.2, false}, {0, true}} {
-		t.Run(fmt.Sprintf("loss %.2f, slow disks %t", c.loss, c.slow), func(t *testing.T) {
+	for _, c := range []conditions{{}, {loss: 0.05}, {loss: 0.2}, {slow: true}, {repeats: true}} {
+		t.Run(fmt.Sprintf("loss %.2f, slow disks %t, repeated orders %t", c.loss, c.slow, c.repeats), func(t *testing.T) {
 			t.Parallel()
-			runHistories(t, histories/4, c.loss, c.slow)
+			runHistories(t, histories/4, c)
 		})
 	}
 }
 
-func runHistories(t *testing.T, histories int, loss float64, slow bool) {
+func runHistories(t *testing.T, histories int, network conditions) {
 	var recoveryTimes, partitionLatencies []time.Duration
 	orders := 0
 	for seed := range histories {
-		m := runHistory(uint64(seed), injectedFaults{}, loss, slow)
+		m := runHistory(uint64(seed), injectedFaults{}, network)
 		if m.err != nil {
 			t.Fatalf("seed %d: %v", seed, m.err)
 		}
@@ -681,7 +725,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(10000) {
-				if m := runHistory(seed, faults, 0.05, false); m.err != nil {
+				if m := runHistory(seed, faults, conditions{loss: 0.05}); m.err != nil {
 					t.Logf("detected by history %d: %v", seed, m.err)
 					return
 				}
