A completed change of the voters no longer needs the former voters again

Cause: a round had its value accepted by all sets that it had read from, also where the value that it found shows that the change away from the former set is complete. After the restart the value counts as chosen, or can be settled, only with a majority of the former set.

Change: the second phase leaves out former sets if the value that was read is complete.

--- a/internal/register/round.go
+++ b/internal/register/round.go
@@ -113,6 +113,7 @@
 		}
 		next = present
 	}
+	r.dropFormerSets(present)
 	r.addSets(next.Members)
 	next.Voted = slices.Clone(r.sets)
 	if next.Sequence == present.Sequence && r.changesQuorums(present) {
@@ -126,6 +127,15 @@
 	return out
 }
 
+// dropFormerSets limits the second phase to the members of the present value if their last change is complete. Its
+// proposer knew that the value that names them alone was chosen, so every later round that begins with a former set
+// reads that value, or a newer one, and goes on to these members.
+func (r *Round) dropFormerSets(present Value) {
+	if len(present.Members.Sets) > 0 && !present.Reconfiguring() {
+		r.sets = slices.Clone(present.Members.Sets)
+	}
+}
+
 // changesQuorums reports whether the round proposes to other sets than the present value was proposed to. It is false for
 // the first value of a register.
 func (r *Round) changesQuorums(present Value) bool {
--- a/internal/router/repeated_orders_test.go
+++ b/internal/router/repeated_orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -91,3 +92,54 @@
 		}
 	}
 }
+
+// TestLateConfirmationBeforeALossOfPower guards against a completed change of the voters that needs its former set again:
+// a broker that was isolated during the change confirms the register's value as soon as it is back. Right after that, or
+// later, another disk is lost while all machines lose power. The configuration must be readable with the remaining disks.
+func TestLateConfirmationBeforeALossOfPower(t *testing.T) {
+	for lost := range 3 {
+		for _, pause := range []time.Duration{0, 2 * catchUpTime} {
+			t.Run(fmt.Sprintf("disk %d is lost after %v", lost, pause), func(t *testing.T) {
+				inBubble(t, func(t *testing.T) {
+					w, operator := startedFleet(t, 710, 4, 3)
+					late := w.machines[3]
+					w.isolate(late, true)
+					w.kill(w.machines[0], false)
+					time.Sleep(time.Second)
+					w.restart(w.machines[0], true)
+					time.Sleep(catchUpTime)
+					w.expectReplaced(w.machines[0])
+					w.isolate(late, false)
+					if status, _ := w.sendConfiguration(late, 0, 1, configurationOf(1, "")); status != http.StatusOK {
+						w.failf("the accepted order, sent again, got %d", status)
+					}
+					time.Sleep(pause)
+					for _, m := range w.machines {
+						w.kill(m, true)
+					}
+					time.Sleep(time.Second)
+					for at, m := range w.machines {
+						w.restart(m, at == lost)
+					}
+					time.Sleep(catchUpTime)
+					w.readEverywhere(configurationOf(1, ""))
+					w.mustConfigure(operator, 1, 2)
+					w.shutdown()
+				})
+			})
+		}
+	}
+}
+
+// expectReplaced checks that the machines with a disk know the new disk of one of them as a voter.
+func (w *simFleet) expectReplaced(m *machine) {
+	id, _, _ := m.broker.node.Replica()
+	for _, other := range w.machines {
+		if !other.core {
+			continue
+		}
+		if known, _ := other.broker.node.Known(); known.Value.Reconfiguring() || !known.Value.Members.Has(id) {
+			w.failf("%s does not know the new disk of %s as a voter", other.name, m.name)
+		}
+	}
+}
