Loss histories: lost addresses of voters are probed, repeated orders beside lost messages

The simulation did not probe a machine that is gone if its last disk was no voter, also while the disk before that one still was. The program probes every address of the voters (Node.probe).

--- a/internal/voters/histories_test.go
+++ b/internal/voters/histories_test.go
@@ -228,7 +228,7 @@
 
 func (m *simulation) probe(b *node) {
 	for _, other := range m.nodes {
-		if other.gone && !b.known.Value.Members.Has(other.acceptor.Self) {
+		if other.gone && !slices.Contains(b.known.Value.Members.Addresses(), other.address) {
 			continue
 		}
 		if m.reaches(b, other) && (m.rng.Float64() >= m.loss*m.loss) {
@@ -688,7 +688,7 @@
 	if testing.Short() {
 		histories = 500
 	}
-	for _, c := range []conditions{{}, {loss: 0.05}, {loss: 0.2}, {slow: true}, {repeats: true}} {
+	for _, c := range []conditions{{}, {loss: 0.05}, {loss: 0.2}, {slow: true}, {repeats: true}, {loss: 0.05, repeats: true}} {
 		t.Run(fmt.Sprintf("loss %.2f, slow disks %t, repeated orders %t", c.loss, c.slow, c.repeats), func(t *testing.T) {
 			t.Parallel()
 			runHistories(t, histories/4, c)
