--- a/internal/cluster/liveness.go
+++ b/internal/cluster/liveness.go
@@ -43,7 +43,7 @@
 	n.mu.Unlock()
 	n.Publish(record)
 	select {
-	case n.reviewRequested <- struct{}{}: // its seat as a voter is handed over at once
+	case n.reviewRequested <- struct{}{}: // its vote is handed over at once
 	default:
 	}
 }
--- a/internal/cluster/settling.go
+++ b/internal/cluster/settling.go
@@ -37,7 +37,7 @@
 }
 
 // learnValues makes the replica store each chosen value, whether the replica votes or not. A voter that missed an
-// Accept catches up without waiting for a change, and a learner is ready to take a seat.
+// Accept catches up without waiting for a change, and a learner is ready to become a voter.
 func (n *Node) learnValues(ctx context.Context) {
 	for {
 		known, changed := n.Known()
--- a/internal/cluster/voting.go
+++ b/internal/cluster/voting.go
@@ -121,7 +121,7 @@
 		replica := register.Replica{Address: address, Disk: member.Disk}
 		if !known.Value.Members.Has(replica) {
 			learner := n.machine(member, replica, now)
-			learner.Settled = learner.Settled && allKnow // an earlier release would remove the added seat again
+			learner.Settled = learner.Settled && allKnow // an earlier release would remove the added voter again
 			learners = append(learners, learner)
 		}
 	}
--- a/internal/planted/control.go
+++ b/internal/planted/control.go
@@ -87,7 +87,7 @@
 var controlProofs = []Proof{
 	{Name: "voter tests", Package: "./internal/voters", Args: []string{"-test.run=TestPlan|TestFirst|TestGreaterHalf|TestUpToDate", "-test.timeout=120s"}, FaultPrefix: "control: "},
 	{Name: "loss histories", Package: "./internal/voters", Args: []string{"-test.run=TestHistoriesOfLosses", "-test.short", "-test.timeout=300s"}, FaultPrefix: "control: "},
-	{Name: "states of a move", Package: "./internal/register", Args: []string{"-test.run=TestEveryOrderOfAMove|TestLook|TestReconfigure|TestConfirmation|TestCompletion", "-test.short", "-test.timeout=300s"}, FaultPrefix: "control: "},
+	{Name: "states of a move", Package: "./internal/register", Args: []string{"-test.run=TestEveryOrderOfAReconfiguration|TestLook|TestReconfigure|TestConfirmation|TestCompletion", "-test.short", "-test.timeout=300s"}, FaultPrefix: "control: "},
 	{Name: "fleet in virtual time", Package: "./internal/router", Args: []string{"-test.run=CutOff|HeardOf|Unknown|TakenOnce|Replaced|Whole|Leaving|Hundreds|LateConfirmation", "-test.timeout=300s"}, FaultPrefix: "control: "},
 	{Name: "old weights", Package: "./internal/router", Args: []string{"-test.run=TestOldWeights", "-test.timeout=120s"}, FaultPrefix: "control: "},
 	{Name: "reused addresses", Package: "./internal/router", Args: []string{"-test.run=TestAddressesUsedAgain", "-test.timeout=120s"}, FaultPrefix: "control: "},
--- a/internal/register/explore_members_test.go
+++ b/internal/register/explore_members_test.go
@@ -281,17 +281,17 @@
 
 // The rounds that the models combine.
 
-func startMove(l layout) plannedRound {
-	return plannedRound{"move", fromInitialValue, appendName("J", Reconfigure(Single(l.initialVoters()...), l.nextVoters()))}
+func beginReconfiguration(l layout) plannedRound {
+	return plannedRound{"begin", fromInitialValue, appendName("J", Reconfigure(Single(l.initialVoters()...), l.nextVoters()))}
 }
 
-func finishMove(layout) plannedRound {
-	return plannedRound{"finish move", fromInitialValue, appendName("S", completePresent)}
+func finishReconfiguration(layout) plannedRound {
+	return plannedRound{"finish", fromInitialValue, appendName("S", completePresent)}
 }
 
-// finishKnownMove is the last step of a change, by a proposer that knows the one before it.
-func finishKnownMove(layout) plannedRound {
-	return plannedRound{"finish known move", fromChosenMembers, appendName("E", completePresent)}
+// finishKnown is the last step of a change, by a proposer that knows the one before it.
+func finishKnown(layout) plannedRound {
+	return plannedRound{"finish known", fromChosenMembers, appendName("E", completePresent)}
 }
 
 // confirmLate confirms the present value by a proposer that knows only the initial one, as for an order that was
@@ -324,53 +324,53 @@
 
 // maxStates bounds the exploration of the models with three voters; all but one finish below it. Each run explores
 // larger models up to maxLargeModelStates; to go further, run
-// go test ./internal/register -run TestEveryOrderOfAMove -explore.states 5000000.
+// go test ./internal/register -run TestEveryOrderOfAReconfiguration -explore.states 5000000.
 var (
 	maxStates           = 2_000_000
-	maxLargeModelStates = flag.Int("explore.states", 250_000, "maximum number of states to explore in each larger model of TestEveryOrderOfAMove")
+	maxLargeModelStates = flag.Int("explore.states", 250_000, "maximum number of states to explore in each larger model of TestEveryOrderOfAReconfiguration")
 )
 
 var (
-	oneSeatOfThree    = layout{staying: 2, leaving: 1, joining: 1}
+	replaceOneOfThree = layout{staying: 2, leaving: 1, joining: 1}
 	threeGrowToFive   = layout{staying: 3, joining: 2}
 	fiveGrowToSeven   = layout{staying: 5, joining: 2}
-	twoSeatsOfFive    = layout{staying: 3, leaving: 2, joining: 2}
-	oneSeatOfFive     = layout{staying: 4, leaving: 1, joining: 1}
+	replaceTwoOfFive  = layout{staying: 3, leaving: 2, joining: 2}
+	replaceOneOfFive  = layout{staying: 4, leaving: 1, joining: 1}
 	fiveShrinkToThree = layout{staying: 3, leaving: 2}
 )
 
-func TestEveryOrderOfAMove(t *testing.T) {
+func TestEveryOrderOfAReconfiguration(t *testing.T) {
 	type rounds []func(layout) plannedRound
 	for name, model := range map[string]struct {
 		layout   layout
 		attempts rounds
 	}{
-		"one seat of three: move, finish, operation":            {oneSeatOfThree, rounds{startMove, finishMove, changeValue}},
-		"one seat of three: move, finish, repair":               {oneSeatOfThree, rounds{startMove, finishMove, repairValue}},
-		"one seat of three: move, operation, repair":            {oneSeatOfThree, rounds{startMove, changeValue, repairValue}},
-		"one seat of three: move, finish, repair and operation": {oneSeatOfThree, rounds{startMove, finishMove, repairValue, changeValue}},
-		"one seat of three: two moves, operation":               {oneSeatOfThree, rounds{startMove, startMove, changeValue}},
-		"one seat of three: move, finish, finish known, late confirmation": {oneSeatOfThree,
-			rounds{startMove, finishMove, finishKnownMove, confirmLate}},
-		"one seat of three: move, finish, confirmation, finish known": {oneSeatOfThree,
-			rounds{startMove, finishMove, confirmKnown, finishKnownMove}},
-		"one seat of three: move, finish, finish known, late confirmation, operation": {oneSeatOfThree,
-			rounds{startMove, finishMove, finishKnownMove, confirmLate, changeValue}},
-		"three grow to five: move, finish, finish known, late confirmation": {threeGrowToFive,
-			rounds{startMove, finishMove, finishKnownMove, confirmLate}},
-		"two seats of five: move, finish, finish known, late confirmation": {twoSeatsOfFive,
-			rounds{startMove, finishMove, finishKnownMove, confirmLate}},
-		"three grow to five: move, finish, operation":   {threeGrowToFive, rounds{startMove, finishMove, changeValue}},
-		"three grow to five: move, operation, repair":   {threeGrowToFive, rounds{startMove, changeValue, repairValue}},
-		"five grow to seven: move, finish":              {fiveGrowToSeven, rounds{startMove, finishMove}},
-		"five grow to seven: move, operation":           {fiveGrowToSeven, rounds{startMove, changeValue}},
-		"five grow to seven: move, repair":              {fiveGrowToSeven, rounds{startMove, repairValue}},
-		"two seats of five: move, finish":               {twoSeatsOfFive, rounds{startMove, finishMove}},
-		"two seats of five: move, operation":            {twoSeatsOfFive, rounds{startMove, changeValue}},
-		"two seats of five: move, repair":               {twoSeatsOfFive, rounds{startMove, repairValue}},
-		"two seats of five: move, finish, operation":    {twoSeatsOfFive, rounds{startMove, finishMove, changeValue}},
-		"one seat of five: move, finish, operation":     {oneSeatOfFive, rounds{startMove, finishMove, changeValue}},
-		"five shrink to three: move, operation, repair": {fiveShrinkToThree, rounds{startMove, changeValue, repairValue}},
+		"one of three replaced: begin, finish, operation":            {replaceOneOfThree, rounds{beginReconfiguration, finishReconfiguration, changeValue}},
+		"one of three replaced: begin, finish, repair":               {replaceOneOfThree, rounds{beginReconfiguration, finishReconfiguration, repairValue}},
+		"one of three replaced: begin, operation, repair":            {replaceOneOfThree, rounds{beginReconfiguration, changeValue, repairValue}},
+		"one of three replaced: begin, finish, repair and operation": {replaceOneOfThree, rounds{beginReconfiguration, finishReconfiguration, repairValue, changeValue}},
+		"one of three replaced: begin twice, operation":              {replaceOneOfThree, rounds{beginReconfiguration, beginReconfiguration, changeValue}},
+		"one of three replaced: begin, finish, finish known, late confirmation": {replaceOneOfThree,
+			rounds{beginReconfiguration, finishReconfiguration, finishKnown, confirmLate}},
+		"one of three replaced: begin, finish, confirmation, finish known": {replaceOneOfThree,
+			rounds{beginReconfiguration, finishReconfiguration, confirmKnown, finishKnown}},
+		"one of three replaced: begin, finish, finish known, late confirmation, operation": {replaceOneOfThree,
+			rounds{beginReconfiguration, finishReconfiguration, finishKnown, confirmLate, changeValue}},
+		"three grow to five: begin, finish, finish known, late confirmation": {threeGrowToFive,
+			rounds{beginReconfiguration, finishReconfiguration, finishKnown, confirmLate}},
+		"two of five replaced: begin, finish, finish known, late confirmation": {replaceTwoOfFive,
+			rounds{beginReconfiguration, finishReconfiguration, finishKnown, confirmLate}},
+		"three grow to five: begin, finish, operation":   {threeGrowToFive, rounds{beginReconfiguration, finishReconfiguration, changeValue}},
+		"three grow to five: begin, operation, repair":   {threeGrowToFive, rounds{beginReconfiguration, changeValue, repairValue}},
+		"five grow to seven: begin, finish":              {fiveGrowToSeven, rounds{beginReconfiguration, finishReconfiguration}},
+		"five grow to seven: begin, operation":           {fiveGrowToSeven, rounds{beginReconfiguration, changeValue}},
+		"five grow to seven: begin, repair":              {fiveGrowToSeven, rounds{beginReconfiguration, repairValue}},
+		"two of five replaced: begin, finish":            {replaceTwoOfFive, rounds{beginReconfiguration, finishReconfiguration}},
+		"two of five replaced: begin, operation":         {replaceTwoOfFive, rounds{beginReconfiguration, changeValue}},
+		"two of five replaced: begin, repair":            {replaceTwoOfFive, rounds{beginReconfiguration, repairValue}},
+		"two of five replaced: begin, finish, operation": {replaceTwoOfFive, rounds{beginReconfiguration, finishReconfiguration, changeValue}},
+		"one of five replaced: begin, finish, operation": {replaceOneOfFive, rounds{beginReconfiguration, finishReconfiguration, changeValue}},
+		"five shrink to three: begin, operation, repair": {fiveShrinkToThree, rounds{beginReconfiguration, changeValue, repairValue}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -379,7 +379,7 @@
 				plans = append(plans, plan(model.layout))
 			}
 			limit := maxStates
-			if model.layout != oneSeatOfThree {
+			if model.layout != replaceOneOfThree {
 				limit = min(limit, *maxLargeModelStates)
 			}
 			if testing.Short() {
@@ -397,9 +397,9 @@
 // TestLooseRepairIsFound checks that the exploration finds a repair that wrongly uses only the sets that a value names,
 // not all those that it was proposed to.
 func TestLooseRepairIsFound(t *testing.T) {
-	for name, l := range map[string]layout{"one seat of three": oneSeatOfThree, "three grow to five": threeGrowToFive} {
+	for name, l := range map[string]layout{"one of three replaced": replaceOneOfThree, "three grow to five": threeGrowToFive} {
 		t.Run(name, func(t *testing.T) {
-			plans := []plannedRound{startMove(l), finishMove(l), looseRepair(l), changeValue(l)}
+			plans := []plannedRound{beginReconfiguration(l), finishReconfiguration(l), looseRepair(l), changeValue(l)}
 			states, disagree := exploreMembers(l, plans, 20_000_000)
 			if disagree == nil {
 				t.Fatalf("no disagreement found in %d states", states)
--- a/internal/voters/voters.go
+++ b/internal/voters/voters.go
@@ -27,7 +27,7 @@
 	Regions  int
 }
 
-// lostFraction is the fraction of the catch-up time for which a silent voter keeps its seat: long enough for a process
+// lostFraction is the fraction of the catch-up time for which a silent voter keeps its vote: long enough for a process
 // that restarts at once, short enough that its successor becomes a voter within the catch-up time.
 const lostFraction = 0.35
 
