A round reads the sets that an undecided value was proposed to

Five voters or more and two changes of the voters in a row: a proposer that knows the voters from before both finds a value that the second change has left undecided at one replica. It read from the sets that this value names and from its own, not from the set between, which meanwhile chooses an acknowledged operation.

Cause: Round added the sets that a value names, not those that it was proposed to. A broken promise is ruled out: the acceptors of the test lose nothing.

Change: the sets that a value was proposed to are read too, unless the value is not newer than the one that the proposer knows to be chosen.

--- a/internal/planted/control.go
+++ b/internal/planted/control.go
@@ -59,6 +59,7 @@
 	{"control: value confirmed to other quorums under its sequence", registerRoundFile, "		next.Sequence++\n", "", "", ""},
 	{"control: former voters needed for a complete value", registerRoundFile, "	r.dropFormerSets(present)\n", "", "", ""},
 	{"control: replica judged by its ballot alone", detectorFile, " || v.Sequence > 0 && v.Sequence >= chosen.Sequence", "", "", ""},
+	{"control: sets of an undecided value not read", registerRoundFile, "		r.addSets(value.Quorums())\n", "", "", ""},
 	{"control: value confirmed by an earlier release not completed", membersFile, "known.Reconfiguring() && present.Sequence == known.Sequence", "false", "", ""},
 	{"control: value chosen by the new set only", quorumReadFile, "	round := Round{sets: l.value.Quorums()}\n", "	round := Round{sets: l.value.Members.Sets}\n", "", ""},
 	{"control: change of members begun during another one", membersFile, "if present.Reconfiguring() || !from.Equal(present.Members) {", "if !from.Equal(present.Members) {", "", ""},
@@ -87,7 +88,7 @@
 var controlProofs = []Proof{
 	{Name: "voter tests", Package: "./internal/voters", Args: []string{"-test.run=TestPlan|TestFirst|TestGreaterHalf|TestUpToDate", "-test.timeout=120s"}, FaultPrefix: "control: "},
 	{Name: "loss histories", Package: "./internal/voters", Args: []string{"-test.run=TestHistoriesOfLosses", "-test.short", "-test.timeout=300s"}, FaultPrefix: "control: "},
-	{Name: "states of a move", Package: "./internal/register", Args: []string{"-test.run=TestEveryOrderOfAReconfiguration|TestLook|TestReconfigure|TestConfirmation|TestCompletion", "-test.short", "-test.timeout=300s"}, FaultPrefix: "control: "},
+	{Name: "states of a move", Package: "./internal/register", Args: []string{"-test.run=TestEveryOrderOfAReconfiguration|TestLook|TestReconfigure|TestConfirmation|TestCompletion|TestRoundReads", "-test.short", "-test.timeout=300s"}, FaultPrefix: "control: "},
 	{Name: "fleet in virtual time", Package: "./internal/router", Args: []string{"-test.run=CutOff|HeardOf|Unknown|TakenOnce|Replaced|Whole|Leaving|Hundreds|LateConfirmation", "-test.timeout=300s"}, FaultPrefix: "control: "},
 	{Name: "old weights", Package: "./internal/router", Args: []string{"-test.run=TestOldWeights", "-test.timeout=120s"}, FaultPrefix: "control: "},
 	{Name: "reused addresses", Package: "./internal/router", Args: []string{"-test.run=TestAddressesUsedAgain", "-test.timeout=120s"}, FaultPrefix: "control: "},
--- a/internal/register/members_test.go
+++ b/internal/register/members_test.go
@@ -1,6 +1,9 @@
 package register
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 func fourReplicasThreeVoters() ([]Replica, Members) {
 	replicas := []Replica{{"a", 1}, {"b", 1}, {"c", 1}, {"d", 1}}
@@ -79,6 +82,72 @@
 	return r
 }
 
+// decideAmong is decide with the replicas that are reached in each phase, in the order of their answers.
+func decideAmong(acceptors map[Replica]*Acceptor, r *Round, preparing, accepting []Replica) {
+	deliverAccepts(acceptors, r, prepareAmong(acceptors, r, preparing), accepting)
+}
+
+// prepareAmong delivers the first phase of a round to some replicas and returns the messages of the second.
+func prepareAmong(acceptors map[Replica]*Acceptor, r *Round, reached []Replica) (accepts []Accept) {
+	for prepares := r.Prepares(); len(prepares) > 0; prepares = r.Prepares() {
+		for _, to := range reached {
+			for _, m := range prepares {
+				if m.To == to {
+					accepts = append(accepts, r.Promise(acceptors[to].Prepare(m))...)
+				}
+			}
+		}
+	}
+	return accepts
+}
+
+func deliverAccepts(acceptors map[Replica]*Acceptor, r *Round, accepts []Accept, reached []Replica) {
+	for _, m := range accepts {
+		if slices.Contains(reached, m.To) {
+			r.Accepted(acceptors[m.To].Accept(m))
+		}
+	}
+}
+
+// TestRoundReadsTheSetsOfAnUndecidedValue guards against two chosen values: a proposer that knows the members from before
+// two changes finds a value that the second change has left undecided, and must also read from the set between.
+func TestRoundReadsTheSetsOfAnUndecidedValue(t *testing.T) {
+	var replicas []Replica
+	for _, address := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		replicas = append(replicas, Replica{address, 1})
+	}
+	a, b, c, d, e, f, g := replicas[0], replicas[1], replicas[2], replicas[3], replicas[4], replicas[5], replicas[6]
+	three, five := Single(a, b, c), []Replica{a, b, c, d, e}
+	initial := Known{Ballot: Ballot{Counter: 1}, Value: Value{Sequence: 1, Members: three}}
+	acceptors := map[Replica]*Acceptor{}
+	for _, r := range replicas {
+		acceptors[r] = &Acceptor{Self: r, State: State{Promised: initial.Ballot, Accepted: initial.Ballot, Value: initial.Value}, Persist: func(State) error { return nil }}
+	}
+	known := initial
+	for step, change := range []Change{Reconfigure(three, five), completePresent, completePresent} {
+		round := decide(acceptors, Ballot{Counter: uint64(2 + step)}, known, change)
+		known = Known{Ballot: round.Ballot, Value: round.Value}
+	}
+	round := func(counter uint64, known Known, change Change) *Round {
+		return NewRound(Ballot{Counter: counter}, known.Value.Members, known, change)
+	}
+	// The change to seven members: its first two values reach one replica.
+	decideAmong(acceptors, round(10, known, Reconfigure(known.Value.Members, replicas)), five, []Replica{a})
+	decideAmong(acceptors, round(11, known, completePresent), []Replica{a, b, c, f, g}, []Replica{a})
+	// A proposer that knows the first three members gets its promises; meanwhile five members choose an operation.
+	late := round(20, initial, keepChange)
+	accepts := prepareAmong(acceptors, late, []Replica{a, b, f, g})
+	operation := round(15, known, incrementChange)
+	decideAmong(acceptors, operation, []Replica{c, d, e}, []Replica{c, d, e})
+	deliverAccepts(acceptors, late, accepts, []Replica{a, b, f, g})
+	if operation.Phase != Chosen {
+		t.Fatalf("the operation was not chosen: phase %d", operation.Phase)
+	}
+	if late.Phase == Chosen {
+		t.Errorf("two values are chosen: %+v and %+v", operation.Value, late.Value)
+	}
+}
+
 // changedMembers moves the vote from three acceptors to a set with the fourth. It returns the acceptors and the values of
 // the change: the initial one, the one that names both sets, the one that names the new set and the one proposed to that set
 // alone.
--- a/internal/register/round.go
+++ b/internal/register/round.go
@@ -85,7 +85,7 @@
 	r.promises[m.From] = Known{Ballot: m.Accepted, Value: value}
 	if !r.hasHighest || r.highestAccepted.Ballot.Less(m.Accepted) {
 		r.highestAccepted, r.hasHighest = r.promises[m.From], true
-		r.addSets(value.Members)
+		r.addSetsOf(value)
 	}
 	if !r.majorityOfEach(func(replica Replica) bool { _, promised := r.promises[replica]; return promised }) {
 		return nil
@@ -93,9 +93,17 @@
 	return r.propose()
 }
 
-// addSets adds the member sets of a value that may have been chosen: only their majorities can tell whether it was.
-func (r *Round) addSets(m Members) {
-	for _, set := range m.Sets {
+// addSetsOf adds the member sets that are needed to decide after a value was read. The sets that it names may have chosen
+// a later value. Unless the value is known to be chosen, the sets that it was proposed to may have chosen another value.
+func (r *Round) addSetsOf(value Value) {
+	r.addSets(value.Members.Sets)
+	if value.Sequence > r.known.Value.Sequence {
+		r.addSets(value.Quorums())
+	}
+}
+
+func (r *Round) addSets(sets [][]Replica) {
+	for _, set := range sets {
 		if !slices.ContainsFunc(r.sets, func(known []Replica) bool { return slices.Equal(known, set) }) {
 			r.sets = append(r.sets, set)
 		}
@@ -114,7 +122,7 @@
 		next = present
 	}
 	r.dropFormerSets(present)
-	r.addSets(next.Members)
+	r.addSets(next.Members.Sets)
 	next.Voted = slices.Clone(r.sets)
 	if next.Sequence == present.Sequence && r.changesQuorums(present) {
 		next.Sequence++
