--- a/cmd/gullstair/clients_crowd_test.go
+++ b/cmd/gullstair/clients_crowd_test.go
@@ -55,14 +55,20 @@
 
 // newCrowd starts a broker alone, with the limits of these tests, and an instance that serves its routes.
 func newCrowd(t *testing.T, number int) *crowdBroker {
+	t.Helper()
+	return newCrowdWith(t, number, crowdDescriptors)
+}
+
+// newCrowdWith does so with another limit of descriptors.
+func newCrowdWith(t *testing.T, number, descriptors int) *crowdBroker {
 	t.Helper()
 	program := buildProgram(t)
 	ip := fmt.Sprintf("127.8.%d.1", number)
 	broker := &controlProcess{t: t, ip: ip, seeds: ip + ":18381", folder: t.TempDir(), disk: true, bootstrap: true, programs: []string{program},
-		extra: []string{"fault_tolerance.machines=0", fmt.Sprintf("limits.memory_mb=%d", crowdMemoryMB), fmt.Sprintf("limits.max_fds=%d", crowdDescriptors)}}
+		extra: []string{"fault_tolerance.machines=0", fmt.Sprintf("limits.memory_mb=%d", crowdMemoryMB), fmt.Sprintf("limits.max_fds=%d", descriptors)}}
 	t.Cleanup(func() { broker.process.Kill() })
 	broker.start()
-	c := &crowdBroker{broker: broker, crowd: &crowd{t: t, process: broker.process, ip: ip, memoryMB: crowdMemoryMB, files: crowdDescriptors, stop: make(chan struct{})}}
+	c := &crowdBroker{broker: broker, crowd: &crowd{t: t, process: broker.process, ip: ip, memoryMB: crowdMemoryMB, files: descriptors, stop: make(chan struct{})}}
 	c.attempt = c.sendOrdinary
 	c.healthy = func() bool {
 		status, _ := broker.call(5*time.Second, http.MethodGet, "/v1/status", "", "")
--- a/cmd/gullstair/clients_test.go
+++ b/cmd/gullstair/clients_test.go
@@ -24,7 +24,8 @@
 	crowdSize        = 200
 	crowdMemoryMB    = 64
 	crowdDescriptors = 300
-	shortBy          = 16 // bytes by which a request stops short of its end
+	manyDescriptors  = 4100 // as on the machines that the program is made for
+	shortBy          = 16   // bytes by which a request stops short of its end
 )
 
 // head returns the start of a request's head, up to its first free header line.
@@ -119,11 +120,21 @@
 	newCrowd(t, 12).play(crowdSize, sends([]byte(head("GET", "/large/")+"\r\n")))
 }
 
+// TestClientsAnswersNotReadManyDescriptors: the same where memory and not descriptors is short.
+func TestClientsAnswersNotReadManyDescriptors(t *testing.T) {
+	newCrowdWith(t, 20, manyDescriptors).play(4*crowdSize, sends([]byte(head("GET", "/large/")+"\r\n")))
+}
+
 // TestClientsBytesAfterARequest: a request that takes its time, with more bytes behind it than one request may have.
 func TestClientsBytesAfterARequest(t *testing.T) {
 	newCrowd(t, 13).play(crowdSize, sends(slicesOf([]byte(head("GET", "/slow/")+"\r\n"), repeated("x", 4<<20))))
 }
 
+// TestClientsBytesAfterARequestManyDescriptors: the same where memory and not descriptors is short.
+func TestClientsBytesAfterARequestManyDescriptors(t *testing.T) {
+	newCrowdWith(t, 21, manyDescriptors).play(4*crowdSize, sends(slicesOf([]byte(head("GET", "/slow/")+"\r\n"), repeated("x", 4<<20))))
+}
+
 // TestClientsSilentConnections: connections on which nothing is sent.
 func TestClientsSilentConnections(t *testing.T) {
 	newCrowd(t, 14).play(4*crowdSize, sends(nil))
