Connections of clients are counted, and the one that moves least gives way

Callers saw: with as many connections open as the process has descriptors, on which nothing need be sent, no further connection is accepted, and neither peers nor instances can be reached. Cause: nothing bounded the connections of clients.

Change: one budget for a process, from limits.memory_mb (a quarter) and limits.max_fds (5/8 of the sockets). An idle connection is closed only if no request has arrived, as before. One that has given way counts until it is closed. A second request that arrived together with the first was taken for an idle connection; it is not any more (TestRequestsInARow).

--- /dev/null
+++ b/internal/clientlimit/clientlimit.go
@@ -0,0 +1,139 @@
+// Package clientlimit bounds what the clients of a process hold together, as package clientbudget decides. It is safe for
+// concurrent use.
+package clientlimit
+
+import (
+	"sync"
+	"time"
+
+	"gullstair/internal/clientbudget"
+)
+
+// Limiter bounds what the clients of all listeners of a process hold together.
+type Limiter struct {
+	start time.Time
+
+	mu       sync.Mutex
+	budget   *clientbudget.Budget
+	accounts map[*clientbudget.Holder]*Account
+}
+
+// Account is what one connection holds.
+type Account struct {
+	limiter *Limiter
+	least   clientbudget.Amount // what it holds while it is idle
+	giveWay func(stage clientbudget.Stage) bool
+	holder  clientbudget.Holder // under the limiter's lock
+}
+
+// New returns a limiter for a process with this memory in bytes and this number of descriptors.
+func New(memory int64, descriptors int) *Limiter {
+	return &Limiter{start: time.Now(), budget: clientbudget.New(clientbudget.LimitFor(memory, descriptors)), accounts: map[*clientbudget.Holder]*Account{}}
+}
+
+func (l *Limiter) now() time.Duration { return time.Since(l.start) }
+
+// Used returns what the clients hold.
+func (l *Limiter) Used() clientbudget.Amount {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.budget.Used()
+}
+
+// Open adds a new connection, which holds least while it is idle. giveWay closes it to make room, or returns false if a
+// request has just arrived on it; it is called with the limiter's lock held. Open returns false if there is no room. A nil
+// limiter opens nil accounts, which hold whatever they are asked to.
+func (l *Limiter) Open(least clientbudget.Amount, giveWay func(clientbudget.Stage) bool) (account *Account, open bool) {
+	if l == nil {
+		return nil, true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := &Account{limiter: l, least: least, giveWay: giveWay}
+	if !l.makeRoom(&a.holder, least) {
+		return nil, false
+	}
+	l.budget.Open(&a.holder, l.now())
+	l.budget.Add(&a.holder, least)
+	l.accounts[&a.holder] = a
+	return a, true
+}
+
+// makeRoom lets other connections give way until there is room for more of a holder. It returns false if there is none. The
+// caller holds l.mu.
+func (l *Limiter) makeRoom(h *clientbudget.Holder, more clientbudget.Amount) bool {
+	for now := l.now(); !l.budget.Fits(h, more); {
+		victim := l.budget.Victim(now)
+		if victim == nil || victim == h {
+			return false
+		}
+		if !l.accounts[victim].giveWay(victim.Stage()) {
+			victim.Touch(now)
+			continue
+		}
+		l.budget.Evict(victim)
+		delete(l.accounts, victim)
+	}
+	return !l.budget.Late(more)
+}
+
+// Hold adds to what a connection holds. It returns false if there is no room, or if the connection had to give way.
+func (a *Account) Hold(more clientbudget.Amount) bool {
+	if a == nil {
+		return true
+	}
+	l := a.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a.holder.Evicted() || !l.makeRoom(&a.holder, more) {
+		return false
+	}
+	l.budget.Add(&a.holder, more)
+	return true
+}
+
+// Idle keeps only what an idle connection holds.
+func (a *Account) Idle() {
+	if a == nil {
+		return
+	}
+	a.limiter.mu.Lock()
+	defer a.limiter.mu.Unlock()
+	if !a.holder.Evicted() {
+		a.limiter.budget.Keep(&a.holder, a.least)
+	}
+	a.holder.Enter(clientbudget.Idle, a.limiter.now())
+}
+
+// Close removes the connection. It may be called again.
+func (a *Account) Close() {
+	if a == nil {
+		return
+	}
+	a.limiter.mu.Lock()
+	defer a.limiter.mu.Unlock()
+	a.limiter.budget.Close(&a.holder)
+	delete(a.limiter.accounts, &a.holder)
+}
+
+// Enter sets the stage of the connection and returns the one before.
+func (a *Account) Enter(stage clientbudget.Stage) (before clientbudget.Stage) {
+	if a == nil {
+		return clientbudget.Idle
+	}
+	a.limiter.mu.Lock()
+	defer a.limiter.mu.Unlock()
+	before = a.holder.Stage()
+	a.holder.Enter(stage, a.limiter.now())
+	return before
+}
+
+// Moved records that n bytes were received or sent.
+func (a *Account) Moved(n int) {
+	if a == nil {
+		return
+	}
+	a.limiter.mu.Lock()
+	defer a.limiter.mu.Unlock()
+	a.holder.Moved(n, a.limiter.now())
+}
--- /dev/null
+++ b/internal/keepalive/counting.go
@@ -0,0 +1,93 @@
+package keepalive
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"gullstair/internal/clientbudget"
+)
+
+// newConnection is what an idle connection holds.
+var newConnection = clientbudget.Amount{Bytes: clientbudget.ConnectionBytes, Descriptors: 1}
+
+const (
+	evictionWriteTimeout = 10 * time.Millisecond // of the answer to a client that gives way; its send queue is empty
+
+	discardTimeout = time.Second // time in which the rest of a refused request may arrive, so that its connection can be kept
+)
+
+// Answers to requests that have not been read whole. They have not run and never will.
+var (
+	noRoomAnswer = rawAnswer(http.StatusServiceUnavailable, fmt.Sprintf("Retry-After: %.3f\r\n", clientbudget.RetryAfter.Seconds()))
+)
+
+func rawAnswer(status int, lines string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status), lines)
+}
+
+// giveWay closes a connection to make room. Without a request it is closed only if none has arrived, and then false is
+// returned. A request that has not been read whole is answered that it has not run.
+func (c *conn) giveWay(stage clientbudget.Stage) bool {
+	switch stage {
+	case clientbudget.Idle:
+		return c.closeIfIdle(0)
+	case clientbudget.Head, clientbudget.Body:
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(evictionWriteTimeout))
+		_, _ = io.WriteString(c.Conn, noRoomAnswer) // a client may also find its connection closed
+	}
+	_ = c.Conn.Close()
+	return true
+}
+
+// countRead records that n bytes were read.
+func (c *conn) countRead(n int) bool {
+	if c.handling.Load() {
+		return c.countWhileHandling(n)
+	}
+	c.account.Enter(clientbudget.Head)
+	c.account.Moved(n)
+	return true
+}
+
+// countWhileHandling counts bytes behind the head. The reader of the body counts the body.
+func (c *conn) countWhileHandling(n int) bool {
+	c.account.Moved(n)
+	return true
+}
+
+// Requests is what a request at a listener may hold, and for how long.
+type Requests struct {
+	Holds clientbudget.Amount // besides its head and its body
+}
+
+// Handler returns a handler that bounds what requests hold.
+func (l *Listener) Handler(next http.Handler, requests Requests) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ours := r.Context().Value(connKey{}).(*conn)
+		if !ours {
+			next.ServeHTTP(w, r)
+			return
+		}
+		c.markHandling()
+		if !c.account.Hold(requests.Holds) {
+			c.account.Enter(clientbudget.Body)
+			refuseRequest(w, r)
+			return
+		}
+		c.account.Enter(clientbudget.Working)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// refuseRequest answers that there is no room for a request: it has not run, and the client may come back.
+func refuseRequest(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get("X-Request-Id"); id != "" {
+		w.Header().Set("X-Request-Id", id)
+	}
+	w.Header().Set("Retry-After", fmt.Sprintf("%.3f", clientbudget.RetryAfter.Seconds()))
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/internal/keepalive/counting_test.go
@@ -0,0 +1,132 @@
+package keepalive
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gullstair/internal/clientbudget"
+	"gullstair/internal/clientlimit"
+	"gullstair/internal/memnet"
+)
+
+const (
+	boundedMemory = 8 << 20 // clients may hold 2 MiB of it
+)
+
+// bounded is a server whose clients may hold little.
+type bounded struct {
+	t        *testing.T
+	network  *memnet.Net
+	limiter  *clientlimit.Limiter
+	listener *Listener
+}
+
+func serveBounded(t *testing.T, handler http.HandlerFunc, test func(b *bounded)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bounded{t: t, network: memnet.New(time.Millisecond), limiter: clientlimit.New(boundedMemory, 100)}
+		inner, err := b.network.Host(serverIP).Listen(address)
+		require.NoError(t, err)
+		b.listener = NewListener(inner, b.limiter)
+		requests := Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}}
+		server := &http.Server{ConnState: b.listener.ConnState, ConnContext: b.listener.ConnContext, ReadHeaderTimeout: headTime, MaxHeaderBytes: 1 << 30,
+			Handler: b.listener.Handler(handler, requests)}
+		go func() { _ = server.Serve(b.listener) }()
+		test(b)
+		b.listener.Close()
+		server.Close()
+		time.Sleep(time.Minute)
+		assert.Zero(t, b.listener.Open())
+		assert.Zero(t, b.limiter.Used(), "nothing is held without connections")
+	})
+}
+
+func (b *bounded) dial() net.Conn {
+	conn, err := b.network.Host("10.0.0.2").Dial(b.t.Context(), address, time.Second)
+	require.NoError(b.t, err)
+	return conn
+}
+
+// echoLength answers with the length of the body, or that there was no room for it.
+func echoLength(w http.ResponseWriter, r *http.Request) {
+	n, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		refuseRequest(w, r)
+		return
+	}
+	fmt.Fprint(w, n)
+}
+
+func post(size, sent int) string {
+	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", sent))
+}
+
+// ask sends a text and returns the answer; a broken one has status 0.
+func ask(conn net.Conn, text string) (status int, header http.Header) {
+	go func() { _, _ = io.WriteString(conn, text) }()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, nil
+	}
+	if _, err := io.ReadAll(response.Body); err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, response.Header
+}
+
+// TestIdleConnectionsGiveWay opens more connections than there are descriptors: the ones that have been idle for longest
+// are closed.
+func TestIdleConnectionsGiveWay(t *testing.T) {
+	serveBounded(t, echoLength, func(b *bounded) {
+		limit := clientbudget.LimitFor(boundedMemory, 100).Descriptors
+		for range 3 * limit {
+			conn := b.dial()
+			defer conn.Close()
+			time.Sleep(10 * time.Millisecond)
+			assert.LessOrEqual(t, b.listener.Open(), limit)
+		}
+		conn := b.dial()
+		defer conn.Close()
+		status, _ := ask(conn, post(4, 4))
+		assert.Equal(t, http.StatusOK, status)
+	})
+}
+
+// TestRequestsInARow sends a request before the answer to the one before has come: both are answered, and the connection is
+// not idle meanwhile.
+func TestRequestsInARow(t *testing.T) {
+	var handled atomic.Int32
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		handled.Add(1)
+		time.Sleep(time.Second)
+		echoLength(w, r)
+	}
+	serveBounded(t, slow, func(b *bounded) {
+		conn := b.dial()
+		defer conn.Close()
+		_, err := io.WriteString(conn, post(4, 4)+post(5, 5))
+		require.NoError(t, err)
+		time.Sleep(1500 * time.Millisecond)
+		assert.EqualValues(t, 2, handled.Load())
+		assert.Zero(t, b.listener.CloseIdle(0), "the second request is being handled")
+		reader := bufio.NewReader(conn)
+		for _, want := range []string{"4", "5"} {
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			text, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			assert.Equal(t, want, string(text))
+		}
+		conn.Close()
+	})
+}
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -1,4 +1,5 @@
-// Package keepalive provides a listener that closes idle connections of an HTTP server without losing a request.
+// Package keepalive provides a listener that closes idle connections of an HTTP server without losing a request, and that
+// bounds what clients make the process hold.
 //
 // net/http regards a connection as idle until a request has been parsed. Closing by that state alone, as the server's own
 // Shutdown and IdleTimeout do, may close a connection on which a request has arrived or has been read: the request is then
@@ -7,39 +8,61 @@
 package keepalive
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"gullstair/internal/clientbudget"
+	"gullstair/internal/clientlimit"
 	"gullstair/internal/netio"
 )
 
-// Listener accepts connections and tracks which of them are idle. Its ConnState must be set as the server's ConnState.
+// Listener accepts connections and tracks which of them are idle. Its ConnState and its ConnContext must be set as the
+// server's.
 type Listener struct {
 	net.Listener
+	limiter *clientlimit.Limiter // nil: what clients hold is not bounded
 
 	mu    sync.Mutex
 	conns map[*conn]bool
 }
 
-// NewListener wraps a listener.
-func NewListener(l net.Listener) *Listener {
-	return &Listener{Listener: l, conns: map[*conn]bool{}}
+// NewListener wraps a listener. The limiter bounds what its clients hold; it may be nil.
+func NewListener(l net.Listener, limiter *clientlimit.Limiter) *Listener {
+	return &Listener{Listener: l, limiter: limiter, conns: map[*conn]bool{}}
 }
 
-// Accept waits for a connection.
+// Accept waits for a connection for which there is room.
 func (l *Listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: inner, listener: l, idle: true, idleSince: time.Now()}
+		account, open := l.limiter.Open(newConnection, c.giveWay)
+		if !open {
+			inner.Close()
+			continue
+		}
+		c.account = account
+		l.mu.Lock()
+		l.conns[c] = true
+		l.mu.Unlock()
+		return c, nil
 	}
-	c := &conn{Conn: inner, idle: true, idleSince: time.Now()}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns[c] = true
-	return c, nil
+}
+
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+// ConnContext is the server's function for the context of a connection.
+func (l *Listener) ConnContext(ctx context.Context, of net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, of)
 }
 
 // ConnState is the server's callback for state changes of connections.
@@ -52,6 +75,7 @@
 	case http.StateIdle:
 		c.markIdle()
 	case http.StateClosed, http.StateHijacked:
+		c.account.Close()
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		delete(l.conns, c)
@@ -84,6 +108,9 @@
 // conn is a connection from a client.
 type conn struct {
 	net.Conn
+	listener *Listener
+	account  *clientlimit.Account // nil: what the client holds is not bounded
+	handling atomic.Bool          // the head of a request has been read, and the request has no complete answer
 
 	mu          sync.Mutex
 	idle        bool // no byte of a request has been read since the last response
@@ -94,7 +121,17 @@
 	headTimeout time.Duration // the server's timeout for the head of the first request, which starts with its first byte
 }
 
+// markHandling records that the head of a request has been read. The request may have arrived together with the one before.
+func (c *conn) markHandling() {
+	c.handling.Store(true)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = false
+}
+
 func (c *conn) markIdle() {
+	c.handling.Store(false)
+	c.account.Idle()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.idleSince = true, time.Now()
@@ -107,17 +144,28 @@
 	if c.setReading(false); n == 0 {
 		return n, err
 	}
+	if !c.markUsed() {
+		return 0, io.EOF // a request that arrives during the close must not run
+	}
+	if !c.countRead(n) {
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+// markUsed records that bytes have been read. It returns false if the connection is closed.
+func (c *conn) markUsed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
-		return 0, io.EOF // a request that arrives during the close must not run
+		return false
 	}
 	c.idle = false
 	if !c.used && c.headTimeout > 0 {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(c.headTimeout)) // if the connection is closed, the next read reports it
 	}
 	c.used = true
-	return n, err
+	return true
 }
 
 // SetReadDeadline implements net.Conn. Before the first byte it only stores the time left: a new connection is idle, and the
@@ -139,8 +187,10 @@
 }
 
 // CloseWrite closes the writing side, if the connection supports it. The server uses it to let its client read the last
-// response.
+// response; what the client sends meanwhile is not read.
 func (c *conn) CloseWrite() error {
+	c.account.Idle() // the request has been answered
+	c.account.Enter(clientbudget.Closing)
 	if half, can := c.Conn.(interface{ CloseWrite() error }); can {
 		return half.CloseWrite()
 	}
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -36,7 +36,7 @@
 		s := &served{network: memnet.New(time.Millisecond)}
 		inner, err := s.network.Host(serverIP).Listen(address)
 		require.NoError(t, err)
-		s.listener = NewListener(inner)
+		s.listener = NewListener(inner, nil)
 		server := &http.Server{ConnState: s.listener.ConnState, ReadHeaderTimeout: headTime, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.handled++
 			_, _ = io.Copy(w, r.Body)
@@ -145,7 +145,7 @@
 func TestOnLoopback(t *testing.T) {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	listener := NewListener(inner)
+	listener := NewListener(inner, nil)
 	server := &http.Server{ConnState: listener.ConnState, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 	go func() { _ = server.Serve(listener) }()
 	defer server.Close()
--- a/internal/planted/control.go
+++ b/internal/planted/control.go
@@ -47,7 +47,7 @@
 	{"control: complete value sent to all brokers", roundsFile, "	n.announce(ctx, known, holders)", "	_ = holders\n	n.PublishAndConfirm(ctx, recordOf(known), Delivery.All)", "", ""},
 	{"control: patch applied to another base", sectionsFile, "if base.sum != p.Base {", "if false {", "if next.sum != p.Result {", "if false {"},
 	{"control: connection closed although a request has arrived", keepaliveFile, " || !netio.Quiet(c.Conn) {", " || !netio.Quiet(c.Conn) && false {", "", ""},
-	{"control: request that arrives during the close passed to the server", keepaliveFile, "	if c.ended {\n		return 0", "	if c.ended && false {\n		return 0", "", ""},
+	{"control: request that arrives during the close passed to the server", keepaliveFile, "	if c.ended {\n		return false", "	if c.ended && false {\n		return false", "", ""},
 	{"control: digest of an order forgotten", stateFile, "if slices.Contains(s.Taken, digest) {", "if slices.Contains(s.Taken[:0], digest) {", "", ""},
 	{"control: another attempt continues a response that is not resumable", answerFile, "return a.begun && !(a.stream && a.resumable && a.lastHasID)", "return false", "", ""},
 	{"control: a retry on the same connection", poolFile, `if id == "" || !slices`, "if true || !slices", "", ""},
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 
+	"gullstair/internal/clientlimit"
 	"gullstair/internal/cluster"
 	"gullstair/internal/configuration"
 	"gullstair/internal/controlstate"
@@ -43,6 +44,7 @@
 	node     *cluster.Node
 	gateway  *gateway.Server
 	weights  *weights.Ledger
+	limiter  *clientlimit.Limiter // of all that clients hold
 	started  time.Time
 
 	mu         sync.Mutex
@@ -66,7 +68,7 @@
 // New returns a broker that is configured by its settings and does not run yet.
 func New(s *settings.Settings, path string, logger *log.Logger, environment cluster.Environment) (*Broker, error) {
 	b := &Broker{environment: environment, settings: s, path: path, logger: logger, registry: instances.New(), progress: map[string]rollout.Progress{},
-		started: time.Now()}
+		limiter: clientlimit.New(int64(s.MemoryMB)<<20, s.MaxDescriptors), started: time.Now()}
 	node, err := cluster.New(s, logger, environment, &controlstate.Packer{})
 	if err != nil {
 		return nil, errors.Wrap(err, "join the cluster")
@@ -139,7 +141,7 @@
 		b.expire()
 		b.updateIndex(ctx)
 		if c := b.gateway.Configuration(); c != nil {
-			servers.closeIdle(c.Limits.IdleTimeout, b.logger)
+			servers.enforce(c.Limits, b.logger)
 		}
 	}
 }
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -9,6 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 
+	"gullstair/internal/clientbudget"
+	"gullstair/internal/configuration"
 	"gullstair/internal/keepalive"
 	"gullstair/internal/operatorapi"
 )
@@ -19,6 +21,13 @@
 	controlIdleTimeout = 20 * time.Second // idle timeout of connections to the control and the readiness address
 )
 
+// What requests may hold. At the front the gateway sets the deadlines of a request that it accepts.
+var (
+	frontRequests     = keepalive.Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes, Descriptors: 1}}
+	readinessRequests = keepalive.Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}}
+	controlRequests   = keepalive.Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}}
+)
+
 // servers are the HTTP servers of one broker.
 type servers struct {
 	front *server // nil if this broker takes no clients
@@ -34,12 +43,13 @@
 func (b *Broker) listen() (*servers, error) {
 	s := &servers{}
 	for _, address := range []struct {
-		listen  string
-		handler http.Handler
+		listen   string
+		handler  http.Handler
+		requests keepalive.Requests
 	}{
-		{b.settings.ListenFront, b.gateway},
-		{b.settings.ListenReadiness, http.HandlerFunc(b.serveReadiness)},
-		{b.settings.ListenControl, operatorapi.New(b, b.logger)},
+		{b.settings.ListenFront, b.gateway, frontRequests},
+		{b.settings.ListenReadiness, http.HandlerFunc(b.serveReadiness), readinessRequests},
+		{b.settings.ListenControl, operatorapi.New(b, b.logger), controlRequests},
 	} {
 		if address.listen == "" {
 			continue
@@ -48,7 +58,8 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
-		added := newServer(listener, address.handler, b.logger)
+		tracked := keepalive.NewListener(listener, b.limiter)
+		added := newServer(tracked, tracked.Handler(address.handler, address.requests), b.logger)
 		s.all = append(s.all, added)
 		if address.listen == b.settings.ListenFront {
 			s.front = added
@@ -59,10 +70,9 @@
 
 // newServer returns a server that does not serve yet. It sets no IdleTimeout, since net/http then closes connections on
 // which a request has already arrived.
-func newServer(listener net.Listener, handler http.Handler, logger *log.Logger) *server {
-	tracked := keepalive.NewListener(listener)
-	return &server{listener: tracked, http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: tracked.ConnState, ErrorLog: logger.Std("", 0)}}
+func newServer(listener *keepalive.Listener, handler http.Handler, logger *log.Logger) *server {
+	return &server{listener: listener, http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: listener.ConnState, ConnContext: listener.ConnContext, ErrorLog: logger.Std("", 0)}}
 }
 
 func (s *servers) serve(logger *log.Logger) {
@@ -75,12 +85,12 @@
 	}
 }
 
-// closeIdle closes connections that have exceeded their idle timeout.
-func (s *servers) closeIdle(limit time.Duration, logger *log.Logger) {
+// enforce applies the configuration's limits at the front and closes connections that have exceeded their idle timeout.
+func (s *servers) enforce(limits configuration.Limits, logger *log.Logger) {
 	for _, server := range s.all {
 		timeout := controlIdleTimeout
 		if server == s.front {
-			timeout = limit
+			timeout = limits.IdleTimeout
 		}
 		if closed := server.listener.CloseIdle(timeout); closed > 0 {
 			logger.Info().Str("address", server.listener.Addr().String()).Int("connections", closed).Dur("limit", timeout).Msg("idle connections closed")
