Heads are held within max_header_bytes, and counted by bytes and lines

Callers saw: a few hundred heads without end, or of many short lines, end a broker of 64 to 102 MB. Cause: net/http reads up to 1 MiB of a head for each connection whatever max_header_bytes is, and a line of 6 bytes takes some 130 bytes in its header, and as much in the copy for an instance.

Change: the listener scans a head as it arrives. Over max_header_bytes and 4 KiB (as net/http adds) the answer is 431; at the control and readiness addresses the limit is 64 KiB. Each byte is counted, each line as 512 bytes; without room the answer is 503 with Retry-After.

--- a/internal/keepalive/counting.go
+++ b/internal/keepalive/counting.go
@@ -15,12 +15,14 @@
 const (
 	evictionWriteTimeout = 10 * time.Millisecond // of the answer to a client that gives way; its send queue is empty
 
+	headSlack      = 4 << 10     // bytes by which a head may exceed its limit, as in net/http
 	discardTimeout = time.Second // time in which the rest of a refused request may arrive, so that its connection can be kept
 )
 
 // Answers to requests that have not been read whole. They have not run and never will.
 var (
-	noRoomAnswer = rawAnswer(http.StatusServiceUnavailable, fmt.Sprintf("Retry-After: %.3f\r\n", clientbudget.RetryAfter.Seconds()))
+	noRoomAnswer       = rawAnswer(http.StatusServiceUnavailable, fmt.Sprintf("Retry-After: %.3f\r\n", clientbudget.RetryAfter.Seconds()))
+	headTooLargeAnswer = rawAnswer(http.StatusRequestHeaderFieldsTooLarge, "")
 )
 
 func rawAnswer(status int, lines string) string {
@@ -41,13 +43,23 @@
 	return true
 }
 
-// countRead records that n bytes were read.
-func (c *conn) countRead(n int) bool {
+// countRead counts n bytes that were read into b. It returns false if there is no room for them: the client has been
+// answered, and the connection ends.
+func (c *conn) countRead(b []byte, n int) bool {
 	if c.handling.Load() {
 		return c.countWhileHandling(n)
 	}
 	c.account.Enter(clientbudget.Head)
 	c.account.Moved(n)
+	size, lines := c.head.scan(b[:n])
+	if limit := c.listener.headBytes.Load(); limit > 0 && c.head.bytes > limit+headSlack {
+		c.refuse(headTooLargeAnswer)
+		return false
+	}
+	if !c.account.Hold(clientbudget.Amount{Bytes: int64(size) + int64(lines)*clientbudget.HeaderLineBytes}) {
+		c.refuse(noRoomAnswer)
+		return false
+	}
 	return true
 }
 
@@ -57,6 +69,15 @@
 	return true
 }
 
+// refuse answers a request whose head has not been read whole, and lets the client read the answer.
+func (c *conn) refuse(answer string) {
+	c.account.Enter(clientbudget.Closing)
+	_ = c.Conn.SetDeadline(time.Now().Add(discardTimeout))
+	if _, err := io.WriteString(c.Conn, answer); err == nil && c.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+}
+
 // Requests is what a request at a listener may hold, and for how long.
 type Requests struct {
 	Holds clientbudget.Amount // besides its head and its body
--- a/internal/keepalive/counting_test.go
+++ b/internal/keepalive/counting_test.go
@@ -38,6 +38,7 @@
 		inner, err := b.network.Host(serverIP).Listen(address)
 		require.NoError(t, err)
 		b.listener = NewListener(inner, b.limiter)
+		b.listener.SetHeadBytes(16 << 10)
 		requests := Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}}
 		server := &http.Server{ConnState: b.listener.ConnState, ConnContext: b.listener.ConnContext, ReadHeaderTimeout: headTime, MaxHeaderBytes: 1 << 30,
 			Handler: b.listener.Handler(handler, requests)}
@@ -84,6 +85,29 @@
 	return response.StatusCode, response.Header
 }
 
+func TestHeadOverItsLimit(t *testing.T) {
+	serveBounded(t, echoLength, func(b *bounded) {
+		conn := b.dial()
+		defer conn.Close()
+		status, _ := ask(conn, "GET / HTTP/1.1\r\nHost: h\r\nX-Large: "+strings.Repeat("x", 21<<10)+"\r\n\r\n")
+		assert.Equal(t, http.StatusRequestHeaderFieldsTooLarge, status)
+		within := b.dial()
+		defer within.Close()
+		status, _ = ask(within, "GET / HTTP/1.1\r\nHost: h\r\nX-Large: "+strings.Repeat("x", 16<<10)+"\r\n\r\n")
+		assert.Equal(t, http.StatusOK, status)
+	})
+}
+
+func TestHeaderLinesCount(t *testing.T) {
+	serveBounded(t, echoLength, func(b *bounded) {
+		conn := b.dial()
+		defer conn.Close()
+		status, header := ask(conn, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", 3500))
+		assert.Equal(t, http.StatusServiceUnavailable, status, "3,500 lines hold %d KB of 1,536", 3500*clientbudget.HeaderLineBytes>>10)
+		assert.Equal(t, "0.300", header.Get("Retry-After"))
+	})
+}
+
 // TestIdleConnectionsGiveWay opens more connections than there are descriptors: the ones that have been idle for longest
 // are closed.
 func TestIdleConnectionsGiveWay(t *testing.T) {
@@ -130,3 +154,18 @@
 		conn.Close()
 	})
 }
+
+func TestHeadScanner(t *testing.T) {
+	const head = "\r\n\nGET / HTTP/1.1\r\nHost: h\r\nA: b\n\r\n"
+	for piece := 1; piece < len(head)+4; piece++ {
+		h := &headScanner{}
+		lines := 0
+		for rest := []byte(head + "body"); len(rest) > 0; {
+			n := min(piece, len(rest))
+			_, more := h.scan(rest[:n])
+			lines += more
+			rest = rest[n:]
+		}
+		assert.Equal(t, []any{int64(len(head)), 6, true}, []any{h.bytes, lines, h.done}, "in pieces of %d", piece)
+	}
+}
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -25,7 +25,8 @@
 // server's.
 type Listener struct {
 	net.Listener
-	limiter *clientlimit.Limiter // nil: what clients hold is not bounded
+	limiter   *clientlimit.Limiter // nil: what clients hold is not bounded
+	headBytes atomic.Int64         // maximum size of a request's head; 0: not bounded here
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -36,6 +37,9 @@
 	return &Listener{Listener: l, limiter: limiter, conns: map[*conn]bool{}}
 }
 
+// SetHeadBytes sets the maximum size of a request's head.
+func (l *Listener) SetHeadBytes(n int64) { l.headBytes.Store(n) }
+
 // Accept waits for a connection for which there is room.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -119,6 +123,7 @@
 	ended       bool          // closed by closeIfIdle
 	used        bool          // bytes have been read
 	headTimeout time.Duration // the server's timeout for the head of the first request, which starts with its first byte
+	head        headScanner   // of the request that is being read
 }
 
 // markHandling records that the head of a request has been read. The request may have arrived together with the one before.
@@ -135,6 +140,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.idleSince = true, time.Now()
+	c.head = headScanner{}
 }
 
 // Read implements net.Conn.
@@ -147,7 +153,7 @@
 	if !c.markUsed() {
 		return 0, io.EOF // a request that arrives during the close must not run
 	}
-	if !c.countRead(n) {
+	if !c.countRead(b, n) {
 		return 0, io.EOF
 	}
 	return n, err
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -17,7 +17,8 @@
 
 const (
 	headerTimeout      = 10 * time.Second
-	maxHeaderBytes     = 1 << 20
+	maxHeaderBytes     = 1 << 30          // of net/http; the listener enforces the limits
+	maxHeadBytes       = 64 << 10         // limit of a head, at the front until a configuration sets it
 	controlIdleTimeout = 20 * time.Second // idle timeout of connections to the control and the readiness address
 )
 
@@ -59,6 +60,7 @@
 			return nil, errors.Wrap(err, "listen")
 		}
 		tracked := keepalive.NewListener(listener, b.limiter)
+		tracked.SetHeadBytes(maxHeadBytes)
 		added := newServer(tracked, tracked.Handler(address.handler, address.requests), b.logger)
 		s.all = append(s.all, added)
 		if address.listen == b.settings.ListenFront {
@@ -91,6 +93,7 @@
 		timeout := controlIdleTimeout
 		if server == s.front {
 			timeout = limits.IdleTimeout
+			server.listener.SetHeadBytes(limits.HeaderBytes)
 		}
 		if closed := server.listener.CloseIdle(timeout); closed > 0 {
 			logger.Info().Str("address", server.listener.Addr().String()).Int("connections", closed).Dur("limit", timeout).Msg("idle connections closed")
