Bodies are counted as they arrive, held once, and must arrive in time

Callers saw: bodies of legal size, whole or short of their end, with a length or in chunks, end a broker; a body that stops short of its end stays for ever, also one of a refused request or of a readiness probe, which net/http reads to its end.

Cause: nothing counted bodies over all connections and nothing bounded their time; a body was held up to 2.25 times, in a buffer that grows and in the copy that is sent to an instance; what many clients sent and gave up was garbage faster than it was collected.

Change: the listener's handler counts each byte of a body when it has been read, never by Content-Length. Without room: 503 with Retry-After. The body must have come by the deadline of the request, else 408 (it has not run); the rest of a denied one has 1 s, as has a probe's, an order's 30 s. Chunks of 16 KiB, reused, are read, kept for all attempts and sent as they are.

--- a/internal/clientbudget/clientbudget.go
+++ b/internal/clientbudget/clientbudget.go
@@ -6,8 +6,13 @@
 
 import (
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
+// ErrNoRoom means that the clients hold all that they may, and that this one has to give way. Its request has not run.
+var ErrNoRoom = errors.New("no room for what the client sends")
+
 // RetryAfter is the time after which a client may come back that had to give way.
 const RetryAfter = 300 * time.Millisecond
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,6 +15,8 @@
 
 	"gullstair/internal/balance"
 	"gullstair/internal/cachetable"
+	"gullstair/internal/chunks"
+	"gullstair/internal/clientbudget"
 	"gullstair/internal/configuration"
 	"gullstair/internal/instances"
 	"gullstair/internal/upstream"
@@ -32,7 +35,7 @@
 	tenant   *configuration.Tenant
 	service  *configuration.Service
 	prompt   *prompt
-	body     []byte
+	body     [][]byte // in chunks
 	id       string
 
 	exchange    *exchange
@@ -59,8 +62,9 @@
 	lastEventID     = "Last-Event-Id"
 	versionsHeader  = "Versions"
 
-	maxErrorBody = 256 << 10
-	maxPriority  = 9
+	maxErrorBody   = 256 << 10
+	discardTimeout = time.Second // time in which the rest of a denied request's body may arrive
+	maxPriority    = 9
 )
 
 func newCall(server *Server, writer http.ResponseWriter, incoming *http.Request) *call {
@@ -68,6 +72,7 @@
 }
 
 func (c *call) serve() {
+	defer func() { chunks.Release(c.body) }()
 	if !c.admit() {
 		return
 	}
@@ -147,17 +152,29 @@
 	return c.tenant != nil
 }
 
+// readBody reads the body, until the deadline of the request. It returns false if it has already responded.
 func (c *call) readBody() bool {
 	limit := c.config.Limits.BodyBytes
 	if c.incoming.ContentLength > limit {
 		c.deny(http.StatusRequestEntityTooLarge)
 		return false
 	}
-	body, err := io.ReadAll(io.LimitReader(c.incoming.Body, limit+1))
-	if err != nil {
-		panic(http.ErrAbortHandler) // the client has disconnected
+	if c.incoming.Body == http.NoBody {
+		return true
 	}
-	if int64(len(body)) > limit {
+	_ = http.NewResponseController(c.writer).SetReadDeadline(c.deadline) // net/http clears it once the body has been read
+	body, err := chunks.Read(io.LimitReader(c.incoming.Body, limit+1))
+	switch {
+	case errors.Is(err, clientbudget.ErrNoRoom):
+		c.refuseUnread(http.StatusServiceUnavailable, clientbudget.RetryAfter)
+		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.refuseUnread(http.StatusRequestTimeout, 0)
+		return false
+	case err != nil:
+		panic(http.ErrAbortHandler) // the client has disconnected
+	case chunks.Size(body) > limit:
+		chunks.Release(body)
 		c.deny(http.StatusRequestEntityTooLarge)
 		return false
 	}
@@ -465,18 +482,32 @@
 	return out
 }
 
-// deny responds with the status of a request that the configuration does not allow.
+// deny responds with the status of a request that the configuration does not allow. The rest of its body has discardTimeout
+// to arrive, so that the connection can be kept.
 func (c *call) deny(status int) {
+	if c.incoming.Body != http.NoBody {
+		_ = http.NewResponseController(c.writer).SetReadDeadline(time.Now().Add(discardTimeout))
+	}
 	c.setRequestID()
 	c.writer.WriteHeader(status)
 }
 
 // refuse responds that the request has not run and never will, with the delay after which the client may retry.
-func (c *call) refuse(after time.Duration) {
+func (c *call) refuse(after time.Duration) { c.refuseWith(http.StatusServiceUnavailable, after) }
+
+func (c *call) refuseWith(status int, after time.Duration) {
 	c.server.Refused.Add(1)
 	c.setRequestID()
 	c.writer.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	c.writer.WriteHeader(http.StatusServiceUnavailable)
+	c.writer.WriteHeader(status)
+}
+
+// refuseUnread responds that the request has not run and never will, and closes the connection, on which the rest of its
+// body is not read.
+func (c *call) refuseUnread(status int, after time.Duration) {
+	_ = http.NewResponseController(c.writer).SetReadDeadline(time.Now().Add(discardTimeout))
+	c.writer.Header().Set("Connection", "close")
+	c.refuseWith(status, after)
 }
 
 // fail gives the request up. It aborts a response that has begun, and otherwise forwards the error response of an instance if
--- a/internal/keepalive/counting.go
+++ b/internal/keepalive/counting.go
@@ -80,10 +80,13 @@
 
 // Requests is what a request at a listener may hold, and for how long.
 type Requests struct {
-	Holds clientbudget.Amount // besides its head and its body
+	Holds       clientbudget.Amount // besides its head and its body
+	BodyCopies  int64               // how many times its body is held at once
+	BodyTimeout time.Duration       // in which its body arrives, unless the handler sets another read deadline
 }
 
-// Handler returns a handler that bounds what requests hold.
+// Handler returns a handler that bounds what requests hold. The handler reads clientbudget.ErrNoRoom from the body if the
+// request has to give way.
 func (l *Listener) Handler(next http.Handler, requests Requests) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ours := r.Context().Value(connKey{}).(*conn)
@@ -97,11 +100,23 @@
 			refuseRequest(w, r)
 			return
 		}
-		c.account.Enter(clientbudget.Working)
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(w, c.counted(r, requests))
 	})
 }
 
+// counted returns a request whose body is counted and must arrive in time.
+func (c *conn) counted(r *http.Request, requests Requests) *http.Request {
+	if r.Body == http.NoBody {
+		c.account.Enter(clientbudget.Working)
+		return r
+	}
+	c.account.Enter(clientbudget.Body)
+	_ = c.Conn.SetReadDeadline(time.Now().Add(requests.BodyTimeout)) // net/http clears it once the body has been read
+	r = r.WithContext(r.Context())                                   // the server needs the request as it was
+	r.Body = &countedBody{ReadCloser: r.Body, conn: c, copies: requests.BodyCopies}
+	return r
+}
+
 // refuseRequest answers that there is no room for a request: it has not run, and the client may come back.
 func refuseRequest(w http.ResponseWriter, r *http.Request) {
 	if id := r.Header.Get("X-Request-Id"); id != "" {
@@ -112,3 +127,22 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
+
+// countedBody is the body of a request. It counts what has been read as held until the request has been answered.
+type countedBody struct {
+	io.ReadCloser
+	conn   *conn
+	copies int64
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 && !b.conn.account.Hold(clientbudget.Amount{Bytes: int64(n) * b.copies}) {
+		return 0, clientbudget.ErrNoRoom
+	}
+	if err != nil {
+		b.conn.account.Enter(clientbudget.Working)
+	}
+	return n, err
+}
--- a/internal/keepalive/counting_test.go
+++ b/internal/keepalive/counting_test.go
@@ -22,6 +22,7 @@
 
 const (
 	boundedMemory = 8 << 20 // clients may hold 2 MiB of it
+	bodyTime      = 10 * time.Second
 )
 
 // bounded is a server whose clients may hold little.
@@ -39,7 +40,7 @@
 		require.NoError(t, err)
 		b.listener = NewListener(inner, b.limiter)
 		b.listener.SetHeadBytes(16 << 10)
-		requests := Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}}
+		requests := Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}, BodyCopies: 1, BodyTimeout: bodyTime}
 		server := &http.Server{ConnState: b.listener.ConnState, ConnContext: b.listener.ConnContext, ReadHeaderTimeout: headTime, MaxHeaderBytes: 1 << 30,
 			Handler: b.listener.Handler(handler, requests)}
 		go func() { _ = server.Serve(b.listener) }()
@@ -108,6 +109,59 @@
 	})
 }
 
+func TestBodyWithoutRoom(t *testing.T) {
+	serveBounded(t, echoLength, func(b *bounded) {
+		conn := b.dial()
+		defer conn.Close()
+		status, header := ask(conn, post(3<<20, 3<<20))
+		assert.Equal(t, http.StatusServiceUnavailable, status)
+		assert.Equal(t, []string{"0.300", "r"}, []string{header.Get("Retry-After"), header.Get("X-Request-Id")})
+		next := b.dial()
+		defer next.Close()
+		status, _ = ask(next, post(1<<20, 1<<20))
+		assert.Equal(t, http.StatusOK, status)
+	})
+}
+
+// TestStalledBodiesGiveWay fills the room with bodies that stop short of their end: a request that comes later is served,
+// and the body that holds most and has not moved for longest is answered that it has not run.
+func TestStalledBodiesGiveWay(t *testing.T) {
+	serveBounded(t, echoLength, func(b *bounded) {
+		var stalled []net.Conn
+		for _, size := range []int{400 << 10, 500 << 10, 400 << 10} {
+			conn := b.dial()
+			defer conn.Close()
+			_, err := io.WriteString(conn, post(1<<20, size))
+			require.NoError(t, err)
+			stalled = append(stalled, conn)
+		}
+		time.Sleep(time.Second)
+		conn := b.dial()
+		defer conn.Close()
+		status, _ := ask(conn, post(600<<10, 600<<10))
+		assert.Equal(t, http.StatusOK, status)
+		status, header := ask(stalled[1], "")
+		assert.Equal(t, http.StatusServiceUnavailable, status)
+		assert.NotEmpty(t, header.Get("Retry-After"))
+	})
+}
+
+// TestBodyThatNeverEnds checks that a body ends within its time, also one that the handler does not read.
+func TestBodyThatNeverEnds(t *testing.T) {
+	for name, handler := range map[string]http.HandlerFunc{"read": echoLength, "not read": func(http.ResponseWriter, *http.Request) {}} {
+		t.Run(name, func(t *testing.T) {
+			serveBounded(t, handler, func(b *bounded) {
+				conn := b.dial()
+				defer conn.Close()
+				_, err := io.WriteString(conn, post(1000, 999))
+				require.NoError(t, err)
+				time.Sleep(bodyTime + 2*discardTimeout)
+				assert.Zero(t, b.listener.Open())
+			})
+		})
+	}
+}
+
 // TestIdleConnectionsGiveWay opens more connections than there are descriptors: the ones that have been idle for longest
 // are closed.
 func TestIdleConnectionsGiveWay(t *testing.T) {
--- a/internal/router/roles.go
+++ b/internal/router/roles.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -253,7 +252,7 @@
 		header.Set("Content-Type", "application/json")
 	}
 	response, progress, err := r.pool.Send(ctx, i.Address, &upstream.Request{Method: method, Target: target, Host: i.Address, Header: header,
-		Body: bytes.Clone(body), DedicatedConn: method == http.MethodPost})
+		Body: [][]byte{body}, DedicatedConn: method == http.MethodPost})
 	if err != nil {
 		return 0, nil, progress, err
 	}
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -24,9 +24,11 @@
 
 // What requests may hold. At the front the gateway sets the deadlines of a request that it accepts.
 var (
-	frontRequests     = keepalive.Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes, Descriptors: 1}}
-	readinessRequests = keepalive.Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}}
-	controlRequests   = keepalive.Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}}
+	frontRequests = keepalive.Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes, Descriptors: 1}, BodyCopies: 1,
+		BodyTimeout: 10 * time.Second}
+	readinessRequests = keepalive.Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}, BodyTimeout: time.Second}
+	controlRequests   = keepalive.Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}, BodyCopies: 2,
+		BodyTimeout: 30 * time.Second}
 )
 
 // servers are the HTTP servers of one broker.
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"gullstair/internal/chunks"
 )
 
 // RequestIDHeader is the header that identifies the request a response belongs to.
@@ -21,6 +23,7 @@
 const (
 	maxSurplusResponses = 4 // limit of responses on a connection that are skipped as belonging to earlier requests
 	maxHeaderHint       = 1 << 10
+	maxJoinedBody       = 64 << 10 // bytes of a body that is sent together with the head
 )
 
 // Progress is how far a request got.
@@ -38,9 +41,9 @@
 	Target        string // path and query in the form that the client sent
 	Host          string
 	Header        http.Header
-	Body          []byte
-	ID            string // value of X-Request-Id; if empty, a late response to an earlier request cannot be detected
-	DedicatedConn bool   // use a connection of its own, which is closed after the response
+	Body          [][]byte // in chunks
+	ID            string   // value of X-Request-Id; if empty, a late response to an earlier request cannot be detected
+	DedicatedConn bool     // use a connection of its own, which is closed after the response
 	// SetHeaders sets headers whose values depend on the time of sending. It may be nil.
 	SetHeaders func(http.Header)
 }
@@ -73,11 +76,11 @@
 	if r.SetHeaders != nil {
 		r.SetHeaders(r.Header)
 	}
-	n, err := conn.Write(r.bytes())
+	sent, err := conn.send(r)
 	if err != nil {
 		stop()
 		conn.Close()
-		if n == 0 {
+		if !sent {
 			return nil, NotSent, errors.Wrap(err, "send")
 		}
 		return nil, Sent, errors.Wrap(err, "send")
@@ -99,17 +102,31 @@
 	return p.get(ctx, address, r.ID)
 }
 
-// bytes returns the request in wire format.
-func (r *Request) bytes() []byte {
+// send writes a request. It reports whether any of it was sent. A small body is sent together with the head.
+func (c *Conn) send(r *Request) (sent bool, err error) {
+	head := r.head()
+	rest := r.Body
+	if chunks.Size(r.Body) <= maxJoinedBody {
+		head = append(head, chunks.Join(r.Body)...)
+		rest = nil
+	}
+	n, err := c.Write(head)
+	for at := 0; err == nil && at < len(rest); at++ {
+		_, err = c.Write(rest[at])
+	}
+	return n > 0, err
+}
+
+// head returns the head of the request in wire format.
+func (r *Request) head() []byte {
 	var b bytes.Buffer
-	b.Grow(maxHeaderHint + len(r.Body))
+	b.Grow(maxHeaderHint)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&b) // writing to a buffer does not fail
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if size := chunks.Size(r.Body); size > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.FormatInt(size, 10) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -69,7 +69,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	r, progress, err := p.Send(ctx, address, &Request{Method: "POST", Target: "/a?b=c", Host: "h.example", Header: http.Header{RequestIDHeader: {id}},
-		Body: []byte("body"), ID: id})
+		Body: [][]byte{[]byte("body")}, ID: id})
 	if err != nil {
 		return "", progress, err
 	}
