An answer that is not read ends with its request, or gives way before

Callers saw: requests for large answers that the client does not read keep their connection, their goroutine and the connection to the instance for ever, and up to megabytes unread in its receive queue.

Cause: a write to the client had no deadline, and the deadline of the request ended reads from the instance only. Nothing bounded the receive queue of the connection to the instance.

Change: writes end 1 s after the deadline of the request (at the control address after 30 s, for probes after 1 s). While a write to a client has begun and not ended, its connection may give way, as one that does not move. The receive buffer of a connection to an instance is 16 KiB, and its queue (32 KiB) is counted for each request.

--- a/internal/clientbudget/clientbudget.go
+++ b/internal/clientbudget/clientbudget.go
@@ -20,6 +20,7 @@
 const (
 	ConnectionBytes = 24 << 10 // a connection: its goroutine and its buffers
 	RequestBytes    = 32 << 10 // a request, besides its head and its body
+	AnswerBytes     = 32 << 10 // the receive queue of the connection from which a request's answer is read
 	HeaderLineBytes = 512      // a line of a head, besides its bytes: entries of the header and of its copy for an instance
 )
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -63,6 +63,7 @@
 	versionsHeader  = "Versions"
 
 	maxErrorBody   = 256 << 10
+	answerSlack    = time.Second // time after the deadline of a request in which its client may still take the answer
 	discardTimeout = time.Second // time in which the rest of a denied request's body may arrive
 	maxPriority    = 9
 )
@@ -128,6 +129,7 @@
 			c.deadline = until
 		}
 	}
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.deadline.Add(answerSlack))
 	if !c.readBody() {
 		return false
 	}
--- a/internal/keepalive/counting.go
+++ b/internal/keepalive/counting.go
@@ -78,11 +78,21 @@
 	}
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	before := c.account.Enter(clientbudget.Writing)
+	n, err := c.Conn.Write(b)
+	c.account.Moved(n)
+	c.account.Enter(before)
+	return n, err
+}
+
 // Requests is what a request at a listener may hold, and for how long.
 type Requests struct {
-	Holds       clientbudget.Amount // besides its head and its body
-	BodyCopies  int64               // how many times its body is held at once
-	BodyTimeout time.Duration       // in which its body arrives, unless the handler sets another read deadline
+	Holds         clientbudget.Amount // besides its head and its body
+	BodyCopies    int64               // how many times its body is held at once
+	BodyTimeout   time.Duration       // in which its body arrives, unless the handler sets another read deadline
+	AnswerTimeout time.Duration       // in which its answer is written, unless the handler sets another write deadline
 }
 
 // Handler returns a handler that bounds what requests hold. The handler reads clientbudget.ErrNoRoom from the body if the
@@ -95,6 +105,7 @@
 			return
 		}
 		c.markHandling()
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(requests.AnswerTimeout))
 		if !c.account.Hold(requests.Holds) {
 			c.account.Enter(clientbudget.Body)
 			refuseRequest(w, r)
--- a/internal/keepalive/counting_test.go
+++ b/internal/keepalive/counting_test.go
@@ -40,7 +40,7 @@
 		require.NoError(t, err)
 		b.listener = NewListener(inner, b.limiter)
 		b.listener.SetHeadBytes(16 << 10)
-		requests := Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}, BodyCopies: 1, BodyTimeout: bodyTime}
+		requests := Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}, BodyCopies: 1, BodyTimeout: bodyTime, AnswerTimeout: bodyTime}
 		server := &http.Server{ConnState: b.listener.ConnState, ConnContext: b.listener.ConnContext, ReadHeaderTimeout: headTime, MaxHeaderBytes: 1 << 30,
 			Handler: b.listener.Handler(handler, requests)}
 		go func() { _ = server.Serve(b.listener) }()
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -93,6 +93,13 @@
 
 func (d datagrams) Close() error { return d.conn.Close() }
 
+// SetReceiveBuffer sets the size in bytes of the receive buffer of a connection.
+func SetReceiveBuffer(conn net.Conn, size int) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(size)
+	}
+}
+
 // Quiet reports whether a connection has no unread input, neither bytes nor EOF. Another goroutine may be reading from
 // it.
 func Quiet(conn net.Conn) bool {
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -24,11 +24,12 @@
 
 // What requests may hold. At the front the gateway sets the deadlines of a request that it accepts.
 var (
-	frontRequests = keepalive.Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes, Descriptors: 1}, BodyCopies: 1,
-		BodyTimeout: 10 * time.Second}
-	readinessRequests = keepalive.Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}, BodyTimeout: time.Second}
-	controlRequests   = keepalive.Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}, BodyCopies: 2,
-		BodyTimeout: 30 * time.Second}
+	frontRequests = keepalive.Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes + clientbudget.AnswerBytes, Descriptors: 1}, BodyCopies: 1,
+		BodyTimeout: 10 * time.Second, AnswerTimeout: 10 * time.Second}
+	readinessRequests = keepalive.Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}, BodyTimeout: time.Second,
+		AnswerTimeout: time.Second}
+	controlRequests = keepalive.Requests{Holds: clientbudget.Amount{Bytes: clientbudget.RequestBytes}, BodyCopies: 2,
+		BodyTimeout: 30 * time.Second, AnswerTimeout: 30 * time.Second}
 )
 
 // servers are the HTTP servers of one broker.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -25,6 +25,7 @@
 	defaultIdleTimeout = 10 * time.Second
 	idleMargin         = 700 * time.Millisecond // a connection is closed this long before its peer would close it
 	readBuffer         = 4 << 10
+	receiveBuffer      = 16 << 10 // bytes; what an instance sends lies there while the client does not read
 	maxIdlePerTarget   = 32
 	maxCarriedIDs      = 8 // request ids that a connection remembers; must exceed the number of surplus responses that it skips
 )
@@ -98,6 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
+	netio.SetReceiveBuffer(conn, receiveBuffer)
 	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), address: address}, nil
 }
 
