Bytes that lie unread behind a request are bounded and counted

Callers saw: clients that send more than their request, while it is carried out or after it was refused, fill the kernel's queues: 92 to 104 MB of 64 for 200 to 800 clients, and no ordinary request is answered beside them.

Cause: the server does not read while a request is carried out, nor for the half second in which a client may read the last answer. The kernel lets the queue of one connection grow to megabytes. Ceasing to read bounds the process and not the machine.

Change: receive and send buffers of clients' connections are set on the listener, to limits.memory_mb / 4096, 16 to 64 KiB (the kernel uses twice that). net/http reads one byte while a request is carried out: once it does, or if bytes came together with the end of a head without a body, the whole queue is counted, and the client competes for the room of those that hold much; without room its connection is closed. The same holds while the last answer is read, when what the request held is released.

Not measured: the throughput of a distant client, which sends at most 16 to 64 KiB for each round trip now.

--- a/internal/clientbudget/clientbudget.go
+++ b/internal/clientbudget/clientbudget.go
@@ -31,6 +31,10 @@
 	descriptorShare = 5.0 / 8
 	// fileDescriptors is the number of descriptors that are kept for files; of a small limit it is half.
 	fileDescriptors = 200
+	// receiveShare is the share of the memory for the receive queue of one connection.
+	receiveShare     = 1.0 / 4096
+	minReceiveBuffer = 16 << 10
+	maxReceiveBuffer = 64 << 10
 )
 
 const (
@@ -69,6 +73,15 @@
 	return Amount{Bytes: int64(float64(memory) * memoryShare), Descriptors: int(float64(sockets) * descriptorShare)}
 }
 
+// ReceiveBuffer returns the size in bytes of the receive buffer of a client's connection. Its queue holds up to
+// QueueBytes of unread bytes.
+func ReceiveBuffer(memory int64) int {
+	return int(min(max(float64(memory)*receiveShare, minReceiveBuffer), maxReceiveBuffer))
+}
+
+// QueueBytes returns how much memory the kernel uses at most for a receive buffer of a size: it doubles what is set.
+func QueueBytes(receiveBuffer int) int64 { return 2 * int64(receiveBuffer) }
+
 // Stage is what a client's connection does.
 type Stage int
 
@@ -88,6 +101,7 @@
 	held    Amount
 	since   time.Duration // when it last moved
 	moved   int64         // bytes since then
+	surplus bool          // the client has sent more than the request that is carried out
 	evicted bool
 }
 
@@ -100,12 +114,19 @@
 // Held returns what the connection holds.
 func (h *Holder) Held() Amount { return h.held }
 
+// MarkSurplus records that the client has sent more than the request that is carried out: until it is idle, it counts as
+// large.
+func (h *Holder) MarkSurplus() { h.surplus = true }
+
 // Enter sets the stage at a time. A new stage counts as a movement.
 func (h *Holder) Enter(stage Stage, now time.Duration) {
 	if h.stage == stage {
 		return
 	}
 	h.stage = stage
+	if stage == Idle {
+		h.surplus = false
+	}
 	h.Touch(now)
 }
 
@@ -147,7 +168,7 @@
 // Fits reports whether there is room for more of a holder.
 func (b *Budget) Fits(h *Holder, more Amount) bool {
 	limit := b.limit
-	if h.held.Bytes+more.Bytes > LargeHolding {
+	if h.surplus || h.held.Bytes+more.Bytes > LargeHolding {
 		limit.Bytes = int64(float64(limit.Bytes) * largeShare)
 		limit.Descriptors = int(float64(limit.Descriptors) * largeShare)
 	}
--- a/internal/clientbudget/clientbudget_test.go
+++ b/internal/clientbudget/clientbudget_test.go
@@ -40,6 +40,10 @@
 	assert.False(t, b.Fits(large, Amount{Bytes: 1}))
 	ordinary := opened(b, Body, ConnectionBytes, 0)
 	assert.True(t, b.Fits(ordinary, Amount{Bytes: 20 << 10}))
+	ordinary.MarkSurplus()
+	assert.False(t, b.Fits(ordinary, Amount{Bytes: 20 << 10}), "it has sent more than its request")
+	ordinary.Enter(Idle, 0)
+	assert.True(t, b.Fits(ordinary, Amount{Bytes: 20 << 10}))
 	for range 98 {
 		opened(b, Idle, 0, 0)
 	}
@@ -115,6 +119,7 @@
 		assert.Less(t, limit.Bytes, memoryMB<<20/2, "half is for all else")
 		assert.Greater(t, int64(float64(limit.Bytes)*largeShare), int64(4<<20+LargeHolding), "a request of 4 MiB fits")
 		assert.LessOrEqual(t, limit.Descriptors, 4100-fileDescriptors)
+		assert.GreaterOrEqual(t, ReceiveBuffer(memoryMB<<20), minReceiveBuffer)
 	}
 	assert.Equal(t, Amount{Descriptors: 93}, LimitFor(0, 300), "half of a small limit is for files")
 }
--- a/internal/clientlimit/clientlimit.go
+++ b/internal/clientlimit/clientlimit.go
@@ -11,7 +11,8 @@
 
 // Limiter bounds what the clients of all listeners of a process hold together.
 type Limiter struct {
-	start time.Time
+	start         time.Time
+	receiveBuffer int // bytes
 
 	mu       sync.Mutex
 	budget   *clientbudget.Budget
@@ -28,11 +29,20 @@
 
 // New returns a limiter for a process with this memory in bytes and this number of descriptors.
 func New(memory int64, descriptors int) *Limiter {
-	return &Limiter{start: time.Now(), budget: clientbudget.New(clientbudget.LimitFor(memory, descriptors)), accounts: map[*clientbudget.Holder]*Account{}}
+	return &Limiter{start: time.Now(), receiveBuffer: clientbudget.ReceiveBuffer(memory),
+		budget: clientbudget.New(clientbudget.LimitFor(memory, descriptors)), accounts: map[*clientbudget.Holder]*Account{}}
 }
 
 func (l *Limiter) now() time.Duration { return time.Since(l.start) }
 
+// ReceiveBuffer returns the size in bytes of the receive buffer of a client's connection.
+func (l *Limiter) ReceiveBuffer() int { return l.receiveBuffer }
+
+// queue returns what the kernel holds at most for a connection whose bytes are not read.
+func (l *Limiter) queue() clientbudget.Amount {
+	return clientbudget.Amount{Bytes: clientbudget.QueueBytes(l.receiveBuffer)}
+}
+
 // Used returns what the clients hold.
 func (l *Limiter) Used() clientbudget.Amount {
 	l.mu.Lock()
@@ -92,6 +102,25 @@
 	return true
 }
 
+// MarkSurplus records that the client has sent more than the request that is carried out.
+func (a *Account) MarkSurplus() {
+	if a == nil {
+		return
+	}
+	a.limiter.mu.Lock()
+	defer a.limiter.mu.Unlock()
+	a.holder.MarkSurplus()
+}
+
+// HoldUnread adds the receive queue of a connection whose client has sent more than the request that is carried out.
+func (a *Account) HoldUnread() bool {
+	if a == nil {
+		return true
+	}
+	a.MarkSurplus()
+	return a.Hold(a.limiter.queue())
+}
+
 // Idle keeps only what an idle connection holds.
 func (a *Account) Idle() {
 	if a == nil {
--- a/internal/keepalive/counting.go
+++ b/internal/keepalive/counting.go
@@ -47,7 +47,7 @@
 // answered, and the connection ends.
 func (c *conn) countRead(b []byte, n int) bool {
 	if c.handling.Load() {
-		return c.countWhileHandling(n)
+		return c.countWhileHandling(b, n)
 	}
 	c.account.Enter(clientbudget.Head)
 	c.account.Moved(n)
@@ -63,10 +63,16 @@
 	return true
 }
 
-// countWhileHandling counts bytes behind the head. The reader of the body counts the body.
-func (c *conn) countWhileHandling(n int) bool {
+// countWhileHandling counts bytes behind the head. The reader of the body counts the body. A read of a single byte is
+// net/http's, while the handler runs and the body has been read: further bytes lie unread until the request has ended.
+func (c *conn) countWhileHandling(b []byte, n int) bool {
 	c.account.Moved(n)
-	return true
+	if len(b) > 1 || c.account.HoldUnread() {
+		return true
+	}
+	_ = c.Conn.Close()
+	c.account.Close()
+	return false
 }
 
 // refuse answers a request whose head has not been read whole, and lets the client read the answer.
@@ -105,6 +111,9 @@
 			return
 		}
 		c.markHandling()
+		if c.head.more && r.Body == http.NoBody {
+			c.account.MarkSurplus()
+		}
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(requests.AnswerTimeout))
 		if !c.account.Hold(requests.Holds) {
 			c.account.Enter(clientbudget.Body)
--- a/internal/keepalive/head.go
+++ b/internal/keepalive/head.go
@@ -8,6 +8,7 @@
 	text  bool // a line that is not empty has begun
 	blank bool // the current line is empty so far
 	done  bool // the empty line at the end of the head has arrived
+	more  bool // further bytes arrived together with the end of the head
 }
 
 // scan counts the bytes of the head among the next bytes of a connection and returns the number of them and of their lines.
@@ -32,5 +33,6 @@
 		h.blank = true
 	}
 	h.bytes += int64(size)
+	h.more = h.more || size < len(b)
 	return size, lines
 }
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -34,6 +34,9 @@
 
 // NewListener wraps a listener. The limiter bounds what its clients hold; it may be nil.
 func NewListener(l net.Listener, limiter *clientlimit.Limiter) *Listener {
+	if limiter != nil {
+		netio.SetBuffers(l, limiter.ReceiveBuffer())
+	}
 	return &Listener{Listener: l, limiter: limiter, conns: map[*conn]bool{}}
 }
 
@@ -197,6 +200,9 @@
 func (c *conn) CloseWrite() error {
 	c.account.Idle() // the request has been answered
 	c.account.Enter(clientbudget.Closing)
+	if !c.account.HoldUnread() {
+		return c.Close()
+	}
 	if half, can := c.Conn.(interface{ CloseWrite() error }); can {
 		return half.CloseWrite()
 	}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -93,6 +93,23 @@
 
 func (d datagrams) Close() error { return d.conn.Close() }
 
+// SetBuffers sets the size in bytes of the receive and the send buffer of all connections that a listener accepts from now
+// on. It has no effect on a listener that is not of TCP.
+func SetBuffers(listener net.Listener, size int) {
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, size)
+	})
+}
+
 // SetReceiveBuffer sets the size in bytes of the receive buffer of a connection.
 func SetReceiveBuffer(conn net.Conn, size int) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
