An order without room is answered 503, one that comes too late 408

Callers saw: configurations at the control address that stop short of their end end a broker; since bodies are counted they would get 400, which an operator takes for the end of its call.

Cause: an order of up to 64 MiB was read into a buffer that grows, whatever other clients hold, without a time limit; each failure to read it was answered 400.

Change: orders are read in chunks and joined once they are whole, counted twice. The rest is not read, and the connection closes.

--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -3,10 +3,12 @@
 package operatorapi
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -15,6 +17,8 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/phuslu/log"
 
+	"gullstair/internal/chunks"
+	"gullstair/internal/clientbudget"
 	"gullstair/internal/configuration"
 	"gullstair/internal/controlstate"
 	"gullstair/internal/inputerrors"
@@ -127,17 +131,11 @@
 
 // readChange reads a change of the configuration and its base version. If ok is false, it has answered with an error.
 func (a *api) readChange(w http.ResponseWriter, r *http.Request) (base int64, raw []byte, ok bool) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		a.writeError(w, http.StatusRequestEntityTooLarge, errors.Newf("the body has more than %d bytes", tooLarge.Limit))
-		return 0, nil, false
-	}
-	if err != nil {
-		a.writeError(w, http.StatusBadRequest, errors.Wrap(err, "read the body"))
+	raw, ok = a.readBody(w, r, maxBodyBytes)
+	if !ok {
 		return 0, nil, false
 	}
-	base, err = strconv.ParseInt(strings.TrimSpace(r.Header.Get(baseVersionHeader)), 10, 64)
+	base, err := strconv.ParseInt(strings.TrimSpace(r.Header.Get(baseVersionHeader)), 10, 64)
 	if err != nil && r.Header.Get(baseVersionHeader) != "" {
 		a.writeError(w, http.StatusBadRequest, errors.Newf("%s is not a number", baseVersionHeader))
 		return 0, nil, false
@@ -145,6 +143,30 @@
 	return base, raw, true
 }
 
+// readBody reads the body of a call. If ok is false, it has answered that the call was not carried out.
+func (a *api) readBody(w http.ResponseWriter, r *http.Request, limit int64) (raw []byte, ok bool) {
+	body, err := chunks.Read(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		defer chunks.Release(body)
+		return chunks.Join(body), true
+	}
+	w.Header().Set("Connection", "close") // the rest of the body is not read
+	err = errors.Wrap(err, "read the body")
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		a.writeError(w, http.StatusRequestEntityTooLarge, errors.Newf("the body has more than %d bytes", tooLarge.Limit))
+	case errors.Is(err, clientbudget.ErrNoRoom):
+		w.Header().Set("Retry-After", strconv.FormatFloat(clientbudget.RetryAfter.Seconds(), 'f', 3, 64))
+		a.writeError(w, http.StatusServiceUnavailable, err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		a.writeError(w, http.StatusRequestTimeout, err)
+	default:
+		a.writeError(w, http.StatusBadRequest, err)
+	}
+	return nil, false
+}
+
 // answerChange answers the operator with the result of a change of the configuration to the given version.
 func (a *api) answerChange(w http.ResponseWriter, version int64, err error) {
 	var found *inputerrors.Error
@@ -191,7 +213,11 @@
 		Model   string `json:"model"`
 		Version int64  `json:"version"`
 	}{}
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxHeartbeatBytes)).Decode(&body); err != nil || body.Model == "" || body.Version < 1 {
+	raw, ok := a.readBody(w, r, maxHeartbeatBytes)
+	if !ok {
+		return
+	}
+	if err := json.NewDecoder(bytes.NewReader(raw)).Decode(&body); err != nil || body.Model == "" || body.Version < 1 {
 		a.writeError(w, http.StatusBadRequest, errors.New("a model and a version of 1 or more are needed"))
 		return
 	}
