A heartbeat whose body breaks off is not acknowledged

Callers saw: an instance whose heartbeat broke off, or did not arrive in time, got 200 for a heartbeat that was never read, and could take its draining for known. Cause: the handler returned without an answer on an error of the body, which net/http turns into 200. Evidence: TestBodyThatBreaksOff got 200 three times on the code before.

--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -231,8 +230,8 @@
 }
 
 func (a *api) heartbeat(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-	raw, err := io.ReadAll(io.LimitReader(r.Body, maxHeartbeatBytes))
-	if err != nil {
+	raw, ok := a.readBody(w, r, maxHeartbeatBytes)
+	if !ok {
 		return
 	}
 	i, err := instances.ParseHeartbeat(p.ByName("id"), raw)
--- a/internal/operatorapi/operatorapi_test.go
+++ b/internal/operatorapi/operatorapi_test.go
@@ -4,13 +4,17 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/phuslu/log"
 
+	"gullstair/internal/clientbudget"
 	"gullstair/internal/configuration"
 	"gullstair/internal/controlstate"
 	"gullstair/internal/instances"
@@ -90,3 +94,22 @@
 		t.Errorf("a body over the limit got %d", status)
 	}
 }
+
+// TestBodyThatBreaksOff checks that a call is not acknowledged if its body has not arrived whole.
+func TestBodyThatBreaksOff(t *testing.T) {
+	handler := New(&fakeControl{}, &log.Logger{Level: log.PanicLevel})
+	for cause, want := range map[error]int{
+		io.ErrUnexpectedEOF:    http.StatusBadRequest,
+		os.ErrDeadlineExceeded: http.StatusRequestTimeout,
+		clientbudget.ErrNoRoom: http.StatusServiceUnavailable,
+	} {
+		for _, path := range []string{"/v1/instances/i/heartbeat", "/v1/version-put", "/v1/config/replace", "/v1/config/update"} {
+			body := io.MultiReader(strings.NewReader(`{"service":"s","address":"127.0.0.1:1","model":"m","version":1}`), iotest.ErrReader(cause))
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, path, body))
+			if recorder.Code != want {
+				t.Errorf("%s, %v: %d, want %d", path, cause, recorder.Code, want)
+			}
+		}
+	}
+}
