Frames between brokers are counted as they arrive, and their connections too

Callers saw: a hundred connections to the port of the brokers' own protocol, each with a frame that stops short of its end, end a broker. Cause: 16 MiB of a frame were allowed for each connection, held up to three times while its buffer grew, for 30 s, and nothing bounded the connections.

Change: the connections and frames belong to the same budget as what clients hold. A frame over 2 KiB is read in chunks and counted as they arrive, never by the length it announces, and until its call has ended. A connection with a call in progress does not give way.

Only suspected: the receive queue of such a connection is left to the kernel, and replies that a peer does not read are bounded by 64 for each connection and 2 s for each 64 KiB.

--- a/internal/clientbudget/clientbudget.go
+++ b/internal/clientbudget/clientbudget.go
@@ -189,6 +189,9 @@
 	b.used = b.used.plus(more)
 }
 
+// Drop records that a holder holds less.
+func (b *Budget) Drop(h *Holder, less Amount) { b.Add(h, Amount{}.minus(less)) }
+
 // Keep records that of all that a holder holds it keeps this much.
 func (b *Budget) Keep(h *Holder, rest Amount) { b.Add(h, rest.minus(h.held)) }
 
--- a/internal/clientlimit/clientlimit.go
+++ b/internal/clientlimit/clientlimit.go
@@ -121,6 +121,16 @@
 	return a.Hold(a.limiter.queue())
 }
 
+// Drop subtracts from what a connection holds.
+func (a *Account) Drop(less clientbudget.Amount) {
+	if a == nil {
+		return
+	}
+	a.limiter.mu.Lock()
+	defer a.limiter.mu.Unlock()
+	a.limiter.budget.Drop(&a.holder, less)
+}
+
 // Idle keeps only what an idle connection holds.
 func (a *Account) Idle() {
 	if a == nil {
@@ -145,6 +155,16 @@
 	delete(a.limiter.accounts, &a.holder)
 }
 
+// Stage returns the stage of the connection.
+func (a *Account) Stage() clientbudget.Stage {
+	if a == nil {
+		return clientbudget.Idle
+	}
+	a.limiter.mu.Lock()
+	defer a.limiter.mu.Unlock()
+	return a.holder.Stage()
+}
+
 // Enter sets the stage of the connection and returns the one before.
 func (a *Account) Enter(stage clientbudget.Stage) (before clientbudget.Stage) {
 	if a == nil {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -16,6 +16,7 @@
 
 	"github.com/phuslu/log"
 
+	"gullstair/internal/clientlimit"
 	"gullstair/internal/dissemination"
 	"gullstair/internal/journalfile"
 	"gullstair/internal/netio"
@@ -89,6 +90,7 @@
 	client       *peerlink.Client
 	traffic      *peerlink.Traffic
 	listener     net.Listener
+	limiter      *clientlimit.Limiter // of what connections of other brokers hold; nil: not bounded
 	noteSocket   netio.Datagrams
 	pacer        *pacer // rate limiter for notes of cached prefixes
 	noteHandlers map[NoteKind]func([]byte)
@@ -169,6 +171,9 @@
 // OnRecord registers f to be called for each new record, including this broker's own. It must be called before Run.
 func (n *Node) OnRecord(f func(dissemination.Record)) { n.recordHandlers = append(n.recordHandlers, f) }
 
+// LimitPeers sets the limiter of what connections of other brokers hold. It must be called before Run.
+func (n *Node) LimitPeers(limiter *clientlimit.Limiter) { n.limiter = limiter }
+
 // Replica returns the identity of this machine's replica and the sequence of the value that it holds, or false if the
 // machine has no replica.
 func (n *Node) Replica() (replica register.Replica, sequence uint64, has bool) {
@@ -181,7 +186,7 @@
 // Run starts the node and blocks until the context ends.
 func (n *Node) Run(ctx context.Context) {
 	go func() {
-		if err := peerlink.Serve(n.listener, n.traffic, n.handle); err != nil {
+		if err := peerlink.Serve(n.listener, n.traffic, n.limiter, n.handle); err != nil {
 			n.logger.Error().Err(err).Msg("stopped serving peers")
 		}
 	}()
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -15,6 +15,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gullstair/internal/chunks"
+	"gullstair/internal/clientbudget"
+	"gullstair/internal/clientlimit"
 	"gullstair/internal/dissemination"
 	"gullstair/internal/gobpool"
 	"gullstair/internal/netio"
@@ -65,8 +68,10 @@
 
 	reader   *bufio.Reader
 	frame    bytes.Buffer // the frame being read
+	length   uint32       // of the frame read last, in bytes
 	stream   gobpool.Stream
-	received atomic.Int64 // bytes received
+	received atomic.Int64         // bytes received
+	account  *clientlimit.Account // what a connection that was accepted holds; nil for others
 }
 
 func newCodec(conn net.Conn, traffic *Traffic) *codec {
@@ -131,20 +136,52 @@
 		return err
 	}
 	length := binary.LittleEndian.Uint32(header[:])
+	c.length = length
 	if length > maxFrame {
 		return errors.Newf("a message of %d bytes exceeds the limit", length)
 	}
+	c.account.Enter(clientbudget.Body)
 	c.frame.Reset()
-	_, err := io.CopyN(&c.frame, c.reader, int64(length))
-	return err
+	if length <= maxKeptBuffer {
+		_, err := io.CopyN(&c.frame, c.reader, int64(length))
+		return err
+	}
+	frame, err := chunks.Read(countedReader{c, io.LimitReader(c.reader, int64(length))})
+	if err != nil {
+		return err
+	}
+	defer chunks.Release(frame)
+	if chunks.Size(frame) < int64(length) {
+		return io.ErrUnexpectedEOF
+	}
+	c.frame = *bytes.NewBuffer(chunks.Join(frame))
+	return nil
+}
+
+// countedReader counts the bytes of a frame as held by the connection.
+type countedReader struct {
+	*codec
+	frame io.Reader
 }
 
+func (c countedReader) Read(b []byte) (int, error) {
+	n, err := c.frame.Read(b)
+	c.account.Moved(n)
+	if !c.account.Hold(heldFor(int64(n))) {
+		return 0, clientbudget.ErrNoRoom
+	}
+	return n, err
+}
+
+// heldFor returns what a connection holds for bytes of a frame: once in chunks or as a message, and once in one piece.
+func heldFor(bytes int64) clientbudget.Amount { return clientbudget.Amount{Bytes: 2 * bytes} }
+
 // Handler handles a call and returns the reply. A nil reply closes the connection.
 type Handler func(*Message) *Message
 
 // Serve accepts connections and answers their calls until the listener is closed, which also closes the connections.
-// traffic counts the messages.
-func Serve(listener net.Listener, traffic *Traffic, handle Handler) error {
+// traffic counts the messages, and limiter bounds what the connections hold; it may be nil.
+func Serve(listener net.Listener, traffic *Traffic, limiter *clientlimit.Limiter, handle Handler) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for {
@@ -158,15 +195,31 @@
 		stop := context.AfterFunc(ctx, func() { conn.Close() })
 		go func() {
 			defer stop()
-			serveConn(conn, traffic, handle)
+			serveConn(conn, traffic, limiter, handle)
 		}()
 	}
 }
 
-func serveConn(conn net.Conn, traffic *Traffic, handle Handler) {
+// acceptedConn is a connection whose calls are answered.
+type acceptedConn struct {
+	*codec
+	handle Handler
+	slots  chan struct{}
+
+	mu    sync.Mutex
+	calls int // in progress
+}
+
+func serveConn(conn net.Conn, traffic *Traffic, limiter *clientlimit.Limiter, handle Handler) {
 	defer conn.Close()
-	c := newCodec(conn, traffic)
-	slots := make(chan struct{}, maxConcurrentCalls)
+	least := clientbudget.Amount{Bytes: clientbudget.ConnectionBytes, Descriptors: 1}
+	account, open := limiter.Open(least, func(clientbudget.Stage) bool { return conn.Close() == nil })
+	if !open {
+		return
+	}
+	defer account.Close()
+	c := &acceptedConn{codec: newCodec(conn, traffic), handle: handle, slots: make(chan struct{}, maxConcurrentCalls)}
+	c.account = account
 	for {
 		if conn.SetReadDeadline(time.Now().Add(idleTimeout)) != nil {
 			return
@@ -175,22 +228,51 @@
 		if err != nil {
 			return
 		}
-		slots <- struct{}{}
+		size := int64(c.length)
+		if size <= maxKeptBuffer {
+			size = 0 // not counted
+		}
+		c.slots <- struct{}{}
+		c.begin()
 		go func() {
-			defer func() { <-slots }()
-			reply := handle(call)
-			if reply == nil {
-				conn.Close()
-				return
-			}
-			reply.ID, reply.Reply = call.ID, true
-			if c.write(reply) != nil {
-				conn.Close()
-			}
+			defer func() { <-c.slots }()
+			defer c.end(size)
+			c.answer(call)
 		}()
 	}
 }
 
+// begin records that a call is in progress: the connection does not give way.
+func (c *acceptedConn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	c.account.Enter(clientbudget.Working)
+}
+
+// end records that a call with a frame of this size has ended.
+func (c *acceptedConn) end(size int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls--
+	c.account.Drop(heldFor(size))
+	if c.calls == 0 && c.account.Stage() == clientbudget.Working {
+		c.account.Enter(clientbudget.Idle)
+	}
+}
+
+func (c *acceptedConn) answer(call *Message) {
+	reply := c.handle(call)
+	if reply == nil {
+		c.conn.Close()
+		return
+	}
+	reply.ID, reply.Reply = call.ID, true
+	if c.write(reply) != nil {
+		c.conn.Close()
+	}
+}
+
 // Client makes calls to peers and keeps one connection to each.
 type Client struct {
 	network netio.Network
--- a/internal/peerlink/link_test.go
+++ b/internal/peerlink/link_test.go
@@ -52,7 +52,7 @@
 		t.Fatal(err)
 	}
 	go func() {
-		_ = Serve(listener, &Traffic{}, func(m *Message) *Message {
+		_ = Serve(listener, &Traffic{}, nil, func(m *Message) *Message {
 			reply := *m
 			return &reply
 		})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -74,6 +74,7 @@
 		return nil, errors.Wrap(err, "join the cluster")
 	}
 	b.node = node
+	node.LimitPeers(b.limiter)
 	b.weights = weights.New(s.Bounds.Version)
 	b.gateway = gateway.New(s, logger, environment.Network, seedOf(s.NodeName), b.weights, b.displace)
 	b.roles = newRoles(b)
