The aggregator's front admits no more connections than its memory bears

Callers saw: with little memory, bodies that stop short of their end take a process over limits.memory_mb. Cause: each connection whose request is read has a buffer of 68 KiB, and the number of connections follows limits.sockets alone.

Change: connections are bounded by half of limits.memory_mb too, 96 KiB each. The default of 192 MB allows 1,024, above the 728 that 1,024 sockets allow: nothing changes there.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -38,7 +38,9 @@
 	listenRetryInterval = 10 * time.Millisecond
 	// readAheadShare is the fraction (1/n) of the memory that clients may fill with pipelined requests.
 	readAheadShare = 16
-	reservedFiles  = 24 // file descriptors for the listener, discovery, standard streams and the runtime
+	// frontMemoryShare is the fraction (1/n) of the memory that clients may fill with connections.
+	frontMemoryShare = 2
+	reservedFiles    = 24 // file descriptors for the listener, discovery, standard streams and the runtime
 )
 
 // Clocks are the clocks of a machine: Elapsed returns ns since a fixed point and includes time in suspend; Wall is the
@@ -116,11 +118,12 @@
 	b := &Broker{startFile: t, clock: NewClock(), turn: t.Site.Turn, mailbox: make(chan core.Input, mailboxSize),
 		stop: make(chan struct{}), frontDone: make(chan struct{}), stopping: make(chan struct{}), ln: ln, log: log, fatal: make(chan error, 1), features: f, clocks: clocks}
 	nodeConns := t.Sockets / 4
+	maxConns := min(t.Sockets-nodeConns-front.MaxClosingConns-reservedFiles, t.MemoryMB<<20/frontMemoryShare/front.ConnBytes)
 	b.fleet = node.NewFleet(node.ConnLimits{PerConn: t.Site.PartsPerConn, MaxConns: nodeConns,
 		ConnectTimeout: ms(t.Site.ConnectTimeout), IdleTimeout: ms(t.Site.ConnIdle)}, b.clock.Now,
 		func(e core.Ended) { b.put(e) }, log)
 	b.front = &front.Front{Site: t.Site, Now: b.clock.Now, OnScan: func(s *core.Scan) { b.put(s) },
-		OnDisconnect: func(s *core.Scan) { b.put(core.ClientLeft{Scan: s}) }, MaxConns: t.Sockets - nodeConns - front.MaxClosingConns - reservedFiles, SoftMaxConns: t.Sockets / 6, // half of what clients may hold for requests
+		OnDisconnect: func(s *core.Scan) { b.put(core.ClientLeft{Scan: s}) }, MaxConns: maxConns, SoftMaxConns: min(t.Sockets/6, maxConns/2), // half of what clients may hold for requests
 		ReadAhead: t.MemoryMB << 20 / readAheadShare, ReadWithin: readTimeout, Log: log}
 	logInvalid := func(host, why string) { log.Warn().Str("node", host).Msg(why) }
 	known := t.KnownList.Nodes(logInvalid)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"gullstair/internal/buffers"
 	"gullstair/internal/core"
 	"gullstair/internal/shutdown"
 	"gullstair/internal/startsettings"
@@ -31,6 +32,10 @@
 // MaxClosingConns is the maximum number of closing connections, in addition to MaxConns in service.
 const MaxClosingConns = 16
 
+// ConnBytes is the memory of a connection whose request is being read: the buffer for its body, its goroutine and its
+// other buffers.
+const ConnBytes = buffers.Size + 28<<10
+
 // Front serves clients. It calls OnScan with each scan, and OnDisconnect with each scan whose client disconnected; both
 // may block.
 type Front struct {
