The soft memory limit leaves room for the program and for unread bytes

On a machine of 64 MB the garbage collector's soft limit, 0.7 of limits.memory_mb, left 19 MB for all that it does not see: the program's own pages, 16 MB resident here, and the bytes unread in sockets. The limit now leaves at least 28 MB, and is at least half of the memory; from 94 MB on it is as before.

--- a/cmd/gullstair/fleet.go
+++ b/cmd/gullstair/fleet.go
@@ -30,6 +30,7 @@
 
 const (
 	memoryShare   = 0.7 // Soft memory limit as a share of the memory setting; above it the garbage collector runs more often.
+	otherMemoryMB = 28  // Least memory outside of that limit: the program itself, and bytes unread in its sockets.
 	statusTimeout = 3 * time.Second
 	bytesPerMB    = 1 << 20
 )
@@ -118,7 +119,7 @@
 func runBroker(s *settings.Settings, path, level string, signals *brokerSignals) error {
 	logger := &log.Logger{Level: log.ParseLevel(level), Writer: log.IOWriter{Writer: os.Stderr}}
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * bytesPerMB))
+	debug.SetMemoryLimit(softMemoryLimit(s.MemoryMB))
 	logger.Info().Str("node", s.NodeName).Msg("broker starting")
 	broker, err := router.New(s, path, logger, cluster.HostEnvironment())
 	if err != nil {
@@ -132,6 +133,12 @@
 	return broker.Run(signals.terminated)
 }
 
+// softMemoryLimit returns the soft memory limit in bytes. It is at least half of the memory setting.
+func softMemoryLimit(memoryMB int) int64 {
+	limitMB := min(float64(memoryMB)*memoryShare, float64(memoryMB-otherMemoryMB))
+	return int64(max(limitMB, float64(memoryMB)/2) * bytesPerMB)
+}
+
 func checkConfigurationFile(path string, out io.Writer) error {
 	raw, err := os.ReadFile(path)
 	if err != nil {
