A client that gives way after its answer has begun gets no second one

Callers saw, since bodies give way: a client whose request was answered before its body had come, and that gave way while the rest of the body was awaited, got a second answer, 503, on the connection. Cause: the stage of the connection was still that of a body. Change: once an answer has begun to be written, the connection is closing, and is closed without a text. Evidence: TestAnswerBeforeTheBody counts two answers on the code before, one now.

--- a/internal/keepalive/counting.go
+++ b/internal/keepalive/counting.go
@@ -89,6 +89,9 @@
 	before := c.account.Enter(clientbudget.Writing)
 	n, err := c.Conn.Write(b)
 	c.account.Moved(n)
+	if before == clientbudget.Body {
+		before = clientbudget.Closing // the answer has begun: no other may follow if the connection gives way
+	}
 	c.account.Enter(before)
 	return n, err
 }
@@ -116,7 +119,7 @@
 		}
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(requests.AnswerTimeout))
 		if !c.account.Hold(requests.Holds) {
-			c.account.Enter(clientbudget.Body)
+			c.account.Enter(clientbudget.Closing)
 			refuseRequest(w, r)
 			return
 		}
--- a/internal/keepalive/counting_test.go
+++ b/internal/keepalive/counting_test.go
@@ -166,7 +166,7 @@
 // are closed.
 func TestIdleConnectionsGiveWay(t *testing.T) {
 	serveBounded(t, echoLength, func(b *bounded) {
-		limit := clientbudget.LimitFor(boundedMemory, 100).Descriptors
+		limit := clientbudget.LimitFor(boundedMemory, 100).Descriptors // a front may take seven eighths of them
 		for range 3 * limit {
 			conn := b.dial()
 			defer conn.Close()
@@ -180,6 +180,29 @@
 	})
 }
 
+// TestAnswerBeforeTheBody checks that a connection that gives way while the rest of a body is awaited, after the answer, gets
+// no second answer.
+func TestAnswerBeforeTheBody(t *testing.T) {
+	early := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "close") // net/http then answers before it has read the body
+		w.WriteHeader(http.StatusNotFound)
+	}
+	serveBounded(t, early, func(b *bounded) {
+		conn := b.dial()
+		defer conn.Close()
+		_, err := io.WriteString(conn, post(1000, 999))
+		require.NoError(t, err)
+		time.Sleep(100 * time.Millisecond)
+		for range 100 { // take all descriptors
+			other := b.dial()
+			defer other.Close()
+			time.Sleep(10 * time.Millisecond)
+		}
+		text, _ := io.ReadAll(conn)
+		assert.Equal(t, 1, strings.Count(string(text), "HTTP/1.1"), "%s", text)
+	})
+}
+
 // TestRequestsInARow sends a request before the answer to the one before has come: both are answered, and the connection is
 // not idle meanwhile.
 func TestRequestsInARow(t *testing.T) {
