Operators, instances and probes have room that clients of the front do not take

Change: clients of the front may fill seven eighths of the budget; the control and readiness listeners and the connections of other brokers may use all of it. Ruled out: that the largest request does not fit (TestLimits, from 64 MB).

--- a/internal/clientbudget/clientbudget.go
+++ b/internal/clientbudget/clientbudget.go
@@ -42,6 +42,8 @@
 	LargeHolding = 160 << 10
 	// largeShare is the share of the budget that large clients may fill. The rest is for ordinary requests.
 	largeShare = 0.75
+	// frontShare is the share that clients of the front may fill. The rest is for the fleet's own connections.
+	frontShare = 0.875
 	// leavingShare is the share of the budget up to which holders and those that have given way and are not closed yet
 	// may use memory.
 	leavingShare = 1.25
@@ -63,6 +65,10 @@
 	return Amount{Bytes: a.Bytes - b.Bytes, Descriptors: a.Descriptors - b.Descriptors}
 }
 
+func (a Amount) times(share float64) Amount {
+	return Amount{Bytes: int64(float64(a.Bytes) * share), Descriptors: int(float64(a.Descriptors) * share)}
+}
+
 func (a Amount) within(limit Amount) bool {
 	return a.Bytes <= limit.Bytes && a.Descriptors <= limit.Descriptors
 }
@@ -97,6 +103,8 @@
 
 // Holder is one client's connection. The caller keeps it and passes it to the budget.
 type Holder struct {
+	Control bool // of an operator, an instance, a probe or another broker: it has room that other clients do not take
+
 	stage   Stage
 	held    Amount
 	since   time.Duration // when it last moved
@@ -168,9 +176,11 @@
 // Fits reports whether there is room for more of a holder.
 func (b *Budget) Fits(h *Holder, more Amount) bool {
 	limit := b.limit
+	if !h.Control {
+		limit = limit.times(frontShare)
+	}
 	if h.surplus || h.held.Bytes+more.Bytes > LargeHolding {
-		limit.Bytes = int64(float64(limit.Bytes) * largeShare)
-		limit.Descriptors = int(float64(limit.Descriptors) * largeShare)
+		limit = limit.times(largeShare)
 	}
 	return b.used.plus(more).within(limit)
 }
--- a/internal/clientlimit/clientlimit.go
+++ b/internal/clientlimit/clientlimit.go
@@ -50,16 +50,16 @@
 	return l.budget.Used()
 }
 
-// Open adds a new connection, which holds least while it is idle. giveWay closes it to make room, or returns false if a
+// Open adds a new connection, which holds least while it is idle. control connections have room that others do not take. giveWay closes it to make room, or returns false if a
 // request has just arrived on it; it is called with the limiter's lock held. Open returns false if there is no room. A nil
 // limiter opens nil accounts, which hold whatever they are asked to.
-func (l *Limiter) Open(least clientbudget.Amount, giveWay func(clientbudget.Stage) bool) (account *Account, open bool) {
+func (l *Limiter) Open(least clientbudget.Amount, control bool, giveWay func(clientbudget.Stage) bool) (account *Account, open bool) {
 	if l == nil {
 		return nil, true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a := &Account{limiter: l, least: least, giveWay: giveWay}
+	a := &Account{limiter: l, least: least, giveWay: giveWay, holder: clientbudget.Holder{Control: control}}
 	if !l.makeRoom(&a.holder, least) {
 		return nil, false
 	}
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -26,6 +26,7 @@
 type Listener struct {
 	net.Listener
 	limiter   *clientlimit.Limiter // nil: what clients hold is not bounded
+	control   bool                 // its clients are the fleet's own, see NewControlListener
 	headBytes atomic.Int64         // maximum size of a request's head; 0: not bounded here
 
 	mu    sync.Mutex
@@ -40,6 +41,14 @@
 	return &Listener{Listener: l, limiter: limiter, conns: map[*conn]bool{}}
 }
 
+// NewControlListener wraps a listener whose clients have room that other clients do not take: instances, operators and the
+// platform's probes.
+func NewControlListener(l net.Listener, limiter *clientlimit.Limiter) *Listener {
+	listener := NewListener(l, limiter)
+	listener.control = true
+	return listener
+}
+
 // SetHeadBytes sets the maximum size of a request's head.
 func (l *Listener) SetHeadBytes(n int64) { l.headBytes.Store(n) }
 
@@ -51,7 +60,7 @@
 			return nil, err
 		}
 		c := &conn{Conn: inner, listener: l, idle: true, idleSince: time.Now()}
-		account, open := l.limiter.Open(newConnection, c.giveWay)
+		account, open := l.limiter.Open(newConnection, l.control, c.giveWay)
 		if !open {
 			inner.Close()
 			continue
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -213,7 +213,7 @@
 func serveConn(conn net.Conn, traffic *Traffic, limiter *clientlimit.Limiter, handle Handler) {
 	defer conn.Close()
 	least := clientbudget.Amount{Bytes: clientbudget.ConnectionBytes, Descriptors: 1}
-	account, open := limiter.Open(least, func(clientbudget.Stage) bool { return conn.Close() == nil })
+	account, open := limiter.Open(least, true, func(clientbudget.Stage) bool { return conn.Close() == nil })
 	if !open {
 		return
 	}
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -62,7 +62,10 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
-		tracked := keepalive.NewListener(listener, b.limiter)
+		tracked := keepalive.NewControlListener(listener, b.limiter)
+		if address.listen == b.settings.ListenFront {
+			tracked = keepalive.NewListener(listener, b.limiter)
+		}
 		tracked.SetHeadBytes(maxHeadBytes)
 		added := newServer(tracked, tracked.Handler(address.handler, address.requests), b.logger)
 		s.all = append(s.all, added)
