--- a/internal/keepalive/counting_test.go
+++ b/internal/keepalive/counting_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -209,8 +210,9 @@
 	var handled atomic.Int32
 	slow := func(w http.ResponseWriter, r *http.Request) {
 		handled.Add(1)
+		n, _ := io.Copy(io.Discard, r.Body) // whole: the server then waits for further bytes
 		time.Sleep(time.Second)
-		echoLength(w, r)
+		fmt.Fprint(w, n)
 	}
 	serveBounded(t, slow, func(b *bounded) {
 		conn := b.dial()
@@ -246,3 +248,82 @@
 		assert.Equal(t, []any{int64(len(head)), 6, true}, []any{h.bytes, lines, h.done}, "in pieces of %d", piece)
 	}
 }
+
+// TestBytesBehindARequestCount checks that the receive queue is counted while bytes lie in it behind a request that runs, and
+// no longer.
+func TestBytesBehindARequestCount(t *testing.T) {
+	const get = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	slow := func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) }
+	queue := clientbudget.QueueBytes(clientbudget.ReceiveBuffer(boundedMemory))
+	serveBounded(t, slow, func(b *bounded) {
+		conn := b.dial()
+		defer conn.Close()
+		for range 2 {
+			_, err := io.WriteString(conn, get)
+			require.NoError(t, err)
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.GreaterOrEqual(t, b.limiter.Used().Bytes, clientbudget.ConnectionBytes+clientbudget.RequestBytes+queue)
+		time.Sleep(3 * time.Second)
+		assert.EqualValues(t, clientbudget.ConnectionBytes, b.limiter.Used().Bytes)
+	})
+}
+
+// TestClientsThatSendMoreGiveRoom fills the part for clients that hold much: a request with bytes behind it is refused, one
+// without is served.
+func TestClientsThatSendMoreGiveRoom(t *testing.T) {
+	const get = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		if n > 0 {
+			time.Sleep(time.Minute)
+		}
+	}
+	serveBounded(t, slow, func(b *bounded) {
+		const size = 1250 << 10 // of 1,344 KB, 3/4 of 7/8 of 2 MiB
+		working := b.dial()
+		defer working.Close()
+		_, err := io.WriteString(working, post(size, size))
+		require.NoError(t, err)
+		time.Sleep(10 * time.Second)
+		greedy := b.dial()
+		defer greedy.Close()
+		status, _ := ask(greedy, get+get)
+		assert.Equal(t, http.StatusServiceUnavailable, status)
+		ordinary := b.dial()
+		defer ordinary.Close()
+		status, _ = ask(ordinary, get)
+		assert.Equal(t, http.StatusOK, status)
+	})
+}
+
+// TestAnswerThatIsNotRead uses real sockets, whose writes block: a write to a client that does not read ends in time.
+func TestAnswerThatIsNotRead(t *testing.T) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := NewListener(inner, clientlimit.New(64<<20, 100))
+	ended := make(chan error, 1)
+	endless := func(w http.ResponseWriter, _ *http.Request) {
+		for {
+			if _, err := w.Write(make([]byte, 1<<20)); err != nil {
+				ended <- err
+				return
+			}
+		}
+	}
+	server := &http.Server{ConnState: listener.ConnState, ConnContext: listener.ConnContext,
+		Handler: listener.Handler(http.HandlerFunc(endless), Requests{BodyTimeout: time.Second, AnswerTimeout: 100 * time.Millisecond})}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	client, err := net.Dial("tcp4", inner.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	select {
+	case err := <-ended:
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	case <-time.After(30 * time.Second):
+		t.Error("the write has not ended")
+	}
+}
