--- a/cmd/gullstair/control_test.go
+++ b/cmd/gullstair/control_test.go
@@ -36,6 +36,7 @@
 	process   *fleettest.Process
 	programs  []string // programs to start in turn; if empty, this test binary
 	starts    int
+	output    *os.File // standard output and error; nil: the file "out" in the folder
 }
 
 const (
@@ -51,32 +52,57 @@
 	return c
 }
 
+// start writes the settings and starts the process.
 func (c *controlProcess) start() {
-	data := filepath.Join(c.folder, "data")
+	c.writeSettings(c.settings())
+	c.launch()
+	c.bootstrap = false
+}
+
+// settings returns the text of the settings file.
+func (c *controlProcess) settings() string {
 	lines := []string{"node_name=" + c.ip, "ip=" + c.ip, "zone=z", "region=r", "listen.front=" + c.ip + ":18388", "listen.readiness=" + c.ip + ":18384",
 		"listen.control=" + c.ip + ":18381", "ephemeral_ports=17560,17575", "seeds=" + c.seeds, "bootstrap=" + strconv.FormatBool(c.bootstrap),
 		"fault_tolerance.machines=1"}
 	lines = append(lines, c.extra...)
 	if c.disk {
-		require.NoError(c.t, os.MkdirAll(data, 0o700))
-		lines = append(lines, "counts_for_quorum=true", "data_dir="+data)
+		lines = append(lines, "counts_for_quorum=true", "data_dir="+c.data())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// data returns the folder of the process's disk.
+func (c *controlProcess) data() string { return filepath.Join(c.folder, "data") }
+
+// settingsPath returns the path of the settings file.
+func (c *controlProcess) settingsPath() string { return filepath.Join(c.folder, "local.conf") }
+
+func (c *controlProcess) writeSettings(text string) {
+	if c.disk {
+		require.NoError(c.t, os.MkdirAll(c.data(), 0o700))
+	}
+	require.NoError(c.t, os.WriteFile(c.settingsPath(), []byte(text), 0o600))
+}
+
+// launch starts the process with the settings file as it is.
+func (c *controlProcess) launch() {
+	out := c.output
+	if out == nil {
+		file, err := os.OpenFile(filepath.Join(c.folder, "out"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		require.NoError(c.t, err)
+		defer file.Close()
+		c.logged, err = file.Seek(0, io.SeekEnd)
+		require.NoError(c.t, err)
+		out = file
 	}
-	path := filepath.Join(c.folder, "local.conf")
-	require.NoError(c.t, os.WriteFile(path, []byte(strings.Join(lines, "\n")), 0o600))
-	out, err := os.OpenFile(filepath.Join(c.folder, "out"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	require.NoError(c.t, err)
-	defer out.Close()
-	c.logged, err = out.Seek(0, io.SeekEnd)
-	require.NoError(c.t, err)
 	program, err := os.Executable()
 	require.NoError(c.t, err)
 	if len(c.programs) > 0 {
 		program = c.programs[c.starts%len(c.programs)]
 	}
 	c.starts++
-	c.process, err = fleettest.Launch([]string{program, "broker"}, []string{"GULLSTAIR_TEST_CHILD=1", settings.EnvironmentVariable + "=" + path}, out)
+	c.process, err = fleettest.Launch([]string{program, "broker"}, []string{"GULLSTAIR_TEST_CHILD=1", settings.EnvironmentVariable + "=" + c.settingsPath()}, out)
 	require.NoError(c.t, err)
-	c.bootstrap = false
 }
 
 // awaitSignals waits until the process catches signals: before that the default action of each signal ends it.
