Last line of a process: step, cause and exit status, also of a panic

Whoever found a dead broker saw an error without its step, or the stack of a panic, and status 1 or 2 for everything. Now a package lifecycle is the one way out: the steps settings, disk, listen, serve and shutdown, an exit status for each, and a last line with step, cause, status and whether the cause may pass by itself, at every log level. Goroutines of the broker are started by lifecycle.Go and callbacks wrapped by lifecycle.Guard, so a panic in any of them ends with that line after its stack; TestGoroutinesReportTheirPanics reads the sources for others. An HTTP server or the peers' listener that fails ends the process instead of leaving it up without them. The sockets are opened together before anything runs; waits exist and have no limit above zero yet. TestLastLineOfInvalidSettings and TestLastLineWithoutADisk failed before and pass; TestLastLineOfAPanic is new (before, the last line was one of the stack).

--- a/cmd/gullstair/fleet.go
+++ b/cmd/gullstair/fleet.go
@@ -19,6 +19,7 @@
 
 	"gullstair/internal/cluster"
 	"gullstair/internal/configuration"
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/router"
 	"gullstair/internal/settings"
 )
@@ -32,6 +33,7 @@
 	memoryShare   = 0.7 // Soft memory limit as a share of the memory setting; above it the garbage collector runs more often.
 	otherMemoryMB = 28  // Least memory outside of that limit: the program itself, and bytes unread in its sockets.
 	statusTimeout = 3 * time.Second
+	settingsLimit = 0 * time.Second // how long a start waits for settings that can be read
 	bytesPerMB    = 1 << 20
 )
 
@@ -80,22 +82,18 @@
 		_, err := settings.Path()
 		return err
 	}
-	signals := &brokerSignals{}
 	if broker.Used {
-		signals = catchBrokerSignals()
+		return runBroker(path, level)
 	}
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
-	switch {
-	case checkSettings.Used:
-		_, err := fmt.Fprintln(out, "the settings are valid")
-		return err
-	case status.Used:
+	if status.Used {
 		return printStatus(s.ListenControl, out)
 	}
-	return runBroker(s, path, level, signals)
+	_, err = fmt.Fprintln(out, "the settings are valid")
+	return err
 }
 
 // brokerSignals holds the signals that an operator can send to a broker.
@@ -109,30 +107,56 @@
 func catchBrokerSignals() *brokerSignals {
 	terminated, end := context.WithCancel(context.Background())
 	terminate := catchSignals(1, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
+	lifecycle.Go(func() {
 		<-terminate
 		end()
-	}()
+	})
 	return &brokerSignals{terminated: terminated, hangups: catchSignals(1, syscall.SIGHUP)}
 }
 
-func runBroker(s *settings.Settings, path, level string, signals *brokerSignals) error {
+// runBroker runs one broker until it is told to end, and writes the last line of its log.
+func runBroker(path, level string) error {
+	signals := catchBrokerSignals()
 	logger := &log.Logger{Level: log.ParseLevel(level), Writer: log.IOWriter{Writer: os.Stderr}}
+	lifecycle.ReportPanics(logger)
+	defer lifecycle.ReportPanic()
+	failure := serveBroker(path, logger, signals)
+	if status := lifecycle.End(logger, failure); status != lifecycle.StatusEnded {
+		return exitCode(status)
+	}
+	return nil
+}
+
+func serveBroker(path string, logger *log.Logger, signals *brokerSignals) *lifecycle.Failure {
+	s, failure := awaitSettings(signals.terminated, path, logger)
+	if failure != nil {
+		return failure
+	}
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(softMemoryLimit(s.MemoryMB))
-	logger.Info().Str("node", s.NodeName).Msg("broker starting")
-	broker, err := router.New(s, path, logger, cluster.HostEnvironment())
-	if err != nil {
-		return err
+	logger.Info().Str("node", s.NodeName).Strs("seeds", s.Seeds).Bool("bootstrap", s.Bootstrap).Str("data_dir", s.DataDir).Msg("broker starting")
+	broker, failure := router.New(signals.terminated, s, path, logger, cluster.HostEnvironment())
+	if failure != nil {
+		return failure
 	}
-	go func() {
+	lifecycle.Go(func() {
 		for range signals.hangups {
 			broker.Reload()
 		}
-	}()
+	})
 	return broker.Run(signals.terminated)
 }
 
+// awaitSettings reads the settings file. Whoever writes it may not be done yet.
+func awaitSettings(ctx context.Context, path string, logger *log.Logger) (s *settings.Settings, failure *lifecycle.Failure) {
+	wait := lifecycle.Wait{Step: lifecycle.Settings, Limit: settingsLimit, Passes: func(error) bool { return true }, Logger: logger}
+	failure = wait.Until(ctx, func() (err error) {
+		s, err = settings.Load(path)
+		return err
+	})
+	return s, failure
+}
+
 // softMemoryLimit returns the soft memory limit in bytes. It is at least half of the memory setting.
 func softMemoryLimit(memoryMB int) int64 {
 	limitMB := min(float64(memoryMB)*memoryShare, float64(memoryMB-otherMemoryMB))
--- a/cmd/gullstair/sharing_test.go
+++ b/cmd/gullstair/sharing_test.go
@@ -20,10 +20,14 @@
 
 	"gullstair/internal/broker"
 	"gullstair/internal/fleettest"
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/memberactor"
 )
 
 // TestMain lets the test binary run as the broker itself, so that tests can kill it as the platform does.
+// childPanicDelay is how long after its start a process panics that a test has told to.
+const childPanicDelay = time.Second
+
 func TestMain(m *testing.M) {
 	if os.Getenv("GULLSTAIR_TEST_CHILD") != "" {
 		if len(os.Args) > 1 && os.Args[1] == "witness" {
@@ -32,6 +36,9 @@
 		if path := os.Getenv("RIG_CLOCK"); path != "" {
 			clocks = func() broker.Clocks { return skewedClocks(path) }
 		}
+		if os.Getenv("GULLSTAIR_TEST_PANIC") != "" {
+			time.AfterFunc(childPanicDelay, lifecycle.Guard(func() { panic("forced") }))
+		}
 		main()
 		os.Exit(0)
 	}
--- a/cmd/gullstair/start_test.go
+++ b/cmd/gullstair/start_test.go
@@ -212,6 +212,15 @@
 	c.requireLastLine(0, "listen", "stopped")
 }
 
+// TestLastLineOfAPanic is the same for a panic in any goroutine.
+func TestLastLineOfAPanic(t *testing.T) {
+	t.Setenv("GULLSTAIR_TEST_PANIC", "1")
+	c := newStart(t, 23)
+	c.start()
+	c.awaitServing(startWithin)
+	c.requireLastLine(2, "serve", "panic: forced")
+}
+
 // TestReaderOfTheLogIsGone guards against processes that end with the program that collects their logs.
 func TestReaderOfTheLogIsGone(t *testing.T) {
 	c, reader := newStartWithPipe(t, 30)
--- a/internal/cluster/announce.go
+++ b/internal/cluster/announce.go
@@ -8,6 +8,7 @@
 
 	"gullstair/internal/delta"
 	"gullstair/internal/dissemination"
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/peerlink"
 	"gullstair/internal/register"
 )
@@ -90,7 +91,7 @@
 			return &peerlink.Message{Lacks: true}
 		}
 		_, changed := n.Known()
-		go n.fetchRegister(holders[rand.IntN(len(holders))], false) // the fetch continues after this call is answered
+		lifecycle.Go(func() { n.fetchRegister(holders[rand.IntN(len(holders))], false) }) // the fetch continues after this call is answered
 		select {
 		case <-ctx.Done():
 		case <-changed:
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -19,6 +19,7 @@
 	"gullstair/internal/clientlimit"
 	"gullstair/internal/dissemination"
 	"gullstair/internal/journalfile"
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/netio"
 	"gullstair/internal/peerlink"
 	"gullstair/internal/peersampling"
@@ -74,6 +75,8 @@
 type Environment struct {
 	Network  netio.Network
 	OpenDisk func(path string) (journalfile.Disk, error)
+	// LockDisk locks a directory for this process until it ends; nil: no other process uses the machine's disk.
+	LockDisk func(path string) error
 }
 
 // HostEnvironment returns the environment of the real machine.
@@ -126,13 +129,15 @@
 	exchangeCount int // number of exchanges started
 	neighborTurn  int // counts neighbor exchanges and selects the next neighbor
 
-	replica  *replica  // nil on a machine without a disk
-	founding *founding // in-memory acceptor that decides the first members when the system starts for the first time
+	replica      *replica  // nil on a machine without a disk
+	diskLocked   bool      // it is locked, or need not be
+	diskUnlocked bool      // its file system has no locks
+	founding     *founding // acceptor that decides the first members when the system starts for the first time
 }
 
-// New creates a node and opens its replica and its listeners; Run starts it. packing defines how the register's
-// payload is written.
-func New(s *settings.Settings, logger *log.Logger, environment Environment, packing Packing) (*Node, error) {
+// New creates a node and opens its replica, for which it waits as long as the disk may still become usable; Run starts the
+// node. packing defines how the register's payload is written.
+func New(ctx context.Context, s *settings.Settings, logger *log.Logger, environment Environment, packing Packing) (*Node, *lifecycle.Failure) {
 	n := &Node{settings: s, logger: logger, environment: environment, traffic: &peerlink.Traffic{}, store: dissemination.New(), lastUpdate: map[string]time.Time{},
 		proposerID: rand.Uint64() | 1, started: time.Now(), knownChanged: make(chan struct{}), seeds: s.SeedIPs(),
 		proposalTurn: make(chan struct{}, 1), contacts: voters.NewFailureDetector(s.Bounds.CatchUp), reviewRequested: make(chan struct{}, 1), noteHandlers: map[NoteKind]func([]byte){},
@@ -142,26 +147,29 @@
 	n.view = peersampling.New(s.IP, n.proposerID)
 	n.epoch = uint64(time.Now().UnixNano())
 	n.self = Member{Name: s.NodeName, IP: s.IP, Zone: s.Zone, Region: s.Region, Control: s.ListenControl, Protocol: protocolSections}
-	if s.CountsForQuorum && s.DataDir != "" {
-		replica, err := openReplica(s, logger, environment.OpenDisk, packing)
-		if err != nil {
-			return nil, err
+	if s.DataDir != "" {
+		if failure := n.openDisk(ctx); failure != nil {
+			return nil, failure
 		}
-		n.replica = replica
-		n.self.Core, n.self.Disk = true, replica.id().Disk
+	}
+	if n.replica != nil {
+		n.self.Core, n.self.Disk = true, n.replica.id().Disk
 	}
 	n.founding = newFounding(s)
 	if s.Bootstrap && n.replica == nil {
 		n.founding.activate()
 	}
-	listener, err := environment.Network.Listen(s.PeerAddress(s.IP))
-	if err != nil {
-		return nil, err
-	}
-	n.listener = listener
-	return n, n.openNotes()
+	return n, nil
+}
+
+// Use sets the sockets for the other brokers' calls and notes. It must be called before Run.
+func (n *Node) Use(listener net.Listener, notes netio.Datagrams) {
+	n.listener, n.noteSocket = listener, notes
 }
 
+// DiskLocked reports whether no other process can use this machine's disk.
+func (n *Node) DiskLocked() bool { return !n.diskUnlocked }
+
 // Incarnation returns a number that distinguishes this process from earlier processes of the same broker.
 func (n *Node) Incarnation() uint64 { return n.proposerID }
 
@@ -183,20 +191,24 @@
 	return n.replica.id(), n.replica.accepted().Value.Sequence, true
 }
 
-// Run starts the node and blocks until the context ends.
-func (n *Node) Run(ctx context.Context) {
-	go func() {
-		if err := peerlink.Serve(n.listener, n.traffic, n.limiter, n.handle); err != nil {
-			n.logger.Error().Err(err).Msg("stopped serving peers")
-		}
-	}()
-	go n.exchangeLoop(ctx)
-	go n.receiveNotes(ctx)
-	go n.renewLoop(ctx)
-	go n.runReplica(ctx)
-	<-ctx.Done()
+// Run starts the node and blocks until the context ends, or until it cannot serve the other brokers.
+func (n *Node) Run(ctx context.Context) error {
+	failed := make(chan error, 1)
+	lifecycle.Go(func() {
+		failed <- peerlink.Serve(n.listener, n.traffic, n.limiter, n.handle)
+	})
+	lifecycle.Go(func() { n.exchangeLoop(ctx) })
+	lifecycle.Go(func() { n.receiveNotes(ctx) })
+	lifecycle.Go(func() { n.renewLoop(ctx) })
+	lifecycle.Go(func() { n.runReplica(ctx) })
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
 	n.listener.Close()
 	n.client.Close()
+	return err
 }
 
 // repeat calls f until the context ends. Each interval is drawn from 90 % to 110 % of the given one.
--- a/internal/cluster/confirm.go
+++ b/internal/cluster/confirm.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"gullstair/internal/dissemination"
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/peerlink"
 	"gullstair/internal/register"
 )
@@ -70,14 +71,14 @@
 	voters := n.otherVoters()
 	others := slices.DeleteFunc(slices.Clone(alive), func(ip string) bool { return slices.Contains(voters, ip) })
 	confirmations := make(chan confirmation, len(voters)+1)
-	go func() { confirmations <- n.confirmSelf(ctx, m) }()
+	lifecycle.Go(func() { confirmations <- n.confirmSelf(ctx, m) })
 	for _, ip := range voters {
-		go func() { confirmations <- n.callConfirmed(ctx, m, ip) }()
+		lifecycle.Go(func() { confirmations <- n.callConfirmed(ctx, m, ip) })
 	}
 	groups := n.relayTree().split(n.self.IP, others)
 	relayed := make(chan int, len(groups))
 	for _, group := range groups {
-		go func() { relayed <- n.relayGroup(ctx, m, group) }()
+		lifecycle.Go(func() { relayed <- n.relayGroup(ctx, m, group) })
 	}
 	inQuorum := map[string]bool{}
 	delivery := Delivery{Alive: len(alive)}
--- a/internal/cluster/gossip.go
+++ b/internal/cluster/gossip.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gullstair/internal/dissemination"
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/peerlink"
 	"gullstair/internal/register"
 )
@@ -18,7 +19,7 @@
 		if n.registerKnown() || ctx.Err() != nil {
 			break
 		}
-		go n.exchange(ctx)
+		lifecycle.Go(func() { n.exchange(ctx) })
 		time.Sleep(startupSpacing)
 	}
 	n.repeat(ctx, exchangeInterval, n.exchange)
@@ -97,7 +98,7 @@
 	n.pendingPush = append(n.pendingPush, records...)
 	if len(n.pendingPush) > 0 && !n.pushScheduled {
 		n.pushScheduled = true
-		time.AfterFunc(pushDelay, n.push)
+		time.AfterFunc(pushDelay, lifecycle.Guard(n.push))
 	}
 }
 
@@ -124,7 +125,7 @@
 	targets := n.view.Pick(pushFanout)
 	n.mu.Unlock()
 	for _, ip := range targets {
-		go n.call(ip, peerlink.Message{Records: &message})
+		lifecycle.Go(func() { n.call(ip, peerlink.Message{Records: &message}) })
 	}
 }
 
@@ -138,7 +139,7 @@
 			continue
 		}
 		n.pendingOffers[heading.ID] = heading.Version
-		time.AfterFunc(offerGrace, func() { n.fetch(heading, from) })
+		time.AfterFunc(offerGrace, lifecycle.Guard(func() { n.fetch(heading, from) }))
 	}
 }
 
@@ -201,7 +202,7 @@
 	small, offered := withoutRegister(newer)
 	if at := slices.Index(wanted, registerID); at >= 0 {
 		wanted = slices.Delete(wanted, at, at+1)
-		go n.fetchRegister(peer, true)
+		lifecycle.Go(func() { n.fetchRegister(peer, true) })
 	}
 	if len(small) == 0 && len(wanted) == 0 && len(offered) == 0 {
 		return
--- a/internal/cluster/notes.go
+++ b/internal/cluster/notes.go
@@ -7,6 +7,8 @@
 	"net"
 	"slices"
 	"time"
+
+	"gullstair/internal/lifecycle"
 )
 
 // Notes are UDP datagrams that brokers send each other about requests in progress. They may be lost; no decision
@@ -36,19 +38,12 @@
 // OnNote registers f to be called for each note of a kind from another broker. It must be called before Run.
 func (n *Node) OnNote(kind NoteKind, f func([]byte)) { n.noteHandlers[kind] = f }
 
-// openNotes opens the socket for notes.
-func (n *Node) openNotes() error {
-	var err error
-	n.noteSocket, err = n.environment.Network.ListenDatagrams(n.settings.PeerAddress(n.settings.IP))
-	return err
-}
-
 // receiveNotes receives notes until the context ends.
 func (n *Node) receiveNotes(ctx context.Context) {
-	go func() {
+	lifecycle.Go(func() {
 		<-ctx.Done()
 		n.noteSocket.Close()
-	}()
+	})
 	buffer := make([]byte, maxNote)
 	for ctx.Err() == nil {
 		size, err := n.noteSocket.Receive(buffer)
@@ -111,7 +106,7 @@
 		n.noteSocket.Send(o.datagram, o.address)
 	}
 	if again {
-		time.AfterFunc(paceEvery, func() { n.sendPaced(true) })
+		time.AfterFunc(paceEvery, lifecycle.Guard(func() { n.sendPaced(true) }))
 	}
 }
 
--- a/internal/cluster/relay.go
+++ b/internal/cluster/relay.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"gullstair/internal/dissemination"
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/peerlink"
 )
 
@@ -128,7 +129,7 @@
 	counts := make(chan int)
 	groups := n.relayTree().split(n.self.IP, to)
 	for _, group := range groups {
-		go func() { counts <- n.relayGroup(ctx, m, group) }()
+		lifecycle.Go(func() { counts <- n.relayGroup(ctx, m, group) })
 	}
 	confirmed := 0
 	for range groups {
@@ -147,7 +148,7 @@
 		head, rest := group[0], group[1:]
 		group = rest
 		inFlight++
-		go func() { answers <- n.callRelay(ctx, m, head, rest) }()
+		lifecycle.Go(func() { answers <- n.callRelay(ctx, m, head, rest) })
 	}
 	call()
 	for inFlight > 0 {
@@ -212,7 +213,7 @@
 // callEarlierRelease calls a broker whose release cannot relay calls, and relays the call to the others in its place.
 func (n *Node) callEarlierRelease(ctx context.Context, m peerlink.Message, ip string, rest []string) relayResult {
 	others := make(chan int, 1)
-	go func() { others <- n.relay(ctx, m, rest) }()
+	lifecycle.Go(func() { others <- n.relay(ctx, m, rest) })
 	confirmed := 0
 	if n.callConfirmed(ctx, m, ip).known {
 		confirmed = 1
@@ -239,7 +240,7 @@
 	inner := *m
 	inner.Relay = nil
 	others := make(chan int, 1)
-	go func() { others <- n.relay(ctx, inner, to) }()
+	lifecycle.Go(func() { others <- n.relay(ctx, inner, to) })
 	own := 0
 	if reply := n.handleRelayed(&inner); reply != nil && !reply.Lacks {
 		own = 1
--- a/internal/cluster/rounds.go
+++ b/internal/cluster/rounds.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/peerlink"
 	"gullstair/internal/register"
 )
@@ -124,7 +125,9 @@
 	defer cancel()
 	r := register.NewRound(n.nextBallot(known.Ballot), members, known, change)
 	answers := make(chan answer, 64)
-	send := func(m peerlink.Message, to register.Replica) { go n.callReplica(ctx, m, to, answers) }
+	send := func(m peerlink.Message, to register.Replica) {
+		lifecycle.Go(func() { n.callReplica(ctx, m, to, answers) })
+	}
 	for _, m := range r.Prepares() {
 		send(peerlink.Message{Prepare: &m}, m.To)
 	}
@@ -289,7 +292,7 @@
 	requests := read.Requests()
 	answers := make(chan answer, len(requests))
 	for _, m := range requests {
-		go n.callReplica(ctx, peerlink.Message{Prepare: &m}, m.To, answers)
+		lifecycle.Go(func() { n.callReplica(ctx, peerlink.Message{Prepare: &m}, m.To, answers) })
 	}
 	for range requests {
 		select {
--- a/internal/cluster/settling.go
+++ b/internal/cluster/settling.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/register"
 )
 
@@ -28,11 +29,11 @@
 		if n.replica.empty && n.replica.mark() == nil {
 			n.founding.activate()
 		}
-		go n.foundRegister(ctx)
+		lifecycle.Go(func() { n.foundRegister(ctx) })
 	}
-	go n.learnValues(ctx)
+	lifecycle.Go(func() { n.learnValues(ctx) })
 	n.settleAtStart(ctx)
-	go n.repeat(ctx, maintenanceInterval, n.settleUndecided)
+	lifecycle.Go(func() { n.repeat(ctx, maintenanceInterval, n.settleUndecided) })
 	n.manageVoters(ctx)
 }
 
--- a/internal/cluster/voting.go
+++ b/internal/cluster/voting.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gullstair/internal/brokerrole"
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/peerlink"
 	"gullstair/internal/register"
 	"gullstair/internal/voters"
@@ -168,7 +169,7 @@
 	}
 	var wait sync.WaitGroup
 	for address := range targets {
-		wait.Go(func() { n.probeOne(ctx, address) })
+		wait.Go(lifecycle.Guard(func() { n.probeOne(ctx, address) }))
 	}
 	wait.Wait()
 	n.mu.Lock()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -19,6 +19,7 @@
 	"gullstair/internal/clientbudget"
 	"gullstair/internal/configuration"
 	"gullstair/internal/instances"
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/upstream"
 	"gullstair/logic"
 )
@@ -275,10 +276,10 @@
 	if startDeadline.IsZero() {
 		return func() bool { return false }
 	}
-	timer := time.AfterFunc(time.Until(startDeadline), func() {
+	timer := time.AfterFunc(time.Until(startDeadline), lifecycle.Guard(func() {
 		c.server.logger.Info().Str("request", c.id).Str("instance", instance.ID).Int64("version", version).Msg("taken back: its weights' time is over")
 		cancel()
-	})
+	}))
 	return func() bool { return !timer.Stop() }
 }
 
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -8,6 +8,7 @@
 
 	"gullstair/internal/balance"
 	"gullstair/internal/configuration"
+	"gullstair/internal/lifecycle"
 	"gullstair/logic"
 )
 
@@ -34,7 +35,7 @@
 func newDispatcher(seed uint64, fleet balance.Fleet) *dispatcher {
 	d := &dispatcher{balancer: balance.New(seed, fleet), start: time.Now(), exchanges: map[int64]*exchange{}, unsent: map[bool][]byte{},
 		timerAt: math.Inf(1)}
-	d.timer = time.AfterFunc(time.Hour, d.advance)
+	d.timer = time.AfterFunc(time.Hour, lifecycle.Guard(d.advance))
 	return d
 }
 
@@ -67,7 +68,7 @@
 	d.unsent[note.Broadcast] = append(d.unsent[note.Broadcast], note.Payload...)
 	if !d.flushing {
 		d.flushing = true
-		time.AfterFunc(noteDelay, d.flush)
+		time.AfterFunc(noteDelay, lifecycle.Guard(d.flush))
 	}
 }
 
--- a/internal/instancestore/instancestore.go
+++ b/internal/instancestore/instancestore.go
@@ -12,6 +12,7 @@
 
 	"gullstair/internal/instances"
 	"gullstair/internal/journalfile"
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/slots"
 )
 
@@ -67,7 +68,7 @@
 // a checkpoint may be written instead. Instances of concurrent calls are written together.
 func (s *Store) Append(ctx context.Context, added []instances.Instance) error {
 	b := s.join(added)
-	go s.flush(ctx, b)
+	lifecycle.Go(func() { s.flush(ctx, b) })
 	select {
 	case <-b.done:
 		return b.err
--- a/internal/kvindex/index.go
+++ b/internal/kvindex/index.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"gullstair/internal/cachetable"
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/netio"
 	"gullstair/internal/upstream"
 )
@@ -56,7 +57,7 @@
 		}
 		polling, cancel := context.WithCancel(ctx)
 		x.running[t.Name] = cancel
-		go x.poll(polling, t)
+		lifecycle.Go(func() { x.poll(polling, t) })
 	}
 	for name, cancel := range x.running {
 		if !wanted[name] {
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -20,6 +20,7 @@
 	"gullstair/internal/clientlimit"
 	"gullstair/internal/dissemination"
 	"gullstair/internal/gobpool"
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/netio"
 )
 
@@ -192,11 +193,11 @@
 		if err != nil {
 			return errors.Wrap(err, "accept a peer")
 		}
-		stop := context.AfterFunc(ctx, func() { conn.Close() })
-		go func() {
+		stop := context.AfterFunc(ctx, lifecycle.Guard(func() { conn.Close() }))
+		lifecycle.Go(func() {
 			defer stop()
 			serveConn(conn, traffic, limiter, handle)
-		}()
+		})
 	}
 }
 
@@ -234,11 +235,11 @@
 		}
 		c.slots <- struct{}{}
 		c.begin()
-		go func() {
+		lifecycle.Go(func() {
 			defer func() { <-c.slots }()
 			defer c.end(size)
 			c.answer(call)
-		}()
+		})
 	}
 }
 
@@ -336,7 +337,7 @@
 func (c *Client) CallWithStallTimeout(ctx context.Context, address string, m Message, stallTimeout time.Duration) (*Message, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go c.peer(address).watch(ctx, cancel, stallTimeout)
+	lifecycle.Go(func() { c.peer(address).watch(ctx, cancel, stallTimeout) })
 	reply, err := c.Call(ctx, address, m)
 	if err != nil && context.Cause(ctx) != nil {
 		err = context.Cause(ctx)
@@ -352,7 +353,7 @@
 	}
 	p := &peer{ready: make(chan struct{}), pending: map[uint64]chan *Message{}}
 	c.peers[address] = p
-	go c.run(address, p)
+	lifecycle.Go(func() { c.run(address, p) })
 	return p
 }
 
--- a/internal/router/roles.go
+++ b/internal/router/roles.go
@@ -13,6 +13,7 @@
 	"gullstair/internal/cluster"
 	"gullstair/internal/controlstate"
 	"gullstair/internal/instances"
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/ownership"
 	"gullstair/internal/rollout"
 	"gullstair/internal/upstream"
@@ -123,10 +124,10 @@
 	since := func(version int64) time.Time { return r.broker.weights.SupersededAt(model, version) }
 	toOrder, toPoll := planner.Plan(time.Now(), since, all, version)
 	for _, i := range toOrder {
-		go r.sendOrder(ctx, planner, lease, i, model, version)
+		lifecycle.Go(func() { r.sendOrder(ctx, planner, lease, i, model, version) })
 	}
 	for _, i := range toPoll {
-		go r.poll(ctx, planner, i, model, version)
+		lifecycle.Go(func() { r.poll(ctx, planner, i, model, version) })
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 	"gullstair/internal/instances"
 	"gullstair/internal/instancestore"
 	"gullstair/internal/kvindex"
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/register"
 	"gullstair/internal/rollout"
 	"gullstair/internal/settings"
@@ -63,16 +64,24 @@
 	lastShared map[string]time.Time // when this broker last shared the cache contents of an instance, by instance id
 	unsaved    bool                 // the instances have changed since they were last saved
 	saved      *instancestore.Store // nil on a machine without a disk
+	sockets    *sockets
 }
 
-// New returns a broker that is configured by its settings and does not run yet.
-func New(s *settings.Settings, path string, logger *log.Logger, environment cluster.Environment) (*Broker, error) {
+// New returns a broker that is configured by its settings, has its disk and its addresses, and does not run yet. It waits
+// for what it cannot get at once, within limits.
+func New(ctx context.Context, s *settings.Settings, path string, logger *log.Logger, environment cluster.Environment) (*Broker, *lifecycle.Failure) {
 	b := &Broker{environment: environment, settings: s, path: path, logger: logger, registry: instances.New(), progress: map[string]rollout.Progress{},
 		limiter: clientlimit.New(int64(s.MemoryMB)<<20, s.MaxDescriptors), started: time.Now()}
-	node, err := cluster.New(s, logger, environment, &controlstate.Packer{})
-	if err != nil {
-		return nil, errors.Wrap(err, "join the cluster")
+	lifecycle.Enter(lifecycle.Disk)
+	node, failure := cluster.New(ctx, s, logger, environment, &controlstate.Packer{})
+	if failure != nil {
+		return nil, failure
+	}
+	lifecycle.Enter(lifecycle.Listen)
+	if b.sockets, failure = openSockets(ctx, s, environment.Network, logger, node.DiskLocked()); failure != nil {
+		return nil, failure
 	}
+	node.Use(b.sockets.peers, b.sockets.notes)
 	b.node = node
 	node.LimitPeers(b.limiter)
 	b.weights = weights.New(s.Bounds.Version)
@@ -98,26 +107,32 @@
 	return h.Sum64() ^ uint64(time.Now().UnixNano())
 }
 
-// Run serves until the context is cancelled, then shuts down gracefully.
-func (b *Broker) Run(ctx context.Context) error {
-	servers, err := b.listen()
-	if err != nil {
-		return err
-	}
+// Run serves until the context is cancelled or a listener fails for good, then shuts down gracefully.
+func (b *Broker) Run(ctx context.Context) *lifecycle.Failure {
+	servers := b.newServers()
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	go b.gateway.Run(running)
+	failed := make(chan error, 1+len(servers.all))
+	lifecycle.Go(func() { b.gateway.Run(running) })
 	b.restoreInstances(running) // before any peer can request that instances be stored
-	go b.node.Run(running)
-	go b.awaitTrust(running)
-	go b.tick(running, servers)
-	go b.roles.run(running)
-	go b.saveInstances(running)
-	servers.serve(b.logger)
+	lifecycle.Go(func() { failed <- errors.Wrap(b.node.Run(running), "peers") })
+	lifecycle.Go(func() { b.awaitTrust(running) })
+	lifecycle.Go(func() { b.tick(running, servers) })
+	lifecycle.Go(func() { b.roles.run(running) })
+	lifecycle.Go(func() { b.saveInstances(running) })
+	servers.serve(failed)
 	b.logger.Info().Str("node", b.settings.NodeName).Str("zone", b.settings.Zone).Msg("broker started")
-	<-ctx.Done()
+	lifecycle.Enter(lifecycle.Serve)
+	var failure *lifecycle.Failure
+	select {
+	case <-ctx.Done():
+		lifecycle.Enter(lifecycle.Shutdown)
+	case err := <-failed:
+		b.logger.Error().Err(err).Msg("a listener has failed; this broker ends")
+		failure = &lifecycle.Failure{Step: lifecycle.Serve, Passes: true, Cause: err}
+	}
 	b.shutdown(servers)
-	return nil
+	return failure
 }
 
 // tick periodically expires instances, updates the number of brokers and the index, and closes idle connections.
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -12,6 +12,7 @@
 	"gullstair/internal/clientbudget"
 	"gullstair/internal/configuration"
 	"gullstair/internal/keepalive"
+	"gullstair/internal/lifecycle"
 	"gullstair/internal/operatorapi"
 )
 
@@ -44,36 +45,26 @@
 	listener *keepalive.Listener
 }
 
-func (b *Broker) listen() (*servers, error) {
+// newServers returns the HTTP servers of a broker, which do not serve yet.
+func (b *Broker) newServers() *servers {
 	s := &servers{}
-	for _, address := range []struct {
-		listen   string
-		handler  http.Handler
-		requests keepalive.Requests
-	}{
-		{b.settings.ListenFront, b.gateway, frontRequests},
-		{b.settings.ListenReadiness, http.HandlerFunc(b.serveReadiness), readinessRequests},
-		{b.settings.ListenControl, operatorapi.New(b, b.logger), controlRequests},
-	} {
-		if address.listen == "" {
-			continue
-		}
-		listener, err := b.environment.Network.Listen(address.listen)
-		if err != nil {
-			return nil, errors.Wrap(err, "listen")
-		}
-		tracked := keepalive.NewControlListener(listener, b.limiter)
-		if address.listen == b.settings.ListenFront {
-			tracked = keepalive.NewListener(listener, b.limiter)
-		}
-		tracked.SetHeadBytes(maxHeadBytes)
-		added := newServer(tracked, tracked.Handler(address.handler, address.requests), b.logger)
-		s.all = append(s.all, added)
-		if address.listen == b.settings.ListenFront {
-			s.front = added
-		}
+	if b.sockets.front != nil {
+		s.front = s.add(keepalive.NewListener(b.sockets.front, b.limiter), b.gateway, frontRequests, b.logger)
 	}
-	return s, nil
+	if b.sockets.readiness != nil {
+		s.add(keepalive.NewControlListener(b.sockets.readiness, b.limiter), http.HandlerFunc(b.serveReadiness), readinessRequests, b.logger)
+	}
+	if b.sockets.control != nil {
+		s.add(keepalive.NewControlListener(b.sockets.control, b.limiter), operatorapi.New(b, b.logger), controlRequests, b.logger)
+	}
+	return s
+}
+
+func (s *servers) add(listener *keepalive.Listener, handler http.Handler, requests keepalive.Requests, logger *log.Logger) *server {
+	listener.SetHeadBytes(maxHeadBytes)
+	added := newServer(listener, listener.Handler(handler, requests), logger)
+	s.all = append(s.all, added)
+	return added
 }
 
 // newServer returns a server that does not serve yet. It sets no IdleTimeout, since net/http then closes connections on
@@ -83,13 +74,15 @@
 		ConnState: listener.ConnState, ConnContext: listener.ConnContext, ErrorLog: logger.Std("", 0)}}
 }
 
-func (s *servers) serve(logger *log.Logger) {
+// serve starts all servers. One that fails for good reports its error to failed.
+func (s *servers) serve(failed chan<- error) {
 	for _, server := range s.all {
-		go func() {
+		address := server.listener.Addr().String()
+		lifecycle.Go(func() {
 			if err := server.http.Serve(server.listener); !errors.Is(err, net.ErrClosed) {
-				logger.Error().Err(err).Msg("the HTTP server failed")
+				failed <- errors.Wrap(err, address)
 			}
-		}()
+		})
 	}
 }
 
@@ -138,7 +131,6 @@
 	if s.front != nil && !s.front.drain(ctx) {
 		b.logger.Warn().Int64("open", b.gateway.InFlight()).Msg("ends with open requests")
 	}
-	b.logger.Info().Msg("broker ended")
 }
 
 // drain accepts no more connections, closes idle ones and waits until all are closed. It returns false if the context ends
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -263,17 +263,17 @@
 		return &diskHandle{disk: disk, ended: ended, path: path}, nil
 	}}
 	logger := &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
-	broker, err := New(s, "", logger, environment)
-	if err != nil {
-		w.t.Fatal(err)
+	broker, failure := New(context.Background(), s, "", logger, environment)
+	if failure != nil {
+		w.t.Fatal(failure)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m.broker, m.cancel, m.ended, m.done = broker, cancel, ended, make(chan struct{})
 	done := m.done
 	go func() {
 		defer close(done)
-		if err := broker.Run(ctx); err != nil {
-			w.failf("%s failed to run: %v", m.name, err)
+		if failure := broker.Run(ctx); failure != nil {
+			w.failf("%s failed to run: %v", m.name, failure)
 		}
 	}()
 	m.bootstrap = false
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"gullstair/internal/chunks"
+	"gullstair/internal/lifecycle"
 )
 
 // RequestIDHeader is the header that identifies the request a response belongs to.
@@ -72,7 +73,7 @@
 		return nil, NotSent, errors.Wrap(err, "connect")
 	}
 	conn.recordID(r.ID)
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, lifecycle.Guard(func() { _ = conn.SetDeadline(time.Unix(1, 0)) }))
 	if r.SetHeaders != nil {
 		r.SetHeaders(r.Header)
 	}
