A start waits five seconds for settings that can be read

A process whose settings file was empty or half written at its start ended with status 1. TestSettingsAreWrittenDuringTheStart failed in its three cases before, and passes.

--- a/cmd/gullstair/fleet.go
+++ b/cmd/gullstair/fleet.go
@@ -33,7 +33,7 @@
 	memoryShare   = 0.7 // Soft memory limit as a share of the memory setting; above it the garbage collector runs more often.
 	otherMemoryMB = 28  // Least memory outside of that limit: the program itself, and bytes unread in its sockets.
 	statusTimeout = 3 * time.Second
-	settingsLimit = 0 * time.Second // how long a start waits for settings that can be read
+	settingsLimit = 5 * time.Second // how long a start waits for settings that can be read
 	bytesPerMB    = 1 << 20
 )
 
