A start waits for addresses that are taken or not on the machine yet

A process ended with status 1 when one of its five addresses was taken for a moment, and so did the next one until it was free: by the process before, by an outgoing connection of another program (the ports may lie in the kernel's range for these), or for one protocol of the two.

--- a/internal/router/sockets.go
+++ b/internal/router/sockets.go
@@ -13,8 +13,8 @@
 	"gullstair/internal/settings"
 )
 
-// addressLimit is how long a start waits for its addresses.
-const addressLimit = 0 * time.Second
+// addressLimit is how long a start waits for its addresses: longer than the kernel keeps the port of a closed connection.
+const addressLimit = 90 * time.Second
 
 // sockets are the sockets of one broker. Those for which the settings name no address are nil.
 type sockets struct {
