A start locks its disk, and waits for one that is locked, refuses or does not answer

A process that was started before the previous one on its machine had ended exited with status 1, since its addresses were taken; now that a start waits for addresses, it must not go on from what the disk held before the other process ended. So it locks the data directory until it ends, before it reads anything, and waits a minute for the lock. A disk that is full or refuses while the directory is created is tried again as long; one that does not answer is waited for a minute with a line each five seconds, and SIGTERM ends the wait at once, where before the process stood in the read until it was killed. Where the file system has no locks, a line says so, and addresses are not waited for, since they keep the processes apart. The stored instances hold up the start for one second at most. TestNextProcessStartsBeforeThePreviousHasEnded failed before, and passes: the next process returns the last of 20 configurations that the previous one acknowledged meanwhile.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -81,7 +81,7 @@
 
 // HostEnvironment returns the environment of the real machine.
 func HostEnvironment() Environment {
-	return Environment{Network: netio.Host{}, OpenDisk: journalfile.Dir}
+	return Environment{Network: netio.Host{}, OpenDisk: journalfile.Dir, LockDisk: journalfile.Lock}
 }
 
 // Node is a broker's endpoint in the cluster.
--- a/internal/cluster/opening.go
+++ b/internal/cluster/opening.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	diskLimit     = 0 * time.Minute // how long a start waits for a disk that refuses, is locked or does not answer
+	diskLimit     = time.Minute     // how long a start waits for a disk that refuses, is locked or does not answer
 	diskReport    = 5 * time.Second // between two lines about a disk that does not answer
 	diskLastWords = time.Second     // after diskLimit, for the cause of a disk that answers at last
 )
--- a/internal/router/snapshot.go
+++ b/internal/router/snapshot.go
@@ -11,6 +11,7 @@
 	"gullstair/internal/instances"
 	"gullstair/internal/instancestore"
 	"gullstair/internal/journalfile"
+	"gullstair/internal/lifecycle"
 )
 
 // A broker with a disk stores the known instances, so that a fleet that stopped all at once does not have to wait for their
@@ -21,6 +22,7 @@
 const (
 	snapshotDir      = "instances"
 	snapshotInterval = time.Second
+	restoreTimeout   = time.Second
 )
 
 var errNoInstance = errors.New("only instances can be stored")
@@ -46,13 +48,23 @@
 	}
 }
 
-// restoreInstances publishes the stored instances.
+// restoreInstances publishes the stored instances. A disk that hangs does not hold up the start for longer than
+// restoreTimeout: whatever uses the store later waits for it, or restores them first.
 func (b *Broker) restoreInstances(ctx context.Context) {
 	if b.saved == nil {
 		return
 	}
-	if err := b.saved.Open(ctx); err != nil {
-		b.logger.Warn().Err(err).Msg("cannot restore the stored instances")
+	restored := make(chan struct{})
+	lifecycle.Go(func() {
+		defer close(restored)
+		if err := b.saved.Open(ctx); err != nil {
+			b.logger.Warn().Err(err).Msg("cannot restore the stored instances")
+		}
+	})
+	select {
+	case <-restored:
+	case <-time.After(restoreTimeout):
+		b.logger.Warn().Dur("after", restoreTimeout).Msg("the disk of the stored instances does not answer yet")
 	}
 }
 
