A replica whose records cannot be read begins anew under a new identity

A slot or a log whose checksums are right and whose records this release cannot read (written by another release, or by another program) ended each start of the machine with status 1, for good. Like a damaged disk, it now makes the replica begin empty, under a new identity, as a learner that does not answer for what the old one acknowledged; it becomes a voter once it is up to date. A record without an identity counts as such. TestDamagedDisks (eight ways to spoil seven files, on a fleet of three that keeps its configuration) failed before at the slot of another release, and passes.

--- a/internal/cluster/replica.go
+++ b/internal/cluster/replica.go
@@ -41,30 +41,36 @@
 		return nil, errors.Wrap(err, "data directory")
 	}
 	store, contents, err := slots.Open(disk)
-	if errors.Is(err, slots.ErrDamaged) {
-		logger.Error().Err(err).Msg("the replica's disk has lost something; the replica starts empty, with a new identity")
-	} else if err != nil && !errors.Is(err, slots.ErrEmpty) {
+	if store == nil {
 		return nil, errors.Wrap(err, "open the register's replica")
 	}
 	r := &replica{turn: make(chan struct{}, 1), store: store, logger: logger, empty: errors.Is(err, slots.ErrEmpty), packing: packing}
-	r.acceptor.Self = register.Replica{Address: s.IP, Disk: rand.Uint64() | 1}
 	if err == nil {
-		if err := r.restore(contents); err != nil {
-			return nil, err
-		}
+		err = r.restore(contents)
+	}
+	if err != nil {
+		r.acceptor.State = register.State{}
+		r.acceptor.Self.Disk = rand.Uint64() | 1
 	}
+	if err != nil && !r.empty {
+		logger.Error().Err(err).Msg("the replica's disk has lost something; the replica starts empty, with a new identity")
+	}
+	r.acceptor.Self.Address = s.IP
 	r.acceptor.Persist = r.persist
 	r.turn <- struct{}{}
 	return r, nil
 }
 
-// restore rebuilds the state from the checkpoint and the log records after it.
+// restore rebuilds the state from the checkpoint and the log records after it. After an error the replica must begin anew.
 func (r *replica) restore(contents slots.Contents) error {
 	for i, body := range append([][]byte{contents.State}, contents.Records...) {
 		record := saved{}
 		if err := decode(body, &record); err != nil {
 			return errors.Wrapf(err, "record %d of the register's replica", i)
 		}
+		if record.Disk == 0 {
+			return errors.Newf("record %d of the register's replica has no identity", i)
+		}
 		r.acceptor.Self.Disk = record.Disk
 		if record.Promise {
 			r.acceptor.State.Promised = record.Promised
