Founding goes on after restarts: its promises and its seeds are on the disk

Callers saw a fleet that never took its first configuration and served no request, for good, when its processes were killed 50 to 800 ms after the very first start, all at once or one after the other. Cause: the seeds decided the first members in memory, a process that was started again did not answer for promises that it had lost, and took no part in founding at all without the bootstrap flag; the identity of a disk was announced before it was on the disk, and each first member had to confirm, so one that came back with another identity held up the fleet for good. Now the first process on an empty disk with the flag marks the disk with the seeds before others see it. Until the disk holds a value of the register, its processes take part with or without the flag, and a seed's acceptor keeps its promises there. The register exists once a majority of the first members has confirmed; the others learn it. A mark that a full disk refuses is tried again. A seed without a disk keeps its promises in memory, as before. Also: a listener that its own process has closed is no failure.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -155,10 +155,7 @@
 	if n.replica != nil {
 		n.self.Core, n.self.Disk = true, n.replica.id().Disk
 	}
-	n.founding = newFounding(s)
-	if s.Bootstrap && n.replica == nil {
-		n.founding.activate()
-	}
+	n.founding = newFounding(s, n.replica)
 	return n, nil
 }
 
@@ -195,7 +192,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	failed := make(chan error, 1)
 	lifecycle.Go(func() {
-		failed <- peerlink.Serve(n.listener, n.traffic, n.limiter, n.handle)
+		if err := peerlink.Serve(n.listener, n.traffic, n.limiter, n.handle); err != nil {
+			failed <- err
+		}
 	})
 	lifecycle.Go(func() { n.exchangeLoop(ctx) })
 	lifecycle.Go(func() { n.receiveNotes(ctx) })
--- a/internal/cluster/founding.go
+++ b/internal/cluster/founding.go
@@ -16,9 +16,10 @@
 // This file handles the first start of the whole system. No setting names the machines that hold the register, so the
 // brokers discover them: the machines with a disk that have found each other become its first members. Two groups must
 // not each found a register, so a single-decree consensus round among the seeds decides the set; the seeds are the same
-// for all brokers at the first start. The seeds' acceptors live in memory, and only in processes that were started with
-// the bootstrap flag. A process marks its disk when it first opens it, so a process that is started a second time, with
-// or without the flag, does not answer for promises that it has lost.
+// for all brokers at the first start. The first process on an empty disk that has the bootstrap flag marks the disk with the
+// seeds, before it is seen by others. From then on, until the disk holds a value of the register, its processes take part
+// in the founding, with or without the flag, and a seed's acceptor has its promises there. A seed without a disk has them in
+// memory: its process answers only if it has the flag, and later ones, which have lost the promises, do not.
 
 const (
 	foundingDisk       = 0                      // disk identity of acceptors in memory
@@ -28,48 +29,106 @@
 	foundingRetry      = 300 * time.Millisecond
 )
 
-// founding is the in-memory acceptor for the first members.
+// foundingState is a disk's part in founding the register.
+type foundingState struct {
+	Seeds []string       // IPs of the seeds at the first start
+	State register.State // of the acceptor that this machine has as a seed
+}
+
+// founding is the acceptor for the first members.
 type founding struct {
-	mu       sync.Mutex
-	active   bool
+	replica *replica // keeps its state; nil: the state is in memory
+
+	mu       sync.Mutex // unless there is a replica
+	active   bool       // in memory: no earlier process can have answered in its place
 	acceptor register.Acceptor
 }
 
-func newFounding(s *settings.Settings) *founding {
-	f := &founding{}
+// newFounding returns the acceptor of a process with this replica, or with none.
+func newFounding(s *settings.Settings, r *replica) *founding {
+	f := &founding{replica: r, active: s.Bootstrap}
 	f.acceptor.Self = register.Replica{Address: s.IP, Disk: foundingDisk}
 	f.acceptor.Persist = func(register.State) error { return nil }
+	if r != nil {
+		f.acceptor.Persist = r.persistFounding
+	}
 	return f
 }
 
-// activate makes the in-memory acceptor answer. It must be called only if no earlier process can have answered in its
-// place.
-func (f *founding) activate() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.active = true
+// use runs do with the acceptor, unless it must not answer or its disk is busy.
+func (f *founding) use(do func()) {
+	if f.replica == nil {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.active {
+			do()
+		}
+		return
+	}
+	f.replica.use(func(*register.Acceptor) {
+		if f.replica.marked && f.replica.founding != nil {
+			f.acceptor.State = f.replica.founding.State
+			do()
+		}
+	})
 }
 
 func (f *founding) prepare(m register.Prepare) register.Promise {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.active {
-		return register.Promise{Foreign: true}
-	}
-	return f.acceptor.Prepare(m)
+	answer := register.Promise{Foreign: true}
+	f.use(func() { answer = f.acceptor.Prepare(m) })
+	return answer
 }
 
 func (f *founding) accept(m register.Accept) register.Accepted {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.active {
-		return register.Accepted{Foreign: true}
+	answer := register.Accepted{Foreign: true}
+	f.use(func() { answer = f.acceptor.Accept(m) })
+	return answer
+}
+
+// persistFounding writes the state of the founding acceptor. The caller uses the replica.
+func (r *replica) persistFounding(next register.State) error {
+	founding := &foundingState{Seeds: r.founding.Seeds, State: next}
+	if err := r.write(r.wholeRecord(r.acceptor.State, founding)); err != nil {
+		return err
+	}
+	r.founding = founding
+	return nil
+}
+
+// mark writes the replica's part in the founding and its identity to an empty disk.
+func (r *replica) mark() error {
+	err := errBusy
+	r.use(func(a *register.Acceptor) {
+		if r.marked || a.State.Accepted != (register.Ballot{}) {
+			err = nil
+			return
+		}
+		err = r.persistFounding(r.founding.State)
+		r.marked = err == nil
+	})
+	return err
+}
+
+// foundingSeeds returns the IPs of the seeds that decide the first members, or nil if this machine takes no part in it.
+func (n *Node) foundingSeeds() []string {
+	if n.replica.seeds == nil && n.settings.Bootstrap {
+		return n.settings.SeedIPs()
+	}
+	return n.replica.seeds
+}
+
+// markUntilDurable marks the disk. The disk may be full or hang at first.
+func (n *Node) markUntilDurable(ctx context.Context) {
+	for ctx.Err() == nil && n.replica.mark() != nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(maintenanceInterval):
+		}
 	}
-	return f.acceptor.Accept(m)
 }
 
-// foundRegister founds the register at the first start.
-func (n *Node) foundRegister(ctx context.Context) {
+// foundRegister founds the register at the first start. seeds decide the first members.
+func (n *Node) foundRegister(ctx context.Context, seeds []string) {
 	var core []string
 	since := time.Now()
 	begun := since
@@ -88,7 +147,7 @@
 		if core[0] != n.self.IP && time.Since(since) < 2*foundingSettleTime {
 			continue // the member with the lowest address founds the register; the others do so later if it does not
 		}
-		n.proposeFirstMembers(ctx)
+		n.proposeFirstMembers(ctx, seeds)
 		time.Sleep(foundingRetry)
 	}
 }
@@ -111,9 +170,9 @@
 }
 
 // proposeFirstMembers runs a round among the seeds that decides the first members, then installs the result on them.
-func (n *Node) proposeFirstMembers(ctx context.Context) {
+func (n *Node) proposeFirstMembers(ctx context.Context, ips []string) {
 	var seeds []register.Replica
-	for _, ip := range n.settings.SeedIPs() {
+	for _, ip := range ips {
 		seeds = append(seeds, register.Replica{Address: ip, Disk: foundingDisk})
 	}
 	first := n.firstMembers()
@@ -146,22 +205,32 @@
 	return register.Single(voters.Initial(found)...)
 }
 
-// installFirstMembers makes every first member store the value that names them. The register exists once all of them
-// have confirmed.
+// installFirstMembers makes the first members store the value that names them. The register exists once a majority of them
+// has confirmed: then the value is chosen, and the others learn it. One that is lost meanwhile does not hold up the fleet.
 func (n *Node) installFirstMembers(ctx context.Context, members register.Members) {
+	confirmed := map[register.Replica]bool{}
 	for _, replica := range members.Last() {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		reply, err := n.client.Call(call, n.settings.PeerAddress(replica.Address), peerlink.Message{Found: &peerlink.Found{Members: members}})
-		cancel()
-		if err != nil || reply.Found == nil || !reply.Found.Taken || reply.Found.Self != replica {
-			n.logger.Info().Str("replica", replica.Address).Msg("a first member has not confirmed yet")
-			return
+		if n.installAt(ctx, replica, members) {
+			confirmed[replica] = true
+			continue
 		}
+		n.logger.Info().Str("replica", replica.Address).Msg("a first member has not confirmed yet")
 	}
-	n.logger.Info().Int("members", len(members.Last())).Msg("register founded")
+	if !members.Majority(func(r register.Replica) bool { return confirmed[r] }) {
+		return
+	}
+	n.logger.Info().Int("members", len(members.Last())).Int("confirmed", len(confirmed)).Msg("register founded")
 	n.publishKnown(register.Known{Ballot: firstBallot, Value: register.Value{Members: members}})
 }
 
+// installAt makes one first member store the value that names them, and reports whether it has.
+func (n *Node) installAt(ctx context.Context, replica register.Replica, members register.Members) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := n.client.Call(ctx, n.settings.PeerAddress(replica.Address), peerlink.Message{Found: &peerlink.Found{Members: members}})
+	return err == nil && reply.Found != nil && reply.Found.Taken && reply.Found.Self == replica
+}
+
 // firstBallot is the ballot of the value that names the first members. No attempt uses it.
 var firstBallot = register.Ballot{Counter: 1}
 
--- a/internal/cluster/replica.go
+++ b/internal/cluster/replica.go
@@ -23,16 +23,19 @@
 	acceptor register.Acceptor
 	store    *slots.Store
 	logger   *log.Logger
-	empty    bool // whether the disk was empty at startup
 	packing  Packing
+	founding *foundingState // its part in founding the register; nil: none, or the register is founded
+	marked   bool           // founding is on the disk
+	seeds    []string       // those of founding when the disk was opened
 }
 
-// saved is a record of the log: either the whole state or a promise alone.
+// saved is a record of the log: either the whole state or a promise alone. Earlier releases do not know Founding.
 type saved struct {
 	Disk     uint64
 	Promise  bool
 	Promised register.Ballot
 	State    register.State
+	Founding *foundingState
 }
 
 func openReplica(s *settings.Settings, logger *log.Logger, open func(string) (journalfile.Disk, error), packing Packing) (*replica, error) {
@@ -44,20 +47,29 @@
 	if store == nil {
 		return nil, errors.Wrap(err, "open the register's replica")
 	}
-	r := &replica{turn: make(chan struct{}, 1), store: store, logger: logger, empty: errors.Is(err, slots.ErrEmpty), packing: packing}
+	r := &replica{turn: make(chan struct{}, 1), store: store, logger: logger, packing: packing}
 	if err == nil {
 		err = r.restore(contents)
 	}
+	empty := errors.Is(err, slots.ErrEmpty)
 	if err != nil {
-		r.acceptor.State = register.State{}
+		r.acceptor.State, r.founding = register.State{}, nil
 		r.acceptor.Self.Disk = rand.Uint64() | 1
 	}
-	if err != nil && !r.empty {
+	if err != nil && !empty {
 		logger.Error().Err(err).Msg("the replica's disk has lost something; the replica starts empty, with a new identity")
 	}
 	r.acceptor.Self.Address = s.IP
 	r.acceptor.Persist = r.persist
+	r.marked = r.founding != nil
 	r.turn <- struct{}{}
+	if empty && s.Bootstrap {
+		r.founding = &foundingState{Seeds: s.SeedIPs()}
+		_ = r.mark() // logged; tried again once the broker runs
+	}
+	if r.founding != nil {
+		r.seeds = r.founding.Seeds
+	}
 	return r, nil
 }
 
@@ -75,7 +87,7 @@
 		if record.Promise {
 			r.acceptor.State.Promised = record.Promised
 		} else {
-			r.acceptor.State = record.State
+			r.acceptor.State, r.founding = record.State, record.Founding
 		}
 	}
 	payload, err := r.packing.Unpack(r.acceptor.State.Value.Payload)
@@ -89,35 +101,34 @@
 // persist writes a state to the disk. The acceptor calls it before it answers.
 func (r *replica) persist(next register.State) error {
 	record := saved{Disk: r.acceptor.Self.Disk, Promise: true, Promised: next.Promised}
-	if checkpoint := r.store.NeedsCheckpoint(); checkpoint || next.Accepted != r.acceptor.State.Accepted {
-		next.Value.Payload = r.packing.Pack(next.Value.Payload)
-		record = saved{Disk: r.acceptor.Self.Disk, State: next}
-		if checkpoint {
-			return r.checkpoint(record)
-		}
+	if r.store.NeedsCheckpoint() || next.Accepted != r.acceptor.State.Accepted {
+		record = r.wholeRecord(next, r.founding)
 	}
-	if err := r.store.Append(encode(record)); err != nil {
-		r.logger.Warn().Err(err).Msg("the replica's disk refuses a write")
-		return err
+	return r.write(record)
+}
+
+// wholeRecord returns a record of the whole state. Its part in founding the register is over once the replica holds a value.
+func (r *replica) wholeRecord(state register.State, founding *foundingState) saved {
+	if state.Accepted != (register.Ballot{}) {
+		founding = nil
 	}
-	return nil
+	state.Value.Payload = r.packing.Pack(state.Value.Payload)
+	return saved{Disk: r.acceptor.Self.Disk, State: state, Founding: founding}
 }
 
-func (r *replica) checkpoint(record saved) error {
-	if err := r.store.Checkpoint(encode(record)); err != nil {
-		r.logger.Warn().Err(err).Msg("the replica's disk refuses a checkpoint")
+// write appends a record to the log, or starts a new log with it.
+func (r *replica) write(record saved) error {
+	what, put := "a write", r.store.Append
+	if r.store.NeedsCheckpoint() {
+		what, put = "a checkpoint", r.store.Checkpoint
+	}
+	if err := put(encode(record)); err != nil {
+		r.logger.Warn().Err(err).Msg("the replica's disk refuses " + what)
 		return err
 	}
 	return nil
 }
 
-// mark writes the replica's identity to an empty disk, so that a later process can tell that it is not the first one.
-func (r *replica) mark() error {
-	err := errBusy
-	r.use(func(a *register.Acceptor) { err = a.Persist(a.State) })
-	return err
-}
-
 func (r *replica) id() register.Replica { return r.acceptor.Self }
 
 // use runs f with the acceptor, or returns false if the acceptor stays busy.
--- a/internal/cluster/settling.go
+++ b/internal/cluster/settling.go
@@ -25,11 +25,9 @@
 		n.mu.Lock()
 		n.addMembersToView(known.Value.Members)
 		n.mu.Unlock()
-	} else if n.settings.Bootstrap {
-		if n.replica.empty && n.replica.mark() == nil {
-			n.founding.activate()
-		}
-		lifecycle.Go(func() { n.foundRegister(ctx) })
+	} else if seeds := n.foundingSeeds(); seeds != nil {
+		lifecycle.Go(func() { n.markUntilDurable(ctx) })
+		lifecycle.Go(func() { n.foundRegister(ctx, seeds) })
 	}
 	lifecycle.Go(func() { n.learnValues(ctx) })
 	n.settleAtStart(ctx)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -115,7 +115,11 @@
 	failed := make(chan error, 1+len(servers.all))
 	lifecycle.Go(func() { b.gateway.Run(running) })
 	b.restoreInstances(running) // before any peer can request that instances be stored
-	lifecycle.Go(func() { failed <- errors.Wrap(b.node.Run(running), "peers") })
+	lifecycle.Go(func() {
+		if err := b.node.Run(running); err != nil {
+			failed <- errors.Wrap(err, "peers")
+		}
+	})
 	lifecycle.Go(func() { b.awaitTrust(running) })
 	lifecycle.Go(func() { b.tick(running, servers) })
 	lifecycle.Go(func() { b.roles.run(running) })
