A listener accepts again after errors

A broker that had no descriptor left for a peer's connection stopped accepting peers for ever and closed the connections that it had: peerlink.Serve returned at the first failed Accept. In a fleet whose brokers ran out of descriptors at once, no change was taken any more. Now a listener tries again, with a delay of up to a second, and logs the first error of a series; one that has failed for a minute is given up, which ends the process with step serve and status 6. The HTTP servers use the same. TestPeersAfterDescriptorsRanOut failed before, and passes; TestAcceptAfterFailures covers the limit.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -192,7 +192,8 @@
 func (n *Node) Run(ctx context.Context) error {
 	failed := make(chan error, 1)
 	lifecycle.Go(func() {
-		if err := peerlink.Serve(n.listener, n.traffic, n.limiter, n.handle); err != nil {
+		accepting := netio.Persistent(n.listener, func(err error) { n.logger.Warn().Err(err).Msg("cannot accept a peer") })
+		if err := peerlink.Serve(accepting, n.traffic, n.limiter, n.handle); err != nil {
 			failed <- err
 		}
 	})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -124,7 +124,7 @@
 	lifecycle.Go(func() { b.tick(running, servers) })
 	lifecycle.Go(func() { b.roles.run(running) })
 	lifecycle.Go(func() { b.saveInstances(running) })
-	servers.serve(failed)
+	servers.serve(b.logger, failed)
 	b.logger.Info().Str("node", b.settings.NodeName).Str("zone", b.settings.Zone).Msg("broker started")
 	lifecycle.Enter(lifecycle.Serve)
 	var failure *lifecycle.Failure
--- a/internal/router/servers.go
+++ b/internal/router/servers.go
@@ -13,6 +13,7 @@
 	"gullstair/internal/configuration"
 	"gullstair/internal/keepalive"
 	"gullstair/internal/lifecycle"
+	"gullstair/internal/netio"
 	"gullstair/internal/operatorapi"
 )
 
@@ -75,11 +76,14 @@
 }
 
 // serve starts all servers. One that fails for good reports its error to failed.
-func (s *servers) serve(failed chan<- error) {
+func (s *servers) serve(logger *log.Logger, failed chan<- error) {
 	for _, server := range s.all {
 		address := server.listener.Addr().String()
+		accepting := netio.Persistent(server.listener, func(err error) {
+			logger.Warn().Err(err).Str("address", address).Msg("cannot accept a connection")
+		})
 		lifecycle.Go(func() {
-			if err := server.http.Serve(server.listener); !errors.Is(err, net.ErrClosed) {
+			if err := server.http.Serve(accepting); !errors.Is(err, net.ErrClosed) {
 				failed <- errors.Wrap(err, address)
 			}
 		})
