A process outlives the reader of its log, and does not wait for it

When the program that collected the logs went away, the next line ended the process by SIGPIPE, on all machines whose logs it collected, and after each restart again; when it stopped reading, the process stood in a write and never served. The last line waits for the reader for a second.

--- a/cmd/gullstair/fleet.go
+++ b/cmd/gullstair/fleet.go
@@ -20,6 +20,7 @@
 	"gullstair/internal/cluster"
 	"gullstair/internal/configuration"
 	"gullstair/internal/lifecycle"
+	"gullstair/internal/logwriter"
 	"gullstair/internal/router"
 	"gullstair/internal/settings"
 )
@@ -117,10 +118,12 @@
 // runBroker runs one broker until it is told to end, and writes the last line of its log.
 func runBroker(path, level string) error {
 	signals := catchBrokerSignals()
-	logger := &log.Logger{Level: log.ParseLevel(level), Writer: log.IOWriter{Writer: os.Stderr}}
+	output := logwriter.New(os.Stderr)
+	logger := &log.Logger{Level: log.ParseLevel(level), Writer: log.IOWriter{Writer: output}}
 	lifecycle.ReportPanics(logger)
 	defer lifecycle.ReportPanic()
 	failure := serveBroker(path, logger, signals)
+	output.AwaitReader()
 	if status := lifecycle.End(logger, failure); status != lifecycle.StatusEnded {
 		return exitCode(status)
 	}
