A SIGHUP while the program starts does not end it

SIGHUP says that the settings have changed. Until the handlers were installed, 2 to 7 ms after the start of the program here and later on a slow machine, its default action ended the process. It is now ignored from the loading of the program on (a constructor in C, for the command broker only), until the broker catches it, and the settings are read after that. Left: the time before the program is loaded, in which no code of it runs.

--- /dev/null
+++ b/cmd/gullstair/hangup.go
@@ -0,0 +1,5 @@
+//go:build cgo
+
+package main
+
+import "C" // compiles hangup.c
