--- a/cmd/gullstair/soak_signals_test.go
+++ b/cmd/gullstair/soak_signals_test.go
@@ -13,7 +13,7 @@
 func (s *soak) reserve(mayBeCore bool) *soakBroker {
 	for range 20 {
 		number := s.draw(len(s.brokers))
-		if number < soakCore && !mayBeCore {
+		if number < s.core && !mayBeCore {
 			continue
 		}
 		b := s.brokers[number]
--- a/cmd/gullstair/soak_test.go
+++ b/cmd/gullstair/soak_test.go
@@ -20,11 +20,12 @@
 // invariants.
 
 var (
-	soakSeed    = flag.Uint64("soak.seed", 1, "seed of a soak's events")
-	soakFor     = flag.Duration("soak.for", time.Minute, "how long a soak lasts")
-	soakBrokers = flag.Int("soak.brokers", 7, "number of brokers, of which the first five have a disk")
-	soakOther   = flag.String("soak.other", "", "the test binary of another release; brokers are started from it and from this binary in turn")
-	soakClients = flag.Int("soak.clients", 16, "number of clients")
+	soakSeed     = flag.Uint64("soak.seed", 1, "seed of a soak's events")
+	soakFor      = flag.Duration("soak.for", time.Minute, "how long a soak lasts")
+	soakBrokers  = flag.Int("soak.brokers", 7, "number of brokers, of which the first five have a disk")
+	soakOther    = flag.String("soak.other", "", "the test binary of another release; brokers are started from it and from this binary in turn")
+	soakDetector = flag.Bool("soak.detector", false, "start the soak of starts from this test binary, with its race detector")
+	soakClients  = flag.Int("soak.clients", 16, "number of clients")
 )
 
 const (
@@ -51,6 +52,7 @@
 	busy           bool      // a disturbance is in progress
 	disturbedUntil time.Time // until when it was killed or paused, or had just started after that
 	terminatedAt   time.Time // when it last got SIGTERM
+	log            *os.File  // the reading end of its log, if nobody reads it
 }
 
 // late reports whether a run ends within the last sixth of the broker's time to shut down, and its request arrived not
@@ -88,6 +90,8 @@
 	seed    uint64
 	net     string
 	brokers []*soakBroker
+	core    int // brokers with a disk, the first ones
+	voters  int // of these, as long as all run this release
 	stop    chan struct{}
 	wait    sync.WaitGroup
 
@@ -177,14 +181,21 @@
 
 // newSoak starts the brokers and instances.
 func newSoak(t *testing.T, seed uint64, brokers int) *soak {
-	s := &soak{t: t, seed: seed, net: fmt.Sprintf("127.%d", 20+seed%200), stop: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 3)),
+	s := newSoakOf(t, seed, brokers, soakCore, nil)
+	s.startInstances()
+	return s
+}
+
+// newSoakOf starts the brokers, of which the first core ones have a disk, from these programs or from this test binary.
+func newSoakOf(t *testing.T, seed uint64, brokers, core int, programs []string) *soak {
+	s := &soak{t: t, seed: seed, core: core, voters: core - 1 + core%2, net: fmt.Sprintf("127.%d", 20+seed%200), stop: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 3)),
 		requests: map[string]*soakRequest{}, counts: map[string]int{}, named: map[int64]time.Time{}, version: 1}
 	var seeds []string
 	for number := range 3 {
 		seeds = append(seeds, s.broker(number)+":18381")
 	}
 	for number := range brokers {
-		c := &controlProcess{t: t, ip: s.broker(number), seeds: strings.Join(seeds, ","), folder: t.TempDir(), disk: number < soakCore, bootstrap: true,
+		c := &controlProcess{t: t, ip: s.broker(number), seeds: strings.Join(seeds, ","), folder: t.TempDir(), disk: number < core, bootstrap: true, programs: programs,
 			extra: []string{fmt.Sprintf("bounds.grace_s=%d", soakGrace/time.Second), "bounds.fencing=true", "bounds.retry_budget_ratio=0.2",
 				"bounds.retry_budget_slack=60", "limits.memory_mb=200"}}
 		if *soakOther != "" {
@@ -194,13 +205,16 @@
 		c.start()
 		s.brokers = append(s.brokers, &soakBroker{controlProcess: c})
 	}
+	return s
+}
+
+func (s *soak) startInstances() {
 	for range soakInstance {
 		s.startInstance("llm", s.version)
 	}
 	for range 3 {
 		s.startInstance("plain", s.version)
 	}
-	return s
 }
 
 func (s *soak) broker(number int) string {
@@ -239,7 +253,7 @@
 		if got := versionIn(text); status != http.StatusOK || got != s.acked {
 			s.fault("at the end %s answers a read with %d, version %d of %d", b.ip, status, got, s.acked)
 		}
-		if number < soakCore { // a few only, since hundreds of brokers end slowly
+		if number < s.core { // a few only, since hundreds of brokers end slowly
 			s.checkStatus(b)
 		}
 	}
@@ -254,7 +268,7 @@
 	}{}
 	_, text := b.call(2*time.Second, http.MethodGet, "/v1/status", "", "")
 	err := json.Unmarshal([]byte(text), &status)
-	votes := len(status.Voters) == soakCore || *soakOther != "" && len(status.Voters) == soakFewerVoters
+	votes := len(status.Voters) == s.voters || *soakOther != "" && len(status.Voters) == soakFewerVoters
 	if err != nil || !votes || !status.Ready || s.version > 1 && status.Weights[soakModel] != s.version {
 		s.fault("at the end %s has %d voters, ready %t, weights %v of %d (%v)", b.ip, len(status.Voters), status.Ready, status.Weights, s.version, err)
 	}
