A peer's odd reply or record does not end a broker

A peer that answered a prepare with an accept made the caller dereference a nil promise: in a goroutine of the broker this ended the process (a program of another release, or of another system, at a voter's address is enough). A value of the register that names an empty set of replicas was taken as the newest one; every later round then indexed that set, and the value was kept on the disks, so that processes ended after each restart. Now an answer counts only if it is of the kind that was asked for, values and first members without replicas are dropped, and a founder that has lost sight of all machines with a disk proposes nothing. No log shows that this happened to anyone.

--- a/internal/cluster/founding.go
+++ b/internal/cluster/founding.go
@@ -176,6 +176,9 @@
 		seeds = append(seeds, register.Replica{Address: ip, Disk: foundingDisk})
 	}
 	first := n.firstMembers()
+	if !first.Valid() {
+		return // the machines with a disk have just been lost from sight
+	}
 	change := func(present register.Value) (register.Value, bool, error) {
 		if len(present.Payload) > 0 {
 			return present, true, nil // already decided
@@ -250,7 +253,7 @@
 // acceptFirstMembers makes an acceptor store the value that names the first members. It also returns true if the
 // acceptor holds that value or one derived from it, since it has stored it before.
 func acceptFirstMembers(a *register.Acceptor, members register.Members) bool {
-	if !members.Has(a.Self) {
+	if !members.Valid() || !members.Has(a.Self) {
 		return false
 	}
 	if a.State.Accepted != (register.Ballot{}) {
--- a/internal/cluster/gossip.go
+++ b/internal/cluster/gossip.go
@@ -49,6 +49,7 @@
 func (n *Node) putWithoutPush(records []dissemination.Record) { n.put(records, "", false) }
 
 func (n *Node) put(records []dissemination.Record, from string, push bool) {
+	records = slices.DeleteFunc(slices.Clone(records), namesNoMembers)
 	for _, r := range records {
 		if known, isValue := r.Body.(register.Known); isValue {
 			n.payloads.remember(known.Value.Payload) // other brokers may request a patch on it
@@ -85,6 +86,12 @@
 	}
 }
 
+// namesNoMembers reports whether a record is a value of the register that nobody could decide on.
+func namesNoMembers(r dissemination.Record) bool {
+	known, isValue := r.Body.(register.Known)
+	return isValue && !known.Value.Members.Valid()
+}
+
 // refute raises this broker's epoch above that of a record that an earlier process at its address has published.
 func (n *Node) refute(r dissemination.Record) {
 	if r.Version.Epoch > n.epoch {
--- a/internal/cluster/rounds.go
+++ b/internal/cluster/rounds.go
@@ -196,8 +196,11 @@
 	for wait := callRetryDelay; ; wait *= 2 {
 		reply, err := n.client.Call(ctx, n.settings.PeerAddress(to.Address), sent)
 		if err == nil && n.unpackReply(reply, to) {
-			if reply.Promise != nil || reply.Accepted != nil {
-				answers <- answer{promise: reply.Promise, accepted: reply.Accepted}
+			if m.Prepare != nil && reply.Promise != nil {
+				answers <- answer{promise: reply.Promise}
+			}
+			if m.Accept != nil && reply.Accepted != nil {
+				answers <- answer{accepted: reply.Accepted}
 			}
 			return
 		}
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -92,6 +92,11 @@
 // Moving reports whether a change of the set is in progress.
 func (m Members) Moving() bool { return len(m.Sets) > 1 }
 
+// Valid reports whether there is a set, and each set has replicas: nobody could decide in an empty one.
+func (m Members) Valid() bool {
+	return len(m.Sets) > 0 && !slices.ContainsFunc(m.Sets, func(set []Replica) bool { return len(set) == 0 })
+}
+
 // Has reports whether a replica is in the set that Last returns.
 func (m Members) Has(r Replica) bool { return slices.Contains(m.Last(), r) }
 
