--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -194,6 +194,15 @@
 // newSimFleetWithBudget starts a fleet with the given fixed part of the retry budget. The first core machines have a disk and may
 // become voters.
 func newSimFleetWithBudget(t *testing.T, seed uint64, brokers, core, budgetSlack int) *simFleet {
+	return newSimFleetWith(t, seed, brokers, core, budgetSlack, func(*memoryDisk) {})
+}
+
+// newSimFleetOnDisks starts a fleet on disks that prepare has changed.
+func newSimFleetOnDisks(t *testing.T, seed uint64, brokers, core int, prepare func(*memoryDisk)) *simFleet {
+	return newSimFleetWith(t, seed, brokers, core, 20, prepare)
+}
+
+func newSimFleetWith(t *testing.T, seed uint64, brokers, core, budgetSlack int, prepare func(*memoryDisk)) *simFleet {
 	w := &simFleet{t: t, net: memnet.New(500 * time.Microsecond), rng: rand.New(rand.NewPCG(seed, 5)), servers: map[string]*modelServer{},
 		executions: map[string]int{}, delivered: map[string]int{}, streamStarted: map[string]bool{}, rejected: map[string]bool{}, executeOnce: map[string]bool{}, sent: map[string]bool{},
 		namedAt: map[int64]time.Time{}, budgetSlack: budgetSlack, sharedTokens: 2000}
@@ -203,6 +212,7 @@
 		w.machines = append(w.machines, m)
 	}
 	for _, m := range w.machines {
+		prepare(m.disk)
 		w.start(m)
 	}
 	return w
