Soaks reserve a broker in one place; a planted fault fits the founding's new check

The soak of starts had repeated how a disturbance reserves a broker. The planted fault 'founded on another disk' names the line as it reads now; TestFaultsFit failed without that.

--- a/cmd/gullstair/soak_signals_test.go
+++ b/cmd/gullstair/soak_signals_test.go
@@ -46,6 +46,27 @@
 	s.catchingUp = time.Now().Add(soakCatchUp)
 }
 
+// take reserves a broker for a disturbance, one with a disk only if its machine may be lost now. It returns nil if it finds
+// none.
+func (s *soak) take() *soakBroker {
+	core := s.reserveCore()
+	b := s.reserve(core)
+	if core && (b == nil || !b.disk) {
+		s.mu.Lock()
+		s.catchingUp = time.Time{}
+		s.mu.Unlock()
+	}
+	return b
+}
+
+// giveBack ends a disturbance of a broker.
+func (s *soak) giveBack(b *soakBroker) {
+	b.release()
+	if b.disk {
+		s.releaseCore()
+	}
+}
+
 func (b *soakBroker) release() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -66,20 +87,11 @@
 
 // disturb disturbs one broker without a disturbance in progress.
 func (s *soak) disturb() {
-	core := s.reserveCore()
-	b := s.reserve(core)
-	if core && (b == nil || !b.disk) {
-		s.mu.Lock()
-		s.catchingUp = time.Time{}
-		s.mu.Unlock()
-	}
+	b := s.take()
 	if b == nil {
 		return
 	}
-	if b.disk {
-		defer s.releaseCore()
-	}
-	defer b.release()
+	defer s.giveBack(b)
 	what := []string{"term", "term", "kill", "stop", "hang up", "wipe"}[s.draw(6)]
 	s.count(what)
 	switch what {
--- a/cmd/gullstair/start_soak_test.go
+++ b/cmd/gullstair/start_soak_test.go
@@ -139,20 +139,11 @@
 
 // disturbStarts ends the process of one machine and starts it several times in a row, each time in another way.
 func (s *soak) disturbStarts() {
-	core := s.reserveCore()
-	b := s.reserve(core)
-	if core && (b == nil || !b.disk) {
-		s.mu.Lock()
-		s.catchingUp = time.Time{}
-		s.mu.Unlock()
-	}
+	b := s.take()
 	if b == nil {
 		return
 	}
-	if b.disk {
-		defer s.releaseCore()
-	}
-	defer b.release()
+	defer s.giveBack(b)
 	s.markDisturbed(b, time.Now().Add(time.Hour))
 	for range 1 + s.draw(startSoakSeries) {
 		what := startTroubles[s.draw(len(startTroubles))]
--- a/internal/planted/control.go
+++ b/internal/planted/control.go
@@ -64,7 +64,7 @@
 	{"control: value chosen by the new set only", quorumReadFile, "	round := Round{sets: l.value.Quorums()}\n", "	round := Round{sets: l.value.Members.Sets}\n", "", ""},
 	{"control: change of members begun during another one", membersFile, "if present.Reconfiguring() || !from.Equal(present.Members) {", "if !from.Equal(present.Members) {", "", ""},
 	{"control: missed value not learned", settlingFile, "if err := n.replica.learn(known); err != nil {", "if err := error(nil); err != nil || known.Ballot.Counter > 1<<62 {", "", ""},
-	{"control: founded on another disk", foundingFile, "if !members.Has(a.Self) {", "if false {", "", ""},
+	{"control: founded on another disk", foundingFile, "if !members.Valid() || !members.Has(a.Self) {", "if false {", "", ""},
 	{"control: newer version restarts the grace period of older weights", weightsFile, "	for _, n := range Merge(before, named, Grace(l.bound)) {", "	for _, n := range named[len(named)-1:] {", "", ""},
 	{"control: ages of versions not stored", rolesFile, "AgeWeights(model, r.broker.weights.Named(time.Now(), model),", "AgeWeights(model, nil,", "", ""},
 	{"control: end of the grace period of older weights not recorded", rolesFile, "&& r.broker.weights.Settled(time.Now(), model, state.Named[model])", "", "", ""},
