--- a/cmd/gullstair/start_soak_test.go
+++ b/cmd/gullstair/start_soak_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"gullstair/internal/fleettest"
 )
 
 // The soak of starts runs the machines of dender-live as processes beside the clients, instances and operators of the
@@ -104,10 +106,8 @@
 // checkProcesses checks that processes that nobody disturbs run and keep to their memory.
 func (s *soak) checkProcesses() {
 	for _, b := range s.brokers {
-		b.mu.Lock()
-		process, busy := b.process, b.busy
-		b.mu.Unlock()
-		if busy {
+		process := b.undisturbedProcess()
+		if process == nil {
 			continue
 		}
 		if !process.Running() {
@@ -119,6 +119,16 @@
 	}
 }
 
+// undisturbedProcess returns a broker's process, or nil during a disturbance, which may replace it.
+func (b *soakBroker) undisturbedProcess() *fleettest.Process {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.busy {
+		return nil
+	}
+	return b.process
+}
+
 // peakMemoryMB returns the largest resident size that a process had, in MB; 0 if it is gone.
 func peakMemoryMB(pid int) int {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
