--- a/internal/logwriter/logwriter.go
+++ b/internal/logwriter/logwriter.go
@@ -83,7 +83,7 @@
 	poll := []unix.PollFd{{Fd: w.fd, Events: unix.POLLOUT}}
 	for begun := time.Now(); ; {
 		left := max(w.patience-time.Since(begun), 0)
-		ready, err := unix.Poll(poll, int(left/time.Millisecond))
+		ready, err := unix.Poll(poll, int((left+time.Millisecond-1)/time.Millisecond))
 		if err == unix.EINTR {
 			continue
 		}
