TestHangupDuringTheStart waits for the loading of the program by the kernel's masks

It waited 2 ms after the start, which a busy machine can exceed before it has loaded the program; then the signal came where no code of the program runs yet. It now waits until the process ignores or catches SIGHUP, and sends it from then on, up to 20 ms later: earlier than before on a quiet machine. The soak of starts does the same.

--- a/cmd/gullstair/start_helpers_test.go
+++ b/cmd/gullstair/start_helpers_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"hash/crc32"
+	"os"
+	"strconv"
+	"strings"
 
 	"golang.org/x/sys/unix"
 )
@@ -15,6 +19,24 @@
 	return append(out, body...)
 }
 
+// hangupHandled reports whether a process ignores or catches SIGHUP, by the masks that the kernel shows.
+func hangupHandled(pid int) bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return false
+	}
+	for line := range strings.Lines(string(text)) {
+		name, mask, _ := strings.Cut(line, ":")
+		if name != "SigIgn" && name != "SigCgt" {
+			continue
+		}
+		if bits, err := strconv.ParseUint(strings.TrimSpace(mask), 16, 64); err == nil && bits>>(unix.SIGHUP-1)&1 == 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // limitDescriptors sets the limit of open files of a process.
 func limitDescriptors(pid int, limit uint64) error {
 	return unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: limit, Max: 4096}, nil)
--- a/cmd/gullstair/start_soak_test.go
+++ b/cmd/gullstair/start_soak_test.go
@@ -187,8 +187,9 @@
 		b.writeSettings(b.settings())
 	case "early hangup":
 		b.start()
+		b.awaitLoaded()
 		for range 1 + s.draw(4) {
-			time.Sleep(2*time.Millisecond + s.between(0, startSoakEarly))
+			time.Sleep(s.between(0, startSoakEarly))
 			b.process.Signal(syscall.SIGHUP)
 		}
 	case "no reader", "slow reader":
--- a/cmd/gullstair/start_test.go
+++ b/cmd/gullstair/start_test.go
@@ -271,13 +271,12 @@
 	}
 }
 
-// TestHangupDuringTheStart guards against processes that a SIGHUP ends right after their start. It does not send it in the
-// first milliseconds, while the system still loads the program.
+// TestHangupDuringTheStart guards against processes that a SIGHUP ends right after their start. It sends none before the
+// program is loaded, while no code of it has run.
 func TestHangupDuringTheStart(t *testing.T) {
 	const (
-		starts  = 240
-		loading = 2 * time.Millisecond
-		spread  = 20 * time.Millisecond
+		starts = 240
+		spread = 20 * time.Millisecond
 	)
 	program := buildProgram(t)
 	for lane := range 4 {
@@ -288,7 +287,8 @@
 			c.programs = []string{program}
 			for number := range starts / 4 {
 				c.start()
-				wait := loading + time.Duration(rng.Int64N(int64(spread)))
+				c.awaitLoaded()
+				wait := time.Duration(rng.Int64N(int64(spread)))
 				time.Sleep(wait)
 				c.process.Signal(syscall.SIGHUP)
 				time.Sleep(spread)
@@ -299,6 +299,17 @@
 	}
 }
 
+// awaitLoaded waits until the process ignores or catches SIGHUP, which begins while the program is loaded.
+func (c *controlProcess) awaitLoaded() {
+	c.t.Helper()
+	for begun := time.Now(); time.Since(begun) < startWithin; {
+		if !c.process.Running() || hangupHandled(c.process.Pid()) {
+			return
+		}
+	}
+	c.t.Errorf("%s has not been loaded within %v", c.ip, startWithin)
+}
+
 // TestMessagesThatNobodySends guards against processes that end because of bytes that no program of the fleet sends.
 func TestMessagesThatNobodySends(t *testing.T) {
 	c := newStart(t, 50)
