--- a/cmd/gullstair/control_test.go
+++ b/cmd/gullstair/control_test.go
@@ -36,6 +36,7 @@
 	process   *fleettest.Process
 	programs  []string // programs to start in turn; if empty, this test binary
 	starts    int
+	variables []string // of the environment, NAME=VALUE
 	output    *os.File // standard output and error; nil: the file "out" in the folder
 }
 
@@ -101,7 +102,8 @@
 		program = c.programs[c.starts%len(c.programs)]
 	}
 	c.starts++
-	c.process, err = fleettest.Launch([]string{program, "broker"}, []string{"GULLSTAIR_TEST_CHILD=1", settings.EnvironmentVariable + "=" + c.settingsPath()}, out)
+	variables := append([]string{"GULLSTAIR_TEST_CHILD=1", settings.EnvironmentVariable + "=" + c.settingsPath()}, c.variables...)
+	c.process, err = fleettest.Launch([]string{program, "broker"}, variables, out)
 	require.NoError(c.t, err)
 }
 
--- a/cmd/gullstair/fleet.go
+++ b/cmd/gullstair/fleet.go
@@ -97,6 +97,9 @@
 	return err
 }
 
+// hostEnvironment returns the network and the disk of this machine. Tests replace it.
+var hostEnvironment = cluster.HostEnvironment
+
 // brokerSignals holds the signals that an operator can send to a broker.
 type brokerSignals struct {
 	terminated context.Context // canceled by SIGTERM or SIGINT
@@ -138,7 +141,7 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(softMemoryLimit(s.MemoryMB))
 	logger.Info().Str("node", s.NodeName).Strs("seeds", s.Seeds).Bool("bootstrap", s.Bootstrap).Str("data_dir", s.DataDir).Msg("broker starting")
-	broker, failure := router.New(signals.terminated, s, path, logger, cluster.HostEnvironment())
+	broker, failure := router.New(signals.terminated, s, path, logger, hostEnvironment())
 	if failure != nil {
 		return failure
 	}
--- a/cmd/gullstair/sharing_test.go
+++ b/cmd/gullstair/sharing_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gullstair/internal/broker"
+	"gullstair/internal/cluster"
 	"gullstair/internal/fleettest"
 	"gullstair/internal/lifecycle"
 	"gullstair/internal/memberactor"
@@ -36,6 +37,9 @@
 		if path := os.Getenv("RIG_CLOCK"); path != "" {
 			clocks = func() broker.Clocks { return skewedClocks(path) }
 		}
+		if path := os.Getenv(slowDiskVariable); path != "" {
+			hostEnvironment = func() cluster.Environment { return slowDiskEnvironment(path) }
+		}
 		if os.Getenv("GULLSTAIR_TEST_PANIC") != "" {
 			time.AfterFunc(childPanicDelay, lifecycle.Guard(func() { panic("forced") }))
 		}
--- a/cmd/gullstair/soak_clients_test.go
+++ b/cmd/gullstair/soak_clients_test.go
@@ -11,6 +11,8 @@
 	"time"
 )
 
+const soakSharedTokens = 500 // of a prompt: its first two parts
+
 // requestStarted records a running request, and checks that it may run on the instance.
 func (s *soak) requestStarted(id string, i *soakInstanceProcess, version int64, drained time.Time, takes time.Duration) {
 	s.mu.Lock()
@@ -97,13 +99,14 @@
 	q := &soakRequest{kind: kind, broker: b, sent: time.Now()}
 	s.requests[id] = q
 	s.mu.Unlock()
-	request, _ := http.NewRequest(http.MethodPost, "http://h/"+kind+"/x", strings.NewReader("body"))
+	request, _ := http.NewRequest(http.MethodPost, "http://h/"+kind+"/x", strings.NewReader(strings.Repeat("body", 1+s.draw(s.shape.bodyBytes/4))))
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", strconv.Itoa(int(soakAnswer/time.Millisecond)))
 	if kind != "post" {
 		request.Header.Set("X-Model", soakModel)
-		request.Header.Set("X-Prompt-Prefix", fmt.Sprintf("head:300,s%d:200,own%s:50", s.draw(10), id))
-		request.Header.Set("X-Token-Count", "550,5")
+		own := 50 + s.draw(s.shape.tokens-soakSharedTokens-49)
+		request.Header.Set("X-Prompt-Prefix", fmt.Sprintf("head:300,s%d:200,own%s:%d", s.draw(10), id, own))
+		request.Header.Set("X-Token-Count", fmt.Sprintf("%d,5", soakSharedTokens+own))
 	}
 	_ = conn.SetDeadline(time.Now().Add(soakAnswer + time.Second))
 	closing = s.converse(q, id, request, conn, reader)
--- a/cmd/gullstair/soak_test.go
+++ b/cmd/gullstair/soak_test.go
@@ -88,6 +88,7 @@
 type soak struct {
 	t       *testing.T
 	seed    uint64
+	shape   fleetShape
 	net     string
 	brokers []*soakBroker
 	core    int // brokers with a disk, the first ones
@@ -181,23 +182,26 @@
 
 // newSoak starts the brokers and instances.
 func newSoak(t *testing.T, seed uint64, brokers int) *soak {
-	s := newSoakOf(t, seed, brokers, soakCore, nil)
+	s := newSoakOf(t, seed, fleetShape{brokers: brokers, core: soakCore, memoryMB: 200, tokens: 550, bodyBytes: 4}, nil)
 	s.startInstances()
 	return s
 }
 
-// newSoakOf starts the brokers, of which the first core ones have a disk, from these programs or from this test binary.
-func newSoakOf(t *testing.T, seed uint64, brokers, core int, programs []string) *soak {
-	s := &soak{t: t, seed: seed, core: core, voters: core - 1 + core%2, net: fmt.Sprintf("127.%d", 20+seed%200), stop: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 3)),
+// newSoakOf starts the brokers of a shape from these programs or from this test binary.
+func newSoakOf(t *testing.T, seed uint64, shape fleetShape, programs []string) *soak {
+	s := &soak{t: t, seed: seed, shape: shape, core: shape.core, voters: shape.core - 1 + shape.core%2, net: fmt.Sprintf("127.%d", 20+seed%200), stop: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 3)),
 		requests: map[string]*soakRequest{}, counts: map[string]int{}, named: map[int64]time.Time{}, version: 1}
 	var seeds []string
 	for number := range 3 {
 		seeds = append(seeds, s.broker(number)+":18381")
 	}
-	for number := range brokers {
-		c := &controlProcess{t: t, ip: s.broker(number), seeds: strings.Join(seeds, ","), folder: t.TempDir(), disk: number < core, bootstrap: true, programs: programs,
+	for number := range shape.brokers {
+		c := &controlProcess{t: t, ip: s.broker(number), seeds: strings.Join(seeds, ","), folder: t.TempDir(), disk: number < shape.core, bootstrap: true, programs: programs,
 			extra: []string{fmt.Sprintf("bounds.grace_s=%d", soakGrace/time.Second), "bounds.fencing=true", "bounds.retry_budget_ratio=0.2",
-				"bounds.retry_budget_slack=60", "limits.memory_mb=200"}}
+				"bounds.retry_budget_slack=60", fmt.Sprintf("limits.memory_mb=%d", shape.memoryMB)}}
+		if shape.sync > 0 {
+			c.setSync(shape.sync)
+		}
 		if *soakOther != "" {
 			c.programs, c.starts = []string{os.Args[0], *soakOther}, number
 		}
@@ -224,15 +228,24 @@
 // any returns a random broker.
 func (s *soak) any() *soakBroker { return s.brokers[s.draw(len(s.brokers))] }
 
-// soakConfiguration returns a configuration whose routes serve, with one route that carries its version.
-func soakConfiguration(version int) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[
+// soakLargeEvery is the number of configurations of which one has idle routes, if any has.
+const soakLargeEvery = 4
+
+// configuration returns a configuration whose routes serve, with one route that carries its version.
+func (s *soak) configuration(version int) string {
+	idle := ""
+	if version%soakLargeEvery == 0 {
+		for number := range s.shape.idleRoutes {
+			idle += fmt.Sprintf(`{"name":"idle-%d","host":"idle-%d.example","path_prefix":"/v%d/","kind":"safe","timeout_ms":1000,"service":"plain"},`, number, number, version)
+		}
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s
 {"name":"chat","host":"h","path_prefix":"/chat/","kind":"streaming","timeout_ms":9000,"target_latency_ms":600,"service":"llm","max_attempts":2,"sticky":true,"resumable":true,"gap_aim_ms":300},
 {"name":"once","host":"h","path_prefix":"/once/","kind":"streaming","timeout_ms":9000,"target_latency_ms":600,"service":"llm","max_attempts":2,"sticky":true,"gap_aim_ms":300},
 {"name":"post","host":"h","path_prefix":"/post/","kind":"unsafe","timeout_ms":3000,"target_latency_ms":300,"service":"plain","max_attempts":1},
 {"name":"mark","host":"h","path_prefix":"/mark%d/","kind":"unsafe","timeout_ms":3000,"target_latency_ms":300,"service":"plain"}],
 "services":[{"name":"llm","engine":{"slots":16,"kv_capacity_tokens":100000,"kv_bytes":1000,"link_mbps":100000,"max_concurrency":200,"models":[{"name":"m"}]}},{"name":"plain"}]}`,
-		version, version)
+		version, idle, version)
 }
 
 // settle ends the events and checks that the fleet has fully recovered.
--- a/cmd/gullstair/start_soak_test.go
+++ b/cmd/gullstair/start_soak_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -16,38 +17,53 @@
 	"gullstair/internal/fleettest"
 )
 
-// The soak of starts runs the machines of dender-live as processes beside the clients, instances and operators of the
+// The soak of starts runs the machines of a deployment as processes beside the clients, instances and operators of the
 // soak, which check their invariants, and disturbs starts: series of starts and ends with something taken, late, damaged
 // or gone each time. No process may end by itself, exceed its memory, or fail to serve.
 
 const (
-	startSoakBrokers  = 9
-	startSoakCore     = 4
-	startSoakMemoryMB = 244             // limits.memory_mb
-	startSoakServes   = 8 * time.Second // from a start, beside the others
-	startSoakSeries   = 4               // starts of one machine in a row
-	startSoakEarly    = 30 * time.Millisecond
+	startSoakServes = 8 * time.Second // from a start, beside the others
+	startSoakSeries = 4               // starts of one machine in a row
+	startSoakEarly  = 30 * time.Millisecond
+	startSoakSlow   = 5500 * time.Millisecond // a slow disk stays slow for up to this long
+	startSoakFreeze = 4 * time.Second         // a frozen process stays frozen for up to this long
 )
 
-// TestStartSoak runs one soak of starts with the seed and duration of the flags.
+// TestStartSoak runs soaks of starts of dender-live and livrosul-gullstair with the seed and duration of the flags.
 func TestStartSoak(t *testing.T) {
-	s := newSoakOf(t, *soakSeed, startSoakBrokers, startSoakCore, startSoakPrograms(t))
+	for _, shape := range soakShapes(t) {
+		t.Run(shape.name, func(t *testing.T) { playStarts(t, shape) })
+	}
+}
+
+func playStarts(t *testing.T, shape fleetShape) {
+	s := newSoakOf(t, *soakSeed, shape, shape.programs(t))
+	if shape.atOnce {
+		s.startInstances()
+		s.startClients()
+	}
 	s.disturbFounding()
-	s.startInstances()
+	if !shape.atOnce {
+		s.startInstances()
+	}
 	if status := replaceAt(s, 0, 1); status != http.StatusOK {
 		t.Fatalf("the first configuration got status %d", status)
 	}
 	s.acked = 1
 	s.wait.Go(s.watchMachine)
 	time.Sleep(3 * time.Second)
-	for number := range *soakClients {
-		s.wait.Go(func() { s.client(number) })
+	if !shape.atOnce {
+		s.startClients()
 	}
 	s.repeat(50*time.Millisecond, 700*time.Millisecond, s.operate)
 	s.repeat(100*time.Millisecond, 200*time.Millisecond, s.checkProcesses)
 	for range 2 {
 		s.repeat(50*time.Millisecond, 400*time.Millisecond, s.disturbStarts)
 	}
+	if shape.slowSync > 0 {
+		s.repeat(time.Second, 3*time.Second, s.slowDisk)
+		s.repeat(time.Second, 3*time.Second, s.freeze)
+	}
 	time.Sleep(*soakFor / 2)
 	s.killAll()
 	time.Sleep(*soakFor / 2)
@@ -63,13 +79,34 @@
 	}
 }
 
-// startSoakPrograms returns the program as it is deployed. With the race detector, whose memory is its own, soakDetector
-// selects this test binary instead.
-func startSoakPrograms(t *testing.T) []string {
-	if *soakDetector {
-		return nil
+func (s *soak) startClients() {
+	for number := range *soakClients {
+		s.wait.Go(func() { s.client(number) })
+	}
+}
+
+// slowDisk slows a random disk down for a while.
+func (s *soak) slowDisk() {
+	b := s.brokers[s.draw(s.core)]
+	s.count("slow disk")
+	b.setSync(s.shape.slowSync)
+	s.pause(s.between(0, startSoakSlow))
+	b.setSync(s.shape.sync)
+}
+
+// freeze stops the process of one machine for a while.
+func (s *soak) freeze() {
+	b := s.take()
+	if b == nil {
+		return
 	}
-	return []string{buildProgram(t)}
+	defer s.giveBack(b)
+	s.count("freeze")
+	s.markDisturbed(b, time.Now().Add(time.Hour))
+	b.process.Signal(syscall.SIGSTOP)
+	s.pause(s.between(0, startSoakFreeze))
+	b.process.Signal(syscall.SIGCONT)
+	s.markDisturbed(b, time.Now())
 }
 
 // replaceAt sends the first configuration until it is taken.
@@ -86,20 +123,23 @@
 func (s *soak) disturbFounding() {
 	all := s.draw(2) == 0
 	at := s.between(0, 1500*time.Millisecond)
+	var disturbing sync.WaitGroup
 	for _, b := range s.brokers {
 		wait := at
 		if !all {
 			wait = s.between(0, 1500*time.Millisecond)
 		}
 		down := s.between(0, 700*time.Millisecond)
-		s.wait.Go(func() {
+		disturbing.Go(func() {
 			time.Sleep(wait)
+			s.markDisturbed(b, time.Now().Add(time.Hour))
 			b.process.Kill()
 			time.Sleep(down)
 			b.start()
+			s.markDisturbed(b, time.Now())
 		})
 	}
-	s.wait.Wait()
+	disturbing.Wait()
 	s.count(fmt.Sprintf("founding, all at once %t", all))
 }
 
@@ -113,12 +153,29 @@
 		if !process.Running() {
 			s.fault("%s ended by itself with %d: %s", b.ip, process.ExitCode(), b.lastLine())
 		}
-		if used := peakMemoryMB(process.Pid()); used > startSoakMemoryMB && !*soakDetector {
+		used := peakMemoryMB(process.Pid())
+		s.countMost("most MB", used)
+		s.countMost("most threads", entriesOf(process.Pid(), "task"))
+		s.countMost("most descriptors", entriesOf(process.Pid(), "fd"))
+		if used > s.shape.memoryMB && !*soakDetector {
 			s.fault("%s used %d MB", b.ip, used)
 		}
 	}
 }
 
+// countMost keeps the largest value of something.
+func (s *soak) countMost(what string, value int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[what] = max(s.counts[what], value)
+}
+
+// entriesOf returns the number of a process's threads ("task") or descriptors ("fd"); 0 if it is gone.
+func entriesOf(pid int, what string) int {
+	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/%s", pid, what))
+	return len(entries)
+}
+
 // undisturbedProcess returns a broker's process, or nil during a disturbance, which may replace it.
 func (b *soakBroker) undisturbedProcess() *fleettest.Process {
 	b.mu.Lock()
