A fleet is founded although processes ended before their disks were marked

Cause: only the bootstrap flag or a mark on the disk let a seed take part in the founding. Neither outlives that end, and an empty disk without the flag was always taken for one that had been lost.

Change: such a seed asks the other seeds and all machines with a disk that it sees. internal/founding decides, without I/O, whether their reports show that it cannot have lost a disk that matters, by the losses that the fleet tolerates and its catch-up time. Acceptors of the founding promise a ballot far above, and the seed goes on from what they accepted.

Ruled out: a mark written earlier in the start (a window remains), more than one copy of the mark (same window), joining as soon as a majority of the seeds is empty: with the wait taken out, TestLostDisksFoundNoSecondRegister fails (two lost disks found a second register).

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -129,10 +129,10 @@
 	exchangeCount int // number of exchanges started
 	neighborTurn  int // counts neighbor exchanges and selects the next neighbor
 
-	replica      *replica  // nil on a machine without a disk
-	diskLocked   bool      // it is locked, or need not be
-	diskUnlocked bool      // its file system has no locks
-	founding     *founding // acceptor that decides the first members when the system starts for the first time
+	replica      *replica          // nil on a machine without a disk
+	diskLocked   bool              // it is locked, or need not be
+	diskUnlocked bool              // its file system has no locks
+	founding     *foundingAcceptor // acceptor that decides the first members when the system starts for the first time
 }
 
 // New creates a node and opens its replica, for which it waits as long as the disk may still become usable; Run starts the
@@ -264,6 +264,8 @@
 		return n.answerAnnounced(m.Announced)
 	case m.Found != nil:
 		return n.answerFound(m.Found)
+	case m.Survey != nil:
+		return n.answerSurvey(m.Survey)
 	}
 	return nil
 }
--- a/internal/cluster/founding.go
+++ b/internal/cluster/founding.go
@@ -18,14 +18,15 @@
 // not each found a register, so a single-decree consensus round among the seeds decides the set; the seeds are the same
 // for all brokers at the first start. The first process on an empty disk that has the bootstrap flag marks the disk with the
 // seeds, before it is seen by others. From then on, until the disk holds a value of the register, its processes take part
-// in the founding, with or without the flag, and a seed's acceptor has its promises there. A seed without a disk has them in
-// memory: its process answers only if it has the flag, and later ones, which have lost the promises, do not.
+// in the founding, with or without the flag, and a seed's acceptor has its promises there. A seed whose process was ended
+// before that joins once the others' reports allow it (joining.go). A seed without a disk has its promises in memory: its
+// process answers only if it has the flag, and later ones, which have lost the promises, do not.
 
 const (
 	foundingDisk       = 0                      // disk identity of acceptors in memory
 	anyDisk            = 1                      // in a probe: matches any disk; no disk has this identity
 	foundingSettleTime = 700 * time.Millisecond // the fleet counts as complete once no new member with a disk has appeared for this long
-	foundingTimeout    = 5 * time.Second        // maximum wait for the full number of voters
+	foundingTimeout    = 5 * time.Second        // maximum wait of a process for the full number of voters
 	foundingRetry      = 300 * time.Millisecond
 )
 
@@ -35,8 +36,8 @@
 	State register.State // of the acceptor that this machine has as a seed
 }
 
-// founding is the acceptor for the first members.
-type founding struct {
+// foundingAcceptor is the acceptor for the first members.
+type foundingAcceptor struct {
 	replica *replica // keeps its state; nil: the state is in memory
 
 	mu       sync.Mutex // unless there is a replica
@@ -45,8 +46,8 @@
 }
 
 // newFounding returns the acceptor of a process with this replica, or with none.
-func newFounding(s *settings.Settings, r *replica) *founding {
-	f := &founding{replica: r, active: s.Bootstrap}
+func newFounding(s *settings.Settings, r *replica) *foundingAcceptor {
+	f := &foundingAcceptor{replica: r, active: s.Bootstrap}
 	f.acceptor.Self = register.Replica{Address: s.IP, Disk: foundingDisk}
 	f.acceptor.Persist = func(register.State) error { return nil }
 	if r != nil {
@@ -56,7 +57,7 @@
 }
 
 // use runs do with the acceptor, unless it must not answer or its disk is busy.
-func (f *founding) use(do func()) {
+func (f *foundingAcceptor) use(do func()) {
 	if f.replica == nil {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -73,13 +74,13 @@
 	})
 }
 
-func (f *founding) prepare(m register.Prepare) register.Promise {
+func (f *foundingAcceptor) prepare(m register.Prepare) register.Promise {
 	answer := register.Promise{Foreign: true}
 	f.use(func() { answer = f.acceptor.Prepare(m) })
 	return answer
 }
 
-func (f *founding) accept(m register.Accept) register.Accepted {
+func (f *foundingAcceptor) accept(m register.Accept) register.Accepted {
 	answer := register.Accepted{Foreign: true}
 	f.use(func() { answer = f.acceptor.Accept(m) })
 	return answer
@@ -131,7 +132,6 @@
 func (n *Node) foundRegister(ctx context.Context, seeds []string) {
 	var core []string
 	since := time.Now()
-	begun := since
 	for ctx.Err() == nil && !n.registerKnown() {
 		time.Sleep(foundingRetry / 3)
 		present := n.coreAddresses()
@@ -141,7 +141,7 @@
 		if time.Since(since) < foundingSettleTime || len(core) == 0 {
 			continue
 		}
-		if len(core) < n.tolerance().MinVoters() && time.Since(begun) < foundingTimeout {
+		if len(core) < n.tolerance().MinVoters() && time.Since(n.started) < foundingTimeout {
 			continue
 		}
 		if core[0] != n.self.IP && time.Since(since) < 2*foundingSettleTime {
--- a/internal/cluster/replica.go
+++ b/internal/cluster/replica.go
@@ -174,6 +174,9 @@
 	accept(register.Accept) register.Accepted
 }
 
+// errTakesPart means that the replica holds a value, or takes part in the founding already.
+var errTakesPart = errors.New("the replica takes part already")
+
 // errBusy means that the disk is busy with another call.
 var errBusy = errors.New("the replica's disk is busy")
 
--- a/internal/cluster/settling.go
+++ b/internal/cluster/settling.go
@@ -28,6 +28,8 @@
 	} else if seeds := n.foundingSeeds(); seeds != nil {
 		lifecycle.Go(func() { n.markUntilDurable(ctx) })
 		lifecycle.Go(func() { n.foundRegister(ctx, seeds) })
+	} else {
+		lifecycle.Go(func() { n.joinFounding(ctx) })
 	}
 	lifecycle.Go(func() { n.learnValues(ctx) })
 	n.settleAtStart(ctx)
--- a/internal/peerlink/message.go
+++ b/internal/peerlink/message.go
@@ -8,6 +8,7 @@
 
 	"gullstair/internal/delta"
 	"gullstair/internal/dissemination"
+	"gullstair/internal/founding"
 	"gullstair/internal/register"
 )
 
@@ -34,7 +35,9 @@
 	Sections  []byte     // in a reply: a patch that replaces the payload of its value
 	Relay     *Relay     // in a call: the receiver relays it
 	Confirmed int        // in a reply to a relayed call: the number of brokers that have confirmed it
-	Stored    bool       // in a reply: the records of the call, which has Store set, are on the replying broker's disk
+	Survey    *Survey
+	Surveyed  *founding.Report // the reply to a Survey
+	Stored    bool             // in a reply: the records of the call, which has Store set, are on the replying broker's disk
 }
 
 // bodies returns the values that the message holds in interface fields.
@@ -112,3 +115,8 @@
 	Self    register.Replica // in the reply
 	Taken   bool             // in the reply
 }
+
+// Survey asks a machine what it knows of the founding of the register. A machine that takes part in it promises the ballot.
+type Survey struct {
+	Ballot register.Ballot
+}
--- a/internal/router/odd_messages_test.go
+++ b/internal/router/odd_messages_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gullstair/internal/dissemination"
+	"gullstair/internal/founding"
 	"gullstair/internal/peerlink"
 	"gullstair/internal/register"
 )
@@ -20,6 +21,7 @@
 	return []peerlink.Message{{}, {Reply: true}, {Lacks: true}, {Confirmed: -1}, {Stored: true}, {Sections: []byte{1}},
 		{Digest: &peerlink.Digest{}}, {Headings: &peerlink.Headings{}}, {Records: &peerlink.Records{}}, {Records: &peerlink.Records{Store: true}},
 		{Prepare: &register.Prepare{}}, {Promise: &register.Promise{}}, {Accept: &register.Accept{}}, {Accepted: &register.Accepted{}},
+		{Survey: &peerlink.Survey{}}, {Surveyed: &founding.Report{}}, {Surveyed: &founding.Report{Marked: true, Promise: register.Promise{Value: &register.Value{}}}},
 		{Found: &peerlink.Found{}}, {Found: &peerlink.Found{Taken: true, Members: nobody}}, {Patched: &peerlink.Patched{}},
 		{Delta: &peerlink.Delta{}}, {Announced: &peerlink.Announced{}}, {Announced: &peerlink.Announced{Chosen: &peerlink.Chosen{Members: &nobody}}},
 		{Relay: &peerlink.Relay{}}, {Relay: &peerlink.Relay{To: []string{""}}, Records: &peerlink.Records{}},
--- a/internal/voters/voters.go
+++ b/internal/voters/voters.go
@@ -50,7 +50,10 @@
 func DepartedAfter(catchUp time.Duration) time.Duration { return departedMultiple * catchUp }
 
 // MinVoters returns the least number of voters that tolerates the losses, provided there are enough machines.
-func (t Tolerance) MinVoters() int { return 2*max(t.Machines, t.Zones, t.Regions, 1) + 1 }
+func (t Tolerance) MinVoters() int { return 2*t.MaxLosses() + 1 }
+
+// MaxLosses returns the number of machines that may be lost at one time, at least one.
+func (t Tolerance) MaxLosses() int { return max(t.Machines, t.Zones, t.Regions, 1) }
 
 // Health is the state of a machine's replica as a voter's probes show it.
 type Health int
