A log that was lost or cut is noticed, whatever its records were

Cause: a log was created empty after its slot, and a power failure may leave it shorter. So a log that a bad disk lost, emptied, zeroed or cut where a record ends looked like one to which nothing had been appended, and a replica went on without promises and values that it had acknowledged.

Ruled out: a header and a mark inside the log (tried; earlier releases then take the disk as empty, so no way down), and a count of the records in a slot (another sync for each record).

Change: a log has its full length, zeros and a footer, before its slot is written. It gets its final name, by a rename, once the slot is durable. The slot's trailer says that its log has a footer. Earlier releases ignore trailer and footer, so disks are read in both directions. NeedsCheckpoint became Fits, since a log no longer grows beyond its length.

--- a/cmd/gullstair/slow_disk_test.go
+++ b/cmd/gullstair/slow_disk_test.go
@@ -52,6 +52,11 @@
 	return &slowFile{file, d}, err
 }
 
+func (d *slowDisk) Reserve(name string, size int64, footer []byte) (journalfile.File, error) {
+	file, err := d.Disk.Reserve(name, size, footer)
+	return &slowFile{file, d}, err
+}
+
 func (d *slowDisk) Append(name string, size int64) (journalfile.File, error) {
 	file, err := d.Disk.Append(name, size)
 	return &slowFile{file, d}, err
--- a/internal/cluster/founding.go
+++ b/internal/cluster/founding.go
@@ -89,7 +89,7 @@
 // persistFounding writes the state of the founding acceptor. The caller uses the replica.
 func (r *replica) persistFounding(next register.State) error {
 	founding := &foundingState{Seeds: r.founding.Seeds, State: next}
-	if err := r.write(r.wholeRecord(r.acceptor.State, founding)); err != nil {
+	if err := r.writeWhole(r.wholeRecord(r.acceptor.State, founding)); err != nil {
 		return err
 	}
 	r.founding = founding
--- a/internal/cluster/replica.go
+++ b/internal/cluster/replica.go
@@ -100,11 +100,13 @@
 
 // persist writes a state to the disk. The acceptor calls it before it answers.
 func (r *replica) persist(next register.State) error {
-	record := saved{Disk: r.acceptor.Self.Disk, Promise: true, Promised: next.Promised}
-	if r.store.NeedsCheckpoint() || next.Accepted != r.acceptor.State.Accepted {
-		record = r.wholeRecord(next, r.founding)
+	if next.Accepted == r.acceptor.State.Accepted {
+		promise := encode(saved{Disk: r.acceptor.Self.Disk, Promise: true, Promised: next.Promised})
+		if r.store.Fits(len(promise)) {
+			return r.logged("a write", r.store.Append(promise))
+		}
 	}
-	return r.write(record)
+	return r.writeWhole(r.wholeRecord(next, r.founding))
 }
 
 // wholeRecord returns a record of the whole state. Its part in founding the register is over once the replica holds a value.
@@ -116,17 +118,21 @@
 	return saved{Disk: r.acceptor.Self.Disk, State: state, Founding: founding}
 }
 
-// write appends a record to the log, or starts a new log with it.
-func (r *replica) write(record saved) error {
-	what, put := "a write", r.store.Append
-	if r.store.NeedsCheckpoint() {
-		what, put = "a checkpoint", r.store.Checkpoint
+// writeWhole appends a record of the whole state to the log, or starts a new log with it.
+func (r *replica) writeWhole(record saved) error {
+	body := encode(record)
+	if r.store.Fits(len(body)) {
+		return r.logged("a write", r.store.Append(body))
 	}
-	if err := put(encode(record)); err != nil {
+	return r.logged("a checkpoint", r.store.Checkpoint(body))
+}
+
+// logged logs an error of the disk, and returns it.
+func (r *replica) logged(what string, err error) error {
+	if err != nil {
 		r.logger.Warn().Err(err).Msg("the replica's disk refuses " + what)
-		return err
 	}
-	return nil
+	return err
 }
 
 func (r *replica) id() register.Replica { return r.acceptor.Self }
--- a/internal/instancestore/instancestore.go
+++ b/internal/instancestore/instancestore.go
@@ -163,10 +163,11 @@
 	if err := s.open(); err != nil {
 		return err
 	}
-	if s.file.NeedsCheckpoint() {
+	record := encode(added)
+	if !s.file.Fits(len(record)) {
 		return s.checkpoint()
 	}
-	return errors.Wrap(s.file.Append(encode(added)), "append instances")
+	return errors.Wrap(s.file.Append(record), "append instances")
 }
 
 // checkpoint writes all known instances. They are read while the turn is held, so whatever is in the log is among them.
--- a/internal/instancestore/instancestore_test.go
+++ b/internal/instancestore/instancestore_test.go
@@ -53,6 +53,14 @@
 	return &testFile{file, d}, err
 }
 
+func (d *testDisk) Reserve(name string, size int64, footer []byte) (journalfile.File, error) {
+	if err := d.countOp(); err != nil {
+		return nil, err
+	}
+	file, err := d.Disk.Reserve(name, size, footer)
+	return &testFile{file, d}, err
+}
+
 func (d *testDisk) Remove(name string) error {
 	if err := d.countOp(); err != nil {
 		return err
--- a/internal/journalfile/faulty_test.go
+++ b/internal/journalfile/faulty_test.go
@@ -106,6 +106,8 @@
 	return f, nil
 }
 
+func (d *faultyDisk) Reserve(string, int64, []byte) (File, error) { return nil, errors.New("not used") }
+
 func (d *faultyDisk) Append(name string, size int64) (File, error) {
 	if err := d.countOp(); err != nil {
 		return nil, err
--- a/internal/journalfile/fs.go
+++ b/internal/journalfile/fs.go
@@ -18,6 +18,8 @@
 	Read(name string) ([]byte, error)
 	// Create creates a file for appending; it is an error if the file exists.
 	Create(name string) (File, error)
+	// Reserve creates a file of this many zeros and a footer, to be written from its start; it is an error if it exists.
+	Reserve(name string, size int64, footer []byte) (File, error)
 	// Append opens an existing file for appending, truncated to a size.
 	Append(name string, size int64) (File, error)
 	Rename(from, to string) error
@@ -67,6 +69,18 @@
 	return os.OpenFile(d.path(name), os.O_WRONLY|os.O_CREATE|os.O_EXCL|os.O_APPEND, 0o600)
 }
 
+func (d dir) Reserve(name string, size int64, footer []byte) (File, error) {
+	f, err := os.OpenFile(d.path(name), os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := f.WriteAt(footer, size); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
 func (d dir) Append(name string, size int64) (File, error) {
 	f, err := os.OpenFile(d.path(name), os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
--- a/internal/router/catchup_test.go
+++ b/internal/router/catchup_test.go
@@ -75,7 +75,7 @@
 // Neither the value nor the disk usage may grow once the maximum number of orders is remembered.
 func TestSizesAfterManyChanges(t *testing.T) {
 	ended := new(bool)
-	disk := &memoryDisk{files: map[string][]byte{}}
+	disk := &memoryDisk{files: map[string]*memoryFile{}}
 	store, _, _ := slots.Open(&diskHandle{disk: disk, ended: ended, path: "/data"})
 	state, err := controlstate.Decode(nil)
 	if err != nil {
@@ -89,7 +89,7 @@
 		}
 		value := state.Encode()
 		write := store.Append
-		if store.NeedsCheckpoint() {
+		if !store.Fits(len(value)) {
 			write = store.Checkpoint
 		}
 		if err := write(value); err != nil {
--- a/internal/router/control_test.go
+++ b/internal/router/control_test.go
@@ -80,7 +80,7 @@
 func (w *simFleet) add(core bool) *machine {
 	number := len(w.machines) + 1
 	m := &machine{ip: fmt.Sprintf("10.0.0.%d", number), name: fmt.Sprintf("front-%d", number), zone: zones[number%len(zones)], core: core,
-		disk: &memoryDisk{files: map[string][]byte{}}}
+		disk: &memoryDisk{files: map[string]*memoryFile{}}}
 	w.setMachines(append(slices.Clone(w.machines), m))
 	w.start(m)
 	return m
--- a/internal/router/start_disk_test.go
+++ b/internal/router/start_disk_test.go
@@ -54,7 +54,7 @@
 				answers := make(chan struct{})
 				environment := cluster.Environment{Network: network.Host("10.0.0.1"), OpenDisk: func(path string) (journalfile.Disk, error) {
 					<-answers
-					return &diskHandle{disk: &memoryDisk{files: map[string][]byte{}}, ended: new(bool), path: path}, nil
+					return &diskHandle{disk: &memoryDisk{files: map[string]*memoryFile{}}, ended: new(bool), path: path}, nil
 				}}
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -35,10 +36,12 @@
 	modelName   = "m"
 )
 
+type memoryFile struct{ text []byte }
+
 // memoryDisk is the disk of a machine. It outlives the processes on the machine, each of which has a diskHandle.
 type memoryDisk struct {
 	mu    sync.Mutex
-	files map[string][]byte
+	files map[string]*memoryFile
 	fail  bool          // rejects every write
 	stall chan struct{} // syncs wait until it is closed; nil: they do not wait
 }
@@ -48,8 +51,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	total := 0
-	for _, text := range d.files {
-		total += len(text)
+	for _, file := range d.files {
+		total += len(file.text)
 	}
 	return total
 }
@@ -81,7 +84,11 @@
 func (d *diskHandle) Read(name string) ([]byte, error) {
 	d.disk.mu.Lock()
 	defer d.disk.mu.Unlock()
-	return slices.Clone(d.disk.files[d.path+"/"+name]), nil
+	file, ok := d.disk.files[d.path+"/"+name]
+	if !ok {
+		return nil, os.ErrNotExist
+	}
+	return slices.Clone(file.text), nil
 }
 
 func (d *diskHandle) Create(name string) (journalfile.File, error) {
@@ -90,12 +97,34 @@
 	if d.writesFail() {
 		return nil, errDiskRejects
 	}
-	d.disk.files[d.path+"/"+name] = nil
-	return &diskFile{d, d.path + "/" + name}, nil
+	file := &memoryFile{}
+	d.disk.files[d.path+"/"+name] = file
+	return &diskFile{handle: d, file: file}, nil
+}
+
+func (d *diskHandle) Reserve(name string, size int64, footer []byte) (journalfile.File, error) {
+	d.disk.mu.Lock()
+	defer d.disk.mu.Unlock()
+	if d.writesFail() {
+		return nil, errDiskRejects
+	}
+	file := &memoryFile{append(make([]byte, size), footer...)}
+	d.disk.files[d.path+"/"+name] = file
+	return &diskFile{handle: d, file: file}, nil
+}
+
+func (d *diskHandle) Rename(from, to string) error {
+	d.disk.mu.Lock()
+	defer d.disk.mu.Unlock()
+	if d.writesFail() {
+		return errDiskRejects
+	}
+	d.disk.files[d.path+"/"+to] = d.disk.files[d.path+"/"+from]
+	delete(d.disk.files, d.path+"/"+from)
+	return nil
 }
 
 func (d *diskHandle) Append(string, int64) (journalfile.File, error) { return nil, errDiskRejects }
-func (d *diskHandle) Rename(string, string) error                    { return errDiskRejects }
 func (d *diskHandle) Sync() error                                    { return nil }
 
 func (d *diskHandle) Remove(name string) error {
@@ -110,7 +139,8 @@
 
 type diskFile struct {
 	handle *diskHandle
-	name   string
+	file   *memoryFile
+	at     int // where the next write goes
 }
 
 func (f *diskFile) Write(b []byte) (int, error) {
@@ -119,7 +149,9 @@
 	if f.handle.writesFail() {
 		return 0, errDiskRejects
 	}
-	f.handle.disk.files[f.name] = append(f.handle.disk.files[f.name], b...)
+	kept := copy(f.file.text[min(f.at, len(f.file.text)):], b)
+	f.file.text = append(f.file.text, b[kept:]...)
+	f.at += len(b)
 	return len(b), nil
 }
 
@@ -208,7 +240,7 @@
 		namedAt: map[int64]time.Time{}, budgetSlack: budgetSlack, sharedTokens: 2000}
 	for i := range brokers {
 		m := &machine{ip: fmt.Sprintf("10.0.0.%d", i+1), name: fmt.Sprintf("front-%d", i+1), zone: zones[i%len(zones)], core: i < core,
-			disk: &memoryDisk{files: map[string][]byte{}}, bootstrap: true}
+			disk: &memoryDisk{files: map[string]*memoryFile{}}, bootstrap: true}
 		w.machines = append(w.machines, m)
 	}
 	for _, m := range w.machines {
@@ -302,7 +334,7 @@
 func (w *simFleet) restart(m *machine, wiped bool) {
 	w.net.Start(m.ip)
 	if wiped {
-		m.disk = &memoryDisk{files: map[string][]byte{}}
+		m.disk = &memoryDisk{files: map[string]*memoryFile{}}
 	}
 	w.start(m)
 }
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -2,11 +2,18 @@
 // after the latest checkpoint. Data for which Append or Checkpoint returned no error survives a power failure; data for
 // which they returned an error survives completely or not at all. All I/O goes through a journalfile.Disk.
 //
-// A power failure leaves at most a torn record at the end of the log and a torn slot beside the current one. Any other
-// unreadable data means that acknowledged data may be missing: Open then returns ErrDamaged and no contents.
+// A power failure leaves at most a torn record at the end of the log, and a torn slot or log of a checkpoint that was not
+// complete. Any other unreadable data means that acknowledged data may be missing: Open then returns ErrDamaged and no
+// contents. So that a lost or shortened log is not taken for what a power failure leaves, a log has its full length from the
+// start, zeros and a footer, and gets its name once its slot is durable. What is not noticed is a log whose records read as
+// zeros from the start of one on.
+//
+// Logs of earlier releases have no footer, and their slots no trailer. They are read as before, and the first checkpoint
+// replaces them. Earlier releases ignore footer and trailer, so each release continues from what another has written.
 package slots
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
@@ -20,11 +27,13 @@
 )
 
 const (
-	logLimit       = 256 << 10 // bytes; a longer log calls for a checkpoint
+	logLimit       = 256 << 10 // bytes of records in a log
 	headerSize     = 8         // of a record: its length and checksum
 	generationSize = 8         // the generation at the start of a slot
 	maxRecordSize  = 32 << 20
 	logPrefix      = "log-"
+	newLogSuffix   = ".new"       // of a log whose slot may not be durable yet
+	slotTrailer    = "log footer" // behind the record of a slot whose log has a footer; not a record
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -58,29 +67,24 @@
 	if err != nil {
 		return nil, Contents{}, errors.Wrap(err, "list the disk")
 	}
-	contents, found := Contents{}, false
-	for slot := range 2 {
-		generation, state, ok := s.readSlot(names, slotName(uint64(slot)))
-		if ok && (!found || generation > s.generation) {
-			s.generation, contents.State, found = generation, state, true
+	newest, found := slot{}, false
+	for number := range uint64(2) {
+		if read, ok := s.readSlot(names, slotName(number)); ok && (!found || read.generation > newest.generation) {
+			newest, found = read, true
 		}
 	}
-	if newest := newestLogGeneration(names); newest > s.generation {
-		s.generation = newest // a log is created only after its slot is durable
+	s.generation = newest.generation
+	if latest := newestLogGeneration(names); latest > s.generation {
+		s.generation = latest // a log gets its name only after its slot is durable
 		return s, Contents{}, ErrDamaged
 	}
 	if !found {
 		return s, Contents{}, ErrEmpty
 	}
-	if name := logName(s.generation); slices.Contains(names, name) {
-		text, err := disk.Read(name)
-		if err != nil {
-			return s, Contents{}, errors.CombineErrors(ErrDamaged, err)
-		}
-		rest := []byte(nil)
-		if contents.Records, rest = parseRecords(text); containsRecord(rest) {
-			return s, Contents{}, ErrDamaged
-		}
+	contents := Contents{State: newest.state}
+	contents.Records, err = s.readRecords(names, newest)
+	if err != nil {
+		return s, Contents{}, err
 	}
 	return s, contents, nil
 }
@@ -96,22 +100,63 @@
 	return newest
 }
 
+// readRecords returns the records that were appended after a checkpoint.
+func (s *Store) readRecords(names []string, after slot) ([][]byte, error) {
+	name := logName(after.generation)
+	if !slices.Contains(names, name) {
+		incomplete := !after.footer || slices.Contains(names, name+newLogSuffix)
+		if incomplete {
+			return nil, nil
+		}
+		return nil, errors.Wrap(ErrDamaged, "the log is missing")
+	}
+	text, err := s.disk.Read(name)
+	if err != nil {
+		return nil, errors.CombineErrors(ErrDamaged, err)
+	}
+	if after.footer {
+		body, whole := bytes.CutSuffix(bytes.TrimRight(text, "\x00"), logFooter(after.generation))
+		if !whole || len(body) != logLimit {
+			return nil, errors.Wrap(ErrDamaged, "the log is cut, or has no footer")
+		}
+		text = body
+	}
+	records, rest := parseRecords(text)
+	if containsRecord(rest) {
+		return nil, errors.Wrap(ErrDamaged, "the log has a gap")
+	}
+	return records, nil
+}
+
 func slotName(generation uint64) string { return fmt.Sprintf("slot-%d", generation%2) }
-func logName(generation uint64) string  { return fmt.Sprintf("%s%016x", logPrefix, generation) }
 
-func (s *Store) readSlot(names []string, name string) (uint64, []byte, bool) {
+func logName(generation uint64) string { return fmt.Sprintf("%s%016x", logPrefix, generation) }
+
+// logFooter returns the end of a log. No part of it can be read as a record: as a length it exceeds the limit.
+func logFooter(generation uint64) []byte { return fmt.Appendf(nil, "end of log %016x", generation) }
+
+// slot is the contents of a slot.
+type slot struct {
+	generation uint64
+	state      []byte
+	footer     bool // its log has a footer; earlier releases write none
+}
+
+func (s *Store) readSlot(names []string, name string) (read slot, ok bool) {
 	if !slices.Contains(names, name) {
-		return 0, nil, false
+		return slot{}, false
 	}
 	text, err := s.disk.Read(name)
 	if err != nil {
-		return 0, nil, false
+		return slot{}, false
 	}
-	all, _ := parseRecords(text)
-	if len(all) != 1 || len(all[0]) < generationSize {
-		return 0, nil, false
+	records, rest := parseRecords(text)
+	if len(records) != 1 || len(records[0]) < generationSize {
+		return slot{}, false
 	}
-	return binary.LittleEndian.Uint64(all[0]), all[0][generationSize:], true
+	read.generation, read.state = binary.LittleEndian.Uint64(records[0]), records[0][generationSize:]
+	read.footer = string(rest) == slotTrailer
+	return read, true
 }
 
 // parseRecords splits a file into its records, up to the first incomplete or corrupt one. rest starts with that one.
@@ -143,7 +188,8 @@
 // containsRecord reports whether there is a valid record anywhere after the start of text. Records are written one at a
 // time, so no valid record follows a torn one.
 func containsRecord(text []byte) bool {
-	for at := 1; at < len(text); at++ {
+	filled := len(bytes.TrimRight(text, "\x00")) // no record starts in the zeros behind the last one
+	for at := 1; at < filled; at++ {
 		if _, valid := parseRecord(text[at:]); valid {
 			return true
 		}
@@ -158,66 +204,75 @@
 	return append(out, body...)
 }
 
-// NeedsCheckpoint reports whether the next write should be a Checkpoint.
-func (s *Store) NeedsCheckpoint() bool { return s.logUnusable || s.log == nil || s.logSize > logLimit }
+// Fits reports whether a record of this many bytes can be appended. Otherwise the next write must be a Checkpoint.
+func (s *Store) Fits(size int) bool {
+	return !s.logUnusable && s.log != nil && s.logSize+int64(headerSize+size) <= logLimit
+}
 
 // Append durably appends a record to the log.
 func (s *Store) Append(record []byte) error {
-	if s.logUnusable || s.log == nil {
-		return errors.New("the end of the log is uncertain; a checkpoint is needed first")
+	if !s.Fits(len(record)) {
+		return errors.New("the log is full or its end is uncertain; a checkpoint is needed first")
 	}
+	s.logUnusable = true
 	text := encodeRecord(record)
 	if _, err := s.log.Write(text); err != nil {
-		s.logUnusable = true
 		return errors.Wrap(err, "append")
 	}
 	if err := s.log.Sync(); err != nil {
-		s.logUnusable = true
 		return errors.Wrap(err, "sync the log")
 	}
 	s.logSize += int64(len(text))
+	s.logUnusable = false
 	return nil
 }
 
 // Checkpoint writes a complete state to the slot that does not hold the current one, and starts a new log.
 func (s *Store) Checkpoint(state []byte) error {
-	next := s.generation + 1
-	s.logUnusable = true
+	old, next := s.generation, s.generation+1
+	s.closeLog()
+	if err := s.createLog(next); err != nil {
+		return err
+	}
 	if err := s.writeSlot(next, state); err != nil {
 		return err
 	}
-	old := s.generation
 	s.generation = next
-	if s.log != nil {
-		s.log.Close()
-		s.log = nil
+	if err := s.disk.Rename(logName(next)+newLogSuffix, logName(next)); err != nil {
+		return errors.Wrap(err, "rename the log")
 	}
-	log, err := s.createLog(next)
-	if err != nil {
-		return err
+	if err := s.disk.Sync(); err != nil {
+		return errors.Wrap(err, "sync the directory")
 	}
-	s.log, s.logSize, s.logUnusable = log, 0, false
+	s.logUnusable = false
 	_ = s.disk.Remove(logName(old)) // best effort: a log that stays is not read again
+	_ = s.disk.Remove(logName(old) + newLogSuffix)
 	return nil
 }
 
-// createLog creates an empty log. Its directory entry is durable before any record in it is acknowledged.
-func (s *Store) createLog(generation uint64) (journalfile.File, error) {
-	log, err := s.disk.Create(logName(generation))
-	if err != nil {
-		return nil, errors.Wrap(err, "create the log")
+func (s *Store) closeLog() {
+	s.logUnusable = true
+	if s.log != nil {
+		s.log.Close()
+		s.log = nil
 	}
-	if err := log.Sync(); err != nil {
-		log.Close()
-		return nil, errors.Wrap(err, "sync the new log")
+}
+
+// createLog creates a log that does not have its final name yet.
+func (s *Store) createLog(generation uint64) error {
+	name := logName(generation) + newLogSuffix
+	if err := s.disk.Remove(name); err != nil { // of a checkpoint that was not complete
+		return errors.Wrap(err, "remove an incomplete log")
 	}
-	if err := s.disk.Sync(); err != nil {
-		log.Close()
-		return nil, errors.Wrap(err, "sync the directory of the new log")
+	log, err := s.disk.Reserve(name, logLimit, logFooter(generation))
+	if err != nil {
+		return errors.Wrap(err, "create the log")
 	}
-	return log, nil
+	s.log, s.logSize = log, 0
+	return errors.Wrap(log.Sync(), "sync the new log")
 }
 
+// writeSlot writes a slot. Its name and that of the new log are durable before it has contents.
 func (s *Store) writeSlot(generation uint64, state []byte) error {
 	name := slotName(generation)
 	if err := s.disk.Remove(name); err != nil {
@@ -228,12 +283,16 @@
 		return errors.Wrap(err, "create the slot")
 	}
 	defer file.Close()
-	body := binary.LittleEndian.AppendUint64(nil, generation)
-	if _, err := file.Write(encodeRecord(append(body, state...))); err != nil {
-		return errors.Wrap(err, "write the slot")
+	if err := s.disk.Sync(); err != nil {
+		return errors.Wrap(err, "sync the directory")
 	}
-	if err := file.Sync(); err != nil {
-		return errors.Wrap(err, "sync the slot")
+	text := append(encodeRecord(append(encodeGeneration(generation), state...)), slotTrailer...)
+	if _, err := file.Write(text); err != nil {
+		return errors.Wrap(err, "write the slot")
 	}
-	return errors.Wrap(s.disk.Sync(), "sync the directory")
+	return errors.Wrap(file.Sync(), "sync the slot")
+}
+
+func encodeGeneration(generation uint64) []byte {
+	return binary.LittleEndian.AppendUint64(nil, generation)
 }
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -25,6 +25,7 @@
 	syncedNames map[string]*fileContent // names as of the last sync of the directory
 	opsLeft     int                     // operations until the power fails; negative: it does not fail
 	full        bool
+	syncs       int
 }
 
 type fileContent struct{ data, synced []byte }
@@ -66,13 +67,30 @@
 			after.files[name] = tornCopy(m.rng, old)
 		}
 	}
+	m.keepRenamed(after)
 	for name, file := range after.files {
 		after.syncedNames[name] = file
 	}
 	return after
 }
 
+// keepRenamed gives a file that was renamed after the last sync, and is there under neither name, its old one back.
+func (m *faultyDisk) keepRenamed(after *faultyDisk) {
+	for old, file := range m.syncedNames {
+		for name, now := range m.files {
+			if now == file && name != old && after.files[old] == nil && after.files[name] == nil {
+				after.files[old] = tornCopy(m.rng, file)
+			}
+		}
+	}
+}
+
+// tornCopy returns a file as a power failure leaves it: what was written since the last sync is there up to some byte,
+// which may be wrong, and behind that there is the end or, within the length that was synced, what was there before.
 func tornCopy(rng *rand.Rand, file *fileContent) *fileContent {
+	if len(file.synced) == len(file.data) {
+		return tornWithin(rng, file)
+	}
 	keep := len(file.synced) + rng.IntN(len(file.data)-len(file.synced)+1)
 	data := slices.Clone(file.data[:keep])
 	if keep > len(file.synced) && rng.IntN(3) == 0 {
@@ -81,6 +99,24 @@
 	return &fileContent{data: data, synced: slices.Clone(data)}
 }
 
+func tornWithin(rng *rand.Rand, file *fileContent) *fileContent {
+	data := slices.Clone(file.synced)
+	first, end := len(data), 0
+	for at := range data {
+		if data[at] != file.data[at] {
+			first, end = min(first, at), at+1
+		}
+	}
+	if first < end {
+		keep := first + rng.IntN(end-first+1)
+		copy(data, file.data[:keep])
+		if keep > first && rng.IntN(3) == 0 {
+			data[keep-1] ^= 0xff
+		}
+	}
+	return &fileContent{data: data, synced: slices.Clone(data)}
+}
+
 func (m *faultyDisk) List() ([]string, error) {
 	var names []string
 	for name := range m.files {
@@ -101,14 +137,33 @@
 	}
 	file := &fileContent{}
 	m.files[name] = file
-	return &handle{m, file}, nil
+	return &handle{disk: m, file: file}, nil
+}
+
+func (m *faultyDisk) Reserve(name string, size int64, footer []byte) (journalfile.File, error) {
+	if err := m.countOp(); err != nil {
+		return nil, err
+	}
+	if m.files[name] != nil {
+		return nil, fmt.Errorf("file %s exists", name)
+	}
+	file := &fileContent{data: append(make([]byte, size), footer...)}
+	m.files[name] = file
+	return &handle{disk: m, file: file}, nil
 }
 
 func (m *faultyDisk) Append(string, int64) (journalfile.File, error) {
 	return nil, errors.New("not used")
 }
 
-func (m *faultyDisk) Rename(string, string) error { return errors.New("not used") }
+func (m *faultyDisk) Rename(from, to string) error {
+	if err := m.countOp(); err != nil {
+		return err
+	}
+	m.files[to] = m.files[from]
+	delete(m.files, from)
+	return nil
+}
 
 func (m *faultyDisk) Remove(name string) error {
 	if err := m.countOp(); err != nil {
@@ -119,6 +174,7 @@
 }
 
 func (m *faultyDisk) Sync() error {
+	m.syncs++
 	if err := m.countOp(); err != nil {
 		return err
 	}
@@ -132,24 +188,28 @@
 type handle struct {
 	disk *faultyDisk
 	file *fileContent
+	at   int // where the next write goes
 }
 
 func (h *handle) Write(b []byte) (int, error) {
 	if err := h.disk.countOp(); err != nil {
-		n := h.disk.rng.IntN(len(b) + 1)
-		h.file.data = append(h.file.data, b[:n]...)
-		return n, err
+		return h.put(b[:h.disk.rng.IntN(len(b)+1)]), err
 	}
 	if h.disk.full {
-		n := h.disk.rng.IntN(len(b))
-		h.file.data = append(h.file.data, b[:n]...)
-		return n, errFull
+		return h.put(b[:h.disk.rng.IntN(len(b))]), errFull
 	}
-	h.file.data = append(h.file.data, b...)
-	return len(b), nil
+	return h.put(b), nil
+}
+
+func (h *handle) put(b []byte) int {
+	kept := copy(h.file.data[min(h.at, len(h.file.data)):], b)
+	h.file.data = append(h.file.data, b[kept:]...)
+	h.at += len(b)
+	return len(b)
 }
 
 func (h *handle) Sync() error {
+	h.disk.syncs++
 	if err := h.disk.countOp(); err != nil {
 		return err
 	}
@@ -162,7 +222,7 @@
 // writeState writes state number n to the disk: as a checkpoint if one is needed, else as a record.
 func writeState(s *Store, n byte) error {
 	state := bytes.Repeat([]byte{n}, 40000)
-	if s.NeedsCheckpoint() {
+	if !s.Fits(len(state)) {
 		return s.Checkpoint(state)
 	}
 	return s.Append(state)
@@ -293,6 +353,9 @@
 	return disk
 }
 
+// recordsEnd returns where the records of a log end. Their last bytes are not zero.
+func recordsEnd(log []byte) int { return len(bytes.TrimRight(log[:logLimit], "\x00")) }
+
 // TestDamageIsNotATornTail checks that damage to acknowledged data is reported, since a promise may be lost with it, and
 // that the damage a power failure leaves is not.
 func TestDamageIsNotATornTail(t *testing.T) {
@@ -302,12 +365,18 @@
 		spoil  func(d *faultyDisk)
 		want   error
 	}{
-		"nothing":                    {4, func(*faultyDisk) {}, nil},
-		"the last record":            {4, func(d *faultyDisk) { d.files[log].data[len(d.files[log].data)-1] ^= 1 }, nil},
-		"half of the last record":    {4, func(d *faultyDisk) { d.files[log].data = d.files[log].data[:len(d.files[log].data)-20000] }, nil},
-		"zeros after the end":        {4, func(d *faultyDisk) { d.files[log].data = append(d.files[log].data, make([]byte, 5000)...) }, nil},
-		"a record before the last":   {4, func(d *faultyDisk) { d.files[log].data[45000] ^= 1 }, ErrDamaged},
-		"the first record's length":  {4, func(d *faultyDisk) { d.files[log].data[0] ^= 1 }, ErrDamaged},
+		"nothing":                   {4, func(*faultyDisk) {}, nil},
+		"the last record":           {4, func(d *faultyDisk) { d.files[log].data[recordsEnd(d.files[log].data)-1] ^= 1 }, nil},
+		"half of the last record":   {4, func(d *faultyDisk) { clear(d.files[log].data[recordsEnd(d.files[log].data)-20000 : logLimit]) }, nil},
+		"zeros after the end":       {4, func(d *faultyDisk) { d.files[log].data = append(d.files[log].data, make([]byte, 5000)...) }, nil},
+		"a record before the last":  {4, func(d *faultyDisk) { d.files[log].data[45000] ^= 1 }, ErrDamaged},
+		"the first record's length": {4, func(d *faultyDisk) { d.files[log].data[0] ^= 1 }, ErrDamaged},
+		"a byte behind the records": {4, func(d *faultyDisk) { d.files[log].data[logLimit-1] ^= 1 }, nil},
+		"a record that ends in zeros, behind a damaged one": {4, func(d *faultyDisk) {
+			text := d.files[log].data
+			copy(text[recordsEnd(text):], encodeRecord(make([]byte, 100)))
+			text[recordsEnd(text)-headerSize-20000] ^= 1
+		}, ErrDamaged},
 		"the slot":                   {4, func(d *faultyDisk) { d.files[slotName(1)].data[100] ^= 1 }, ErrDamaged},
 		"the slot is gone":           {4, func(d *faultyDisk) { delete(d.files, slotName(1)) }, ErrDamaged},
 		"the newer of two slots":     {12, func(d *faultyDisk) { d.files[slotName(2)].data[100] ^= 1 }, ErrDamaged},
