A start that waited for its addresses reads the disk again

Cause: processes of earlier releases lock no disk. A process that was started beside one of them on the same machine read the disk, then waited for the addresses, and went on from a state without what the other had accepted since.

Ruled out: taking the addresses before the disk is read, since clients would then wait at them while a disk hangs.

Change: openSockets reports whether it waited; the replica is then opened again.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -147,15 +147,9 @@
 	n.view = peersampling.New(s.IP, n.proposerID)
 	n.epoch = uint64(time.Now().UnixNano())
 	n.self = Member{Name: s.NodeName, IP: s.IP, Zone: s.Zone, Region: s.Region, Control: s.ListenControl, Protocol: protocolSections}
-	if s.DataDir != "" {
-		if failure := n.openDisk(ctx); failure != nil {
-			return nil, failure
-		}
-	}
-	if n.replica != nil {
-		n.self.Core, n.self.Disk = true, n.replica.id().Disk
+	if failure := n.openReplica(ctx); failure != nil {
+		return nil, failure
 	}
-	n.founding = newFounding(s, n.replica)
 	return n, nil
 }
 
--- a/internal/cluster/opening.go
+++ b/internal/cluster/opening.go
@@ -19,6 +19,26 @@
 // errDiskHangs means that the disk has not answered for diskLimit.
 var errDiskHangs = errors.New("the disk does not answer")
 
+// openReplica opens the machine's replica, if it may hold one, and prepares its part in founding the register.
+func (n *Node) openReplica(ctx context.Context) *lifecycle.Failure {
+	if n.settings.DataDir != "" {
+		if failure := n.openDisk(ctx); failure != nil {
+			return failure
+		}
+	}
+	if n.replica != nil {
+		n.self.Core, n.self.Disk = true, n.replica.id().Disk
+	}
+	n.founding = newFounding(n.settings, n.replica)
+	return nil
+}
+
+// ReadDiskAgain opens the replica again, because another process may have written to the disk. It must be called before Run.
+func (n *Node) ReadDiskAgain(ctx context.Context) *lifecycle.Failure {
+	n.replica = nil
+	return n.openReplica(ctx)
+}
+
 // openDisk locks this machine's disk and opens its replica, if it may hold one. A disk that is full, refuses or is locked
 // by the process before is tried again, and one that hangs is waited for.
 func (n *Node) openDisk(ctx context.Context) *lifecycle.Failure {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -77,8 +77,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	lifecycle.Enter(lifecycle.Listen)
-	if b.sockets, failure = openSockets(ctx, s, environment.Network, logger, node.DiskLocked()); failure != nil {
+	if failure = b.listen(ctx, node); failure != nil {
 		return nil, failure
 	}
 	node.Use(b.sockets.peers, b.sockets.notes)
@@ -101,6 +100,22 @@
 	return b, nil
 }
 
+// listen takes the broker's addresses. If they were taken, a process of an earlier release, which locks no disk, may have
+// written to the disk until it ended: what was read from it before is not relied on.
+func (b *Broker) listen(ctx context.Context, node *cluster.Node) *lifecycle.Failure {
+	lifecycle.Enter(lifecycle.Listen)
+	opened, waited, failure := openSockets(ctx, b.settings, b.environment.Network, b.logger, node.DiskLocked())
+	if failure != nil {
+		return failure
+	}
+	b.sockets = opened
+	if !waited {
+		return nil
+	}
+	lifecycle.Enter(lifecycle.Disk)
+	return node.ReadDiskAgain(ctx)
+}
+
 func seedOf(name string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(name))
--- a/internal/router/sockets.go
+++ b/internal/router/sockets.go
@@ -23,19 +23,20 @@
 	notes                     netio.Datagrams
 }
 
-// openSockets takes all addresses of a broker. While one is missing it holds none, so that nobody waits for an answer here.
-// Where another process may use the same disk, it does not wait: the addresses keep the two apart.
-func openSockets(ctx context.Context, s *settings.Settings, network netio.Network, logger *log.Logger, diskLocked bool) (*sockets, *lifecycle.Failure) {
+// openSockets takes all addresses of a broker, and reports whether it had to wait for them. While one is missing it holds
+// none, so that nobody waits for an answer here. Where another process may use the same disk, it does not wait: the
+// addresses keep the two apart.
+func openSockets(ctx context.Context, s *settings.Settings, network netio.Network, logger *log.Logger, diskLocked bool) (opened *sockets, waited bool, failure *lifecycle.Failure) {
 	wait := lifecycle.Wait{Step: lifecycle.Listen, Passes: netio.AddressPasses, Logger: logger}
 	if diskLocked {
 		wait.Limit = addressLimit
 	}
-	var opened *sockets
-	failure := wait.Until(ctx, func() (err error) {
+	failure = wait.Until(ctx, func() (err error) {
 		opened, err = trySockets(s, network)
+		waited = waited || err != nil
 		return err
 	})
-	return opened, failure
+	return opened, waited, failure
 }
 
 func trySockets(s *settings.Settings, network netio.Network) (*sockets, error) {
