A state that the disk could not give back is refused, not acknowledged

Ruled out: a larger limit on reading, which only moves the fault.

Change: Checkpoint returns ErrTooLarge and changes nothing.

Measured: TestStateThatCannotBeReadIsRefused fails without the change and passes.

--- a/internal/slots/format_test.go
+++ b/internal/slots/format_test.go
@@ -95,3 +95,21 @@
 		t.Errorf("a record takes %d syncs, %v", disk.syncs, err)
 	}
 }
+
+// TestStateThatCannotBeReadIsRefused guards against a state that is acknowledged although it is larger than what Open reads.
+func TestStateThatCannotBeReadIsRefused(t *testing.T) {
+	disk := filledDisk(t, 4)
+	s, _, _ := Open(disk)
+	if err := s.Checkpoint(make([]byte, maxRecordSize)); !errors.Is(err, ErrTooLarge) {
+		t.Fatalf("a state of %d bytes: %v", maxRecordSize, err)
+	}
+	if _, contents, err := Open(disk.powerCycle()); err != nil || newestState(t, contents) != 4 {
+		t.Fatalf("the state before is lost: %v", err)
+	}
+	if err := s.Checkpoint(make([]byte, maxRecordSize-generationSize)); err != nil {
+		t.Fatal(err)
+	}
+	if _, contents, err := Open(disk); err != nil || len(contents.State) != maxRecordSize-generationSize {
+		t.Errorf("the largest state was read with %d bytes: %v", len(contents.State), err)
+	}
+}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -44,6 +44,9 @@
 // ErrDamaged means that the disk held a state of which acknowledged data may be missing.
 var ErrDamaged = errors.New("the state on the disk is damaged")
 
+// ErrTooLarge means that a state exceeds what a slot can hold.
+var ErrTooLarge = errors.New("the state is too large for the disk")
+
 // Store is one state on one disk. It is not safe for concurrent use.
 type Store struct {
 	disk        journalfile.Disk
@@ -227,8 +230,12 @@
 	return nil
 }
 
-// Checkpoint writes a complete state to the slot that does not hold the current one, and starts a new log.
+// Checkpoint writes a complete state to the slot that does not hold the current one, and starts a new log. It returns
+// ErrTooLarge, and changes nothing, if the state could not be read again.
 func (s *Store) Checkpoint(state []byte) error {
+	if generationSize+len(state) > maxRecordSize {
+		return errors.Wrapf(ErrTooLarge, "%d bytes, of %d", len(state), maxRecordSize-generationSize)
+	}
 	old, next := s.generation, s.generation+1
 	s.closeLog()
 	if err := s.createLog(next); err != nil {
