--- a/internal/router/start_disk_test.go
+++ b/internal/router/start_disk_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -84,6 +86,41 @@
 	}
 }
 
+// TestStartBesideStoredInstancesThatHang runs a broker whose replica can be read and whose stored instances cannot. It must
+// serve soon, and end when it is told to.
+func TestStartBesideStoredInstancesThatHang(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		network := memnet.New(time.Millisecond)
+		answers := make(chan struct{})
+		environment := cluster.Environment{Network: network.Host("10.0.0.1"), OpenDisk: func(path string) (journalfile.Disk, error) {
+			if filepath.Base(path) == snapshotDir {
+				<-answers
+			}
+			return &diskHandle{disk: &memoryDisk{files: map[string]*memoryFile{}}, ended: new(bool), path: path}, nil
+		}}
+		begun := time.Now()
+		broker, failure := New(t.Context(), startSettings(t), "", &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, environment)
+		require.Nil(t, failure)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan *lifecycle.Failure, 1)
+		go func() { ended <- broker.Run(ctx) }()
+		operator := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return network.Host("10.0.0.2").Dial(ctx, address, time.Second)
+		}}}
+		response, err := operator.Get("http://10.0.0.1:" + frontPort + "/")
+		require.NoError(t, err)
+		response.Body.Close()
+		require.LessOrEqual(t, time.Since(begun), 2*restoreTimeout)
+		time.Sleep(30 * time.Second)
+		told := time.Now()
+		cancel()
+		require.Nil(t, <-ended)
+		require.LessOrEqual(t, time.Since(told), broker.settings.Bounds.Grace)
+		close(answers)
+		time.Sleep(time.Minute)
+	})
+}
+
 func startSettings(t *testing.T) *settings.Settings {
 	s, err := settings.Parse([]byte("node_name=n\nip=10.0.0.1\nzone=a\nlisten.front=10.0.0.1:" + frontPort + "\nephemeral_ports=7000,7015\ncounts_for_quorum=true\ndata_dir=/data\n"))
 	require.NoError(t, err)
