The last line says what the process used, and memory close to its limit is logged

A process that the machine ends for its memory writes no last line, and the lines before said nothing of memory.

Ruled out: a field of the status answer alone, since nobody asks a process that has just ended.

Change: package processusage reads /proc; the last line has memory_mb, threads and descriptors; a line is logged when the memory reaches three quarters of the limit.

Measured: all tests of last lines check the fields, and fail without them.

--- a/cmd/gullstair/fleet.go
+++ b/cmd/gullstair/fleet.go
@@ -21,6 +21,7 @@
 	"gullstair/internal/configuration"
 	"gullstair/internal/lifecycle"
 	"gullstair/internal/logwriter"
+	"gullstair/internal/processusage"
 	"gullstair/internal/router"
 	"gullstair/internal/settings"
 )
@@ -145,6 +146,7 @@
 	if failure != nil {
 		return failure
 	}
+	lifecycle.Go(func() { processusage.Watch(signals.terminated, s.MemoryMB, logger) })
 	lifecycle.Go(func() {
 		for range signals.hangups {
 			broker.Reload()
--- a/cmd/gullstair/start_test.go
+++ b/cmd/gullstair/start_test.go
@@ -74,6 +74,10 @@
 		Step    string
 		Cause   string
 		Status  *int
+
+		Memory      int `json:"memory_mb"`
+		Threads     int
+		Descriptors int
 	}{}
 	require.NoError(c.t, json.Unmarshal([]byte(c.lastLine()), &last), "the last line: %s", c.lastLine())
 	require.Equal(c.t, "broker ended", last.Message)
@@ -82,6 +86,9 @@
 	require.NotNil(c.t, last.Status)
 	require.Equal(c.t, status, *last.Status)
 	require.Equal(c.t, status, c.process.ExitCode())
+	for name, used := range map[string]int{"memory_mb": last.Memory, "threads": last.Threads, "descriptors": last.Descriptors} {
+		require.Positive(c.t, used, "%s in the last line", name)
+	}
 }
 
 // TestAddressTakenAtTheStart guards against a process that ends because one of its addresses is taken for two seconds.
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -1,11 +1,13 @@
 // Package lifecycle is the one way out of a broker's process. It names the steps of a process's life and its exit statuses,
 // waits for what a start needs and may still come, and writes the last line of the log: the step, the cause and the exit
-// status, also if a goroutine panics. It starts goroutines and reads the clock.
+// status, also if a goroutine panics, and what the process used of its machine. It starts goroutines and reads the clock.
 package lifecycle
 
 import (
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
+
+	"gullstair/internal/processusage"
 )
 
 // Step is a step of a process's life.
@@ -82,5 +84,5 @@
 const lastMessage = "broker ended"
 
 func writeLast(entry *log.Entry, step Step, cause string, status Status) *log.Entry {
-	return entry.Str("step", string(step)).Str("cause", cause).Int("status", int(status))
+	return processusage.Read().Log(entry.Str("step", string(step)).Str("cause", cause).Int("status", int(status)))
 }
