--- a/cmd/gullstair/soak_clients_test.go
+++ b/cmd/gullstair/soak_clients_test.go
@@ -36,7 +36,7 @@
 		faults = append(faults, fmt.Sprintf("reaches %s %v after its drain was acknowledged", i.id, now.Sub(drained)))
 	}
 	for named, at := range s.named {
-		if i.service == "llm" && named > version && now.Sub(at) > soakVersion && calm && s.coreHurt.Before(at) {
+		if i.service == "llm" && named > version && now.Sub(at) > soakVersion && calm && s.coreDisturbedAt.Before(at) {
 			faults = append(faults, fmt.Sprintf("begins on version %d, %v after version %d was acknowledged", version, now.Sub(at), named))
 		}
 	}
@@ -63,7 +63,7 @@
 			conn, reader = c, bufio.NewReader(c)
 		}
 		kind := []string{"chat", "once", "post"}[(n+number)%3]
-		whole, closing := s.ask(broker, conn, reader, kind)
+		whole, closing := s.sendRequest(broker, conn, reader, kind)
 		if stubborn := number%2 == 0; !whole || closing && !stubborn {
 			conn.Close()
 			conn = nil
@@ -91,8 +91,8 @@
 	return nil
 }
 
-// ask sends one request and reads its answer. closing: the answer requests that the connection be closed.
-func (s *soak) ask(b *soakBroker, conn net.Conn, reader *bufio.Reader, kind string) (whole, closing bool) {
+// sendRequest sends one request and reads its answer. closing: the answer requests that the connection be closed.
+func (s *soak) sendRequest(b *soakBroker, conn net.Conn, reader *bufio.Reader, kind string) (whole, closing bool) {
 	s.mu.Lock()
 	s.serial++
 	id := fmt.Sprintf("q-%d", s.serial)
@@ -109,12 +109,13 @@
 		request.Header.Set("X-Token-Count", fmt.Sprintf("%d,5", soakSharedTokens+own))
 	}
 	_ = conn.SetDeadline(time.Now().Add(soakAnswer + time.Second))
-	closing = s.converse(q, id, request, conn, reader)
+	closing = s.exchange(q, id, request, conn, reader)
 	s.check(id, q)
 	return q.complete, closing
 }
 
-func (s *soak) converse(q *soakRequest, id string, request *http.Request, conn net.Conn, reader *bufio.Reader) (closing bool) {
+// exchange writes a request, reads its answer and records what it was.
+func (s *soak) exchange(q *soakRequest, id string, request *http.Request, conn net.Conn, reader *bufio.Reader) (closing bool) {
 	defer func() { q.ended = time.Now() }()
 	if request.Write(conn) != nil {
 		return false
--- a/cmd/gullstair/soak_operators_test.go
+++ b/cmd/gullstair/soak_operators_test.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// replaceConfiguration sends a configuration to brokers until one gives a definite answer, or the run ended long ago.
+// replaceConfiguration sends a configuration to brokers until one gives a definite answer, for soakOrderTimeout at most.
 func (s *soak) replaceConfiguration(base, version int) (status int) {
-	for begun := time.Now(); time.Since(begun) < 30*time.Second; time.Sleep(20 * time.Millisecond) {
+	for begun := time.Now(); time.Since(begun) < soakOrderTimeout; time.Sleep(20 * time.Millisecond) {
 		status, _ = s.any().call(2*time.Second, http.MethodPost, "/v1/config/replace", strconv.Itoa(base), s.configuration(version))
 		if status != 0 && status < http.StatusInternalServerError {
 			return status
--- a/cmd/gullstair/soak_signals_test.go
+++ b/cmd/gullstair/soak_signals_test.go
@@ -80,7 +80,7 @@
 	b.mu.Unlock()
 	if b.disk {
 		s.mu.Lock()
-		s.coreHurt = time.Now()
+		s.coreDisturbedAt = time.Now()
 		s.mu.Unlock()
 	}
 }
@@ -125,7 +125,7 @@
 func (s *soak) terminate(b *soakBroker) {
 	if b.disk {
 		s.mu.Lock()
-		s.coreHurt = time.Now()
+		s.coreDisturbedAt = time.Now()
 		s.mu.Unlock()
 	}
 	b.awaitSignals()
@@ -192,5 +192,5 @@
 		s.markDisturbed(b, time.Now())
 		b.release()
 	}
-	s.count("herd")
+	s.count("all killed")
 }
--- a/cmd/gullstair/soak_test.go
+++ b/cmd/gullstair/soak_test.go
@@ -36,10 +36,11 @@
 	soakDrain         = 2 * time.Second
 	soakLateAccept    = 3 * time.Second // after SIGTERM a broker may still accept requests that it will not finish
 	soakCore          = 5               // brokers with a disk; all vote, since their number is odd
-	soakFewerVoters   = 3               // voters as long as one disk belongs to a broker of the release that used no more voters than the tolerated losses need
+	soakEarlierVoters = 3               // voters as long as one disk belongs to a broker of the release that used no more voters than the tolerated losses need
 	soakExit          = 2 * time.Second // time to exit beyond the grace period
 	soakAnswer        = 8 * time.Second
-	soakInstance      = 6
+	soakOrderTimeout  = 30 * time.Second // for a definite answer to a change of the configuration
+	soakInstances     = 6
 	soakWatchInterval = 20 * time.Millisecond  // interval between two checks for a stall of the machine
 	soakStall         = 500 * time.Millisecond // delay of a check that counts as a stall
 	soakModel         = "m"
@@ -96,19 +97,19 @@
 	stop    chan struct{}
 	wait    sync.WaitGroup
 
-	mu         sync.Mutex
-	rng        *rand.Rand
-	faults     []string
-	requests   map[string]*soakRequest
-	serial     int
-	counts     map[string]int
-	instances  []*soakInstanceProcess
-	named      map[int64]time.Time
-	version    int64 // newest acknowledged version of the weights
-	acked      int   // newest acknowledged version of the configuration
-	coreHurt   time.Time
-	stalled    time.Time // until when the whole machine last stalled
-	catchingUp time.Time // until when a disk counts as lost
+	mu              sync.Mutex
+	rng             *rand.Rand
+	faults          []string
+	requests        map[string]*soakRequest
+	serial          int
+	counts          map[string]int
+	instances       []*soakInstanceProcess
+	named           map[int64]time.Time
+	version         int64 // newest acknowledged version of the weights
+	acked           int   // newest acknowledged version of the configuration
+	coreDisturbedAt time.Time
+	stalled         time.Time // until when the whole machine last stalled
+	catchingUp      time.Time // until when a disk counts as lost
 }
 
 func (s *soak) fault(format string, args ...any) {
@@ -124,7 +125,7 @@
 		if gap := time.Since(at); gap > soakStall {
 			s.mu.Lock()
 			s.stalled = time.Now()
-			s.coreHurt = s.stalled
+			s.coreDisturbedAt = s.stalled
 			s.counts["machine stalled, ms"] += int(gap / time.Millisecond)
 			s.mu.Unlock()
 			for _, b := range s.brokers {
@@ -193,10 +194,10 @@
 		requests: map[string]*soakRequest{}, counts: map[string]int{}, named: map[int64]time.Time{}, version: 1}
 	var seeds []string
 	for number := range 3 {
-		seeds = append(seeds, s.broker(number)+":18381")
+		seeds = append(seeds, s.brokerIP(number)+":18381")
 	}
 	for number := range shape.brokers {
-		c := &controlProcess{t: t, ip: s.broker(number), seeds: strings.Join(seeds, ","), folder: t.TempDir(), disk: number < shape.core, bootstrap: true, programs: programs,
+		c := &controlProcess{t: t, ip: s.brokerIP(number), seeds: strings.Join(seeds, ","), folder: t.TempDir(), disk: number < shape.core, bootstrap: true, programs: programs,
 			extra: []string{fmt.Sprintf("bounds.grace_s=%d", soakGrace/time.Second), "bounds.fencing=true", "bounds.retry_budget_ratio=0.2",
 				"bounds.retry_budget_slack=60", fmt.Sprintf("limits.memory_mb=%d", shape.memoryMB)}}
 		if shape.sync > 0 {
@@ -213,7 +214,7 @@
 }
 
 func (s *soak) startInstances() {
-	for range soakInstance {
+	for range soakInstances {
 		s.startInstance("llm", s.version)
 	}
 	for range 3 {
@@ -221,7 +222,8 @@
 	}
 }
 
-func (s *soak) broker(number int) string {
+// brokerIP returns the address of a broker.
+func (s *soak) brokerIP(number int) string {
 	return fmt.Sprintf("%s.%d.%d", s.net, 1+number/200, 1+number%200)
 }
 
@@ -281,7 +283,7 @@
 	}{}
 	_, text := b.call(2*time.Second, http.MethodGet, "/v1/status", "", "")
 	err := json.Unmarshal([]byte(text), &status)
-	votes := len(status.Voters) == s.voters || *soakOther != "" && len(status.Voters) == soakFewerVoters
+	votes := len(status.Voters) == s.voters || *soakOther != "" && len(status.Voters) == soakEarlierVoters
 	if err != nil || !votes || !status.Ready || s.version > 1 && status.Weights[soakModel] != s.version {
 		s.fault("at the end %s has %d voters, ready %t, weights %v of %d (%v)", b.ip, len(status.Voters), status.Ready, status.Weights, s.version, err)
 	}
--- a/cmd/gullstair/start_fleet_test.go
+++ b/cmd/gullstair/start_fleet_test.go
@@ -58,7 +58,7 @@
 	const (
 		memoryMB = 64
 		routes   = 4000
-		herds    = 5
+		rounds   = 5
 	)
 	program := buildProgram(t)
 	all := newStartFleet(t, 20, 6, 4, fmt.Sprintf("limits.memory_mb=%d", memoryMB))
@@ -67,16 +67,16 @@
 		c.start()
 	}
 	require.Equal(t, http.StatusOK, replaceText(t, all, 0, largeConfiguration(1, routes)))
-	for herd := range herds {
+	for round := range rounds {
 		for _, c := range all {
 			c.process.Kill()
 		}
 		for _, c := range all {
 			c.start()
 		}
-		require.Equal(t, http.StatusOK, replaceText(t, all, 1+herd, largeConfiguration(2+herd, routes)))
+		require.Equal(t, http.StatusOK, replaceText(t, all, 1+round, largeConfiguration(2+round, routes)))
 		for _, c := range all {
-			require.Less(t, peakMemoryMB(c.process.Pid()), memoryMB, "%s in herd %d", c.ip, herd)
+			require.Less(t, peakMemoryMB(c.process.Pid()), memoryMB, "%s in round %d", c.ip, round)
 		}
 	}
 }
