Soak: instances send heartbeats until the checks at the end are over

Cause: a fault of the test. Its instances ended with its events, and it then waited for its other goroutines, for the catch-up time and for each read. A broker without a living instance is not ready, as it should be.

Ruled out: the program.

Change: instances go on until the checks are over, so that they check a fleet that is in use.

--- a/cmd/gullstair/soak_instances_test.go
+++ b/cmd/gullstair/soak_instances_test.go
@@ -46,7 +46,7 @@
 	i.server = &http.Server{Handler: i}
 	s.t.Cleanup(func() { i.server.Close() })
 	go func() { _ = i.server.Serve(listener) }()
-	s.wait.Go(i.beat)
+	s.beating.Go(i.beat)
 	return i
 }
 
@@ -73,7 +73,7 @@
 		select {
 		case <-i.stopped:
 			return
-		case <-i.s.stop:
+		case <-i.s.checked:
 			return
 		case <-time.After(600 * time.Millisecond):
 		}
--- a/cmd/gullstair/soak_test.go
+++ b/cmd/gullstair/soak_test.go
@@ -95,6 +95,8 @@
 	core    int // brokers with a disk, the first ones
 	voters  int // of these, as long as all run this release
 	stop    chan struct{}
+	checked chan struct{} // closed after the checks at the end: until then instances send heartbeats
+	beating sync.WaitGroup
 	wait    sync.WaitGroup
 
 	mu              sync.Mutex
@@ -190,7 +192,7 @@
 
 // newSoakOf starts the brokers of a shape from these programs or from this test binary.
 func newSoakOf(t *testing.T, seed uint64, shape fleetShape, programs []string) *soak {
-	s := &soak{t: t, seed: seed, shape: shape, core: shape.core, voters: shape.core - 1 + shape.core%2, net: fmt.Sprintf("127.%d", 20+seed%200), stop: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 3)),
+	s := &soak{t: t, seed: seed, shape: shape, core: shape.core, voters: shape.core - 1 + shape.core%2, net: fmt.Sprintf("127.%d", 20+seed%200), stop: make(chan struct{}), checked: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 3)),
 		requests: map[string]*soakRequest{}, counts: map[string]int{}, named: map[int64]time.Time{}, version: 1}
 	var seeds []string
 	for number := range 3 {
@@ -250,8 +252,11 @@
 		version, idle, version)
 }
 
-// settle ends the events and checks that the fleet has fully recovered.
+// settle ends the events and checks that the fleet has fully recovered. Instances go on meanwhile: without heartbeats no
+// broker is ready for long.
 func (s *soak) settle() {
+	defer s.beating.Wait()
+	defer close(s.checked)
 	close(s.stop)
 	s.wait.Wait()
 	time.Sleep(soakCatchUp)
