Bound what an instance may send before its answer begins, and count it

Callers saw their broker end: one back end sent a header line, status line, interim head or folded lines without end, and each call held all that arrived, 267 to 1,289 MB of 64 within seconds.

Cause: http.ReadResponse read from a reader without a limit, up to four heads an exchange, and nothing of it was in the budget of what peers make the process hold. Ruled out: the number of callers (one faulty server of four and a few calls suffice), the routes, the status.

Change: the source under the connection's reader counts the bytes and lines of all heads of an exchange (64 KiB, 1,024 lines; package headscan, which the clients' listener uses too) and charges them to the account of the client; a request without one (polls, orders) has an account of its own. Ordinary heads are read even without room. Bodies that are parsed are read by ReadAll with a limit, counted; bodies of no use are discarded within 16 KiB and 20 ms, surplus answers within 1 MiB and 1 s, so that their calls move on long before the deadline. A length over 1 TiB is an error.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -17,8 +17,10 @@
 	"gullstair/internal/cachetable"
 	"gullstair/internal/chunks"
 	"gullstair/internal/clientbudget"
+	"gullstair/internal/clientlimit"
 	"gullstair/internal/configuration"
 	"gullstair/internal/instances"
+	"gullstair/internal/keepalive"
 	"gullstair/internal/lifecycle"
 	"gullstair/internal/upstream"
 	"gullstair/logic"
@@ -38,6 +40,7 @@
 	prompt   *prompt
 	body     [][]byte // in chunks
 	id       string
+	account  *clientlimit.Account // of what the client holds; nil: not bounded
 
 	exchange    *exchange
 	attempts    int
@@ -70,7 +73,8 @@
 )
 
 func newCall(server *Server, writer http.ResponseWriter, incoming *http.Request) *call {
-	return &call{server: server, writer: writer, incoming: incoming, arrived: time.Now(), id: incoming.Header.Get(upstream.RequestIDHeader)}
+	return &call{server: server, writer: writer, incoming: incoming, arrived: time.Now(), id: incoming.Header.Get(upstream.RequestIDHeader),
+		account: keepalive.Account(incoming.Context())}
 }
 
 func (c *call) serve() {
@@ -325,7 +329,7 @@
 // rejected reports whether an instance refused the request without running it, and with which outcome.
 func (c *call) rejected(response *upstream.Response, instance instances.Instance) (bool, logic.Outcome) {
 	if response.Status == http.StatusMisdirectedRequest {
-		_, _ = io.Copy(io.Discard, response)
+		response.Discard()
 		if response.Misdirected(instance.ID) {
 			c.server.onDisplaced(instance.ID)
 		}
@@ -334,7 +338,7 @@
 	if response.Header.Get(notExecuted) == "" {
 		return false, 0
 	}
-	_, _ = io.Copy(io.Discard, response)
+	response.Discard()
 	return true, logic.Saturated
 }
 
@@ -439,7 +443,7 @@
 		}
 	}
 	return &upstream.Request{Method: c.incoming.Method, Target: c.incoming.RequestURI, Host: c.incoming.Host, Header: header, Body: c.body, ID: c.id,
-		SetHeaders: func(h http.Header) {
+		Account: c.account, SetHeaders: func(h http.Header) {
 			h.Set(requestDeadline, strconv.FormatInt(max(1, time.Until(c.deadline).Milliseconds()), 10))
 		}}, version
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,7 +80,7 @@
 // New returns the data path of a broker. ledger holds the versions of the models' weights; onDisplaced is called with the id of
 // an instance at whose address another one answered.
 func New(s *settings.Settings, logger *log.Logger, network netio.Network, seed uint64, ledger *weights.Ledger, onDisplaced func(string)) *Server {
-	server := &Server{settings: s, logger: logger, pool: upstream.New(network), instances: map[string]instances.Instance{}, weights: ledger,
+	server := &Server{settings: s, logger: logger, pool: upstream.New(network, nil), instances: map[string]instances.Instance{}, weights: ledger,
 		loggedOldest: map[string]int64{}, onDisplaced: onDisplaced}
 	server.cacheTable = lockedTable{table: cachetable.New(), start: time.Now()}
 	server.dispatcher = newDispatcher(seed, server.fleet(1))
--- a/internal/keepalive/counting.go
+++ b/internal/keepalive/counting.go
@@ -51,8 +51,8 @@
 	}
 	c.account.Enter(clientbudget.Head)
 	c.account.Moved(n)
-	size, lines := c.head.scan(b[:n])
-	if limit := c.listener.headBytes.Load(); limit > 0 && c.head.bytes > limit+headSlack {
+	size, lines := c.head.Scan(b[:n])
+	if limit := c.listener.headBytes.Load(); limit > 0 && c.head.Bytes > limit+headSlack {
 		c.refuse(headTooLargeAnswer)
 		return false
 	}
@@ -114,7 +114,7 @@
 			return
 		}
 		c.markHandling()
-		if c.head.more && r.Body == http.NoBody {
+		if c.head.More && r.Body == http.NoBody {
 			c.account.MarkSurplus()
 		}
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(requests.AnswerTimeout))
--- a/internal/keepalive/counting_test.go
+++ b/internal/keepalive/counting_test.go
@@ -18,6 +18,7 @@
 
 	"gullstair/internal/clientbudget"
 	"gullstair/internal/clientlimit"
+	"gullstair/internal/headscan"
 	"gullstair/internal/memnet"
 )
 
@@ -237,15 +238,15 @@
 func TestHeadScanner(t *testing.T) {
 	const head = "\r\n\nGET / HTTP/1.1\r\nHost: h\r\nA: b\n\r\n"
 	for piece := 1; piece < len(head)+4; piece++ {
-		h := &headScanner{}
+		h := &headscan.Scanner{}
 		lines := 0
 		for rest := []byte(head + "body"); len(rest) > 0; {
 			n := min(piece, len(rest))
-			_, more := h.scan(rest[:n])
+			_, more := h.Scan(rest[:n])
 			lines += more
 			rest = rest[n:]
 		}
-		assert.Equal(t, []any{int64(len(head)), 6, true}, []any{h.bytes, lines, h.done}, "in pieces of %d", piece)
+		assert.Equal(t, []any{int64(len(head)), 6, true}, []any{h.Bytes, lines, h.Done}, "in pieces of %d", piece)
 	}
 }
 
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -18,6 +18,7 @@
 
 	"gullstair/internal/clientbudget"
 	"gullstair/internal/clientlimit"
+	"gullstair/internal/headscan"
 	"gullstair/internal/netio"
 )
 
@@ -81,6 +82,15 @@
 	return context.WithValue(ctx, connKey{}, of)
 }
 
+// Account returns the account of the connection of a request with this context. It is nil if what the connection holds is not
+// bounded.
+func Account(ctx context.Context) *clientlimit.Account {
+	if c, ours := ctx.Value(connKey{}).(*conn); ours {
+		return c.account
+	}
+	return nil
+}
+
 // ConnState is the server's callback for state changes of connections.
 func (l *Listener) ConnState(of net.Conn, state http.ConnState) {
 	c, ours := of.(*conn)
@@ -131,11 +141,11 @@
 	mu          sync.Mutex
 	idle        bool // no byte of a request has been read since the last response
 	idleSince   time.Time
-	reading     bool          // the server is blocked in a read
-	ended       bool          // closed by closeIfIdle
-	used        bool          // bytes have been read
-	headTimeout time.Duration // the server's timeout for the head of the first request, which starts with its first byte
-	head        headScanner   // of the request that is being read
+	reading     bool             // the server is blocked in a read
+	ended       bool             // closed by closeIfIdle
+	used        bool             // bytes have been read
+	headTimeout time.Duration    // the server's timeout for the head of the first request, which starts with its first byte
+	head        headscan.Scanner // of the request that is being read
 }
 
 // markHandling records that the head of a request has been read. The request may have arrived together with the one before.
@@ -152,7 +162,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.idleSince = true, time.Now()
-	c.head = headScanner{}
+	c.head = headscan.Scanner{}
 }
 
 // Read implements net.Conn.
--- a/internal/kvindex/index.go
+++ b/internal/kvindex/index.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"gullstair/internal/cachetable"
+	"gullstair/internal/clientlimit"
 	"gullstair/internal/lifecycle"
 	"gullstair/internal/netio"
 	"gullstair/internal/upstream"
@@ -40,9 +41,9 @@
 }
 
 // New returns an index that updates a table. The function table calls its argument with the table while it holds the
-// caller's lock.
-func New(network netio.Network, table func(func(*cachetable.Table))) *Index {
-	return &Index{client: Client{pool: upstream.New(network)}, table: table, running: map[string]context.CancelFunc{}}
+// caller's lock. The limiter bounds what answers hold; it may be nil.
+func New(network netio.Network, limiter *clientlimit.Limiter, table func(func(*cachetable.Table))) *Index {
+	return &Index{client: Client{pool: upstream.New(network, limiter)}, table: table, running: map[string]context.CancelFunc{}}
 }
 
 // SetTargets starts polling the targets that are new and stops polling those that are not listed.
--- a/internal/kvindex/poll.go
+++ b/internal/kvindex/poll.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -144,10 +143,10 @@
 		return err
 	}
 	defer response.Close()
-	text, err := io.ReadAll(io.LimitReader(response, maxAnswerBytes))
+	if response.Status != http.StatusOK {
+		response.Discard()
+	}
 	switch {
-	case err != nil:
-		return errors.Wrap(err, "read the answer")
 	case response.Misdirected(instance):
 		return ErrOtherInstance
 	case response.Status == http.StatusTooManyRequests:
@@ -155,5 +154,9 @@
 	case response.Status != http.StatusOK:
 		return errors.Newf("the instance answered %d", response.Status)
 	}
+	text, err := response.ReadAll(maxAnswerBytes)
+	if err != nil {
+		return errors.Wrap(err, "read the answer")
+	}
 	return errors.Wrap(json.Unmarshal(text, into), "parse the answer")
 }
--- a/internal/router/roles.go
+++ b/internal/router/roles.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -41,7 +40,7 @@
 }
 
 func newRoles(broker *Broker) *roles {
-	return &roles{broker: broker, pool: upstream.New(broker.environment.Network), wakeup: make(chan struct{}, 1), planners: map[string]*rollout.Planner{}, leases: map[string]*ownership.Lease{},
+	return &roles{broker: broker, pool: upstream.New(broker.environment.Network, broker.limiter), wakeup: make(chan struct{}, 1), planners: map[string]*rollout.Planner{}, leases: map[string]*ownership.Lease{},
 		results: make(chan func(time.Time), 256), pendingSince: map[string]time.Time{}}
 }
 
@@ -261,6 +260,10 @@
 	if response.Misdirected(i.ID) {
 		r.broker.displace(i.ID)
 	}
-	text, err := io.ReadAll(io.LimitReader(response, maxReportBytes))
+	if method == http.MethodPost {
+		response.Discard()
+		return response.Status, nil, progress, nil
+	}
+	text, err := response.ReadAll(maxReportBytes)
 	return response.Status, text, progress, errors.Wrap(err, "read the answer")
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -86,7 +86,7 @@
 	b.weights = weights.New(s.Bounds.Version)
 	b.gateway = gateway.New(s, logger, environment.Network, seedOf(s.NodeName), b.weights, b.displace)
 	b.roles = newRoles(b)
-	b.index = kvindex.New(environment.Network, b.gateway.WithCacheTable)
+	b.index = kvindex.New(environment.Network, b.limiter, b.gateway.WithCacheTable)
 	b.index.OnDisplaced = b.displace
 	node.OnRecord(b.receiveRecord)
 	if s.DataDir != "" {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -17,6 +17,7 @@
 
 	"github.com/gammazero/deque"
 
+	"gullstair/internal/clientlimit"
 	"gullstair/internal/netio"
 )
 
@@ -33,19 +34,22 @@
 // Pool is a pool of idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	network netio.Network
+	limiter *clientlimit.Limiter // of what responses hold
 	mu      sync.Mutex
 	idle    map[string]*deque.Deque[*Conn]
 }
 
-// New returns an empty pool.
-func New(network netio.Network) *Pool {
-	return &Pool{network: network, idle: map[string]*deque.Deque[*Conn]{}}
+// New returns an empty pool. The limiter bounds what responses hold for requests without an account; it may be nil.
+func New(network netio.Network, limiter *clientlimit.Limiter) *Pool {
+	return &Pool{network: network, limiter: limiter, idle: map[string]*deque.Deque[*Conn]{}}
 }
 
 // Conn is a connection to an instance. It carries one request at a time.
 type Conn struct {
 	net.Conn
-	reader     *bufio.Reader
+	ctx        context.Context // of the request that it carries
+	source     *source
+	reader     *bufio.Reader // of the source
 	address    string
 	expires    time.Time // end of the idle timeout, after which it is not reused
 	carriedIDs []string  // ids of the latest requests that were sent on it, at most maxCarriedIDs
@@ -100,7 +104,8 @@
 		return nil, err
 	}
 	netio.SetReceiveBuffer(conn, receiveBuffer)
-	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), address: address}, nil
+	s := &source{conn: conn}
+	return &Conn{Conn: conn, source: s, reader: bufio.NewReaderSize(s, readBuffer), address: address}, nil
 }
 
 // put returns a connection to the pool after its last response was read completely.
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -12,6 +12,8 @@
 	"github.com/cockroachdb/errors"
 
 	"gullstair/internal/chunks"
+	"gullstair/internal/clientbudget"
+	"gullstair/internal/clientlimit"
 	"gullstair/internal/lifecycle"
 )
 
@@ -22,9 +24,8 @@
 const instanceIDHeader = "X-Instance-Id"
 
 const (
-	maxSurplusResponses = 4 // limit of responses on a connection that are skipped as belonging to earlier requests
-	maxHeaderHint       = 1 << 10
-	maxJoinedBody       = 64 << 10 // bytes of a body that is sent together with the head
+	maxHeaderHint = 1 << 10
+	maxJoinedBody = 64 << 10 // bytes of a body that is sent together with the head
 )
 
 // Progress is how far a request got.
@@ -45,6 +46,8 @@
 	Body          [][]byte // in chunks
 	ID            string   // value of X-Request-Id; if empty, a late response to an earlier request cannot be detected
 	DedicatedConn bool     // use a connection of its own, which is closed after the response
+	// Account is what the response is counted for; nil: the request gets an account of its own.
+	Account *clientlimit.Account
 	// SetHeaders sets headers whose values depend on the time of sending. It may be nil.
 	SetHeaders func(http.Header)
 }
@@ -58,6 +61,9 @@
 	conn      *Conn
 	pool      *Pool
 	stop      func() bool
+	account   *clientlimit.Account
+	ended     func()              // closes the account if it is the request's own
+	held      clientbudget.Amount // for what ReadAll has read
 	complete  bool
 	keepAlive bool
 }
@@ -68,11 +74,37 @@
 // Send writes a request to a connection and reads the head of its response. When the context ends, reads and writes fail and
 // the connection is closed.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Response, Progress, error) {
+	account, ended, open := p.account(r)
+	if !open {
+		return nil, NotSent, clientbudget.ErrNoRoom
+	}
+	response, progress, err := p.exchange(ctx, address, r, account)
+	if err != nil {
+		ended()
+		return nil, progress, err
+	}
+	response.account, response.ended = account, ended
+	return response, progress, nil
+}
+
+// account returns the account for what a request's response holds, and a function that closes it if it is the request's own.
+func (p *Pool) account(r *Request) (account *clientlimit.Account, ended func(), open bool) {
+	if r.Account != nil {
+		return r.Account, func() {}, true
+	}
+	account, open = p.limiter.Open(clientbudget.Amount{}, true, func(clientbudget.Stage) bool { return false })
+	account.Enter(clientbudget.Working)
+	return account, account.Close, open
+}
+
+func (p *Pool) exchange(ctx context.Context, address string, r *Request, account *clientlimit.Account) (*Response, Progress, error) {
 	conn, err := p.connect(ctx, address, r)
 	if err != nil {
 		return nil, NotSent, errors.Wrap(err, "connect")
 	}
 	conn.recordID(r.ID)
+	conn.ctx = ctx
+	conn.source.beginRequest(account)
 	stop := context.AfterFunc(ctx, lifecycle.Guard(func() { _ = conn.SetDeadline(time.Unix(1, 0)) }))
 	if r.SetHeaders != nil {
 		r.SetHeaders(r.Header)
@@ -89,6 +121,7 @@
 	response, err := conn.readResponse(r)
 	if err != nil {
 		stop()
+		conn.source.release()
 		conn.Close()
 		return nil, Sent, err
 	}
@@ -134,7 +167,7 @@
 // readResponse reads the head of the response to r. It discards interim responses and late responses to earlier requests.
 func (c *Conn) readResponse(r *Request) (*http.Response, error) {
 	for range maxSurplusResponses {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		response, err := c.readHead(r)
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
@@ -142,15 +175,28 @@
 			continue // interim
 		}
 		if id := response.Header.Get(RequestIDHeader); id == r.ID || id == "" && r.ID == "" {
+			if response.ContentLength > maxContentLength {
+				return nil, errors.Wrapf(ErrBodyTooLarge, "%d bytes announced", response.ContentLength)
+			}
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return nil, errors.Wrap(err, "read surplus response")
+		if response.Close || !c.discard(response.Body, maxSurplusBytes, surplusTimeout) {
+			return nil, ErrWrongResponse // no other response follows on this connection, or not soon
 		}
 	}
 	return nil, ErrWrongResponse
 }
 
+// readHead reads the next head on the connection.
+func (c *Conn) readHead(r *Request) (*http.Response, error) {
+	if err := c.source.beginHead(c.reader); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	c.source.inHead = false
+	return response, err
+}
+
 // Misdirected reports whether another instance than the intended one received the request and refused it for that reason. A
 // refusal without the id of the responding instance does not count.
 func (r *Response) Misdirected(instance string) bool {
@@ -170,9 +216,56 @@
 // Buffered reports whether received bytes are waiting in the connection's buffer.
 func (r *Response) Buffered() bool { return r.conn.reader.Buffered() > 0 }
 
+// Received returns the number of bytes that have arrived on the connection since the request was sent.
+func (r *Response) Received() int64 { return r.conn.source.received }
+
+// ReadAll reads the body, which may have at most this many bytes. What is read counts several times until the response is
+// closed, since it is parsed.
+func (r *Response) ReadAll(limit int64) ([]byte, error) {
+	body, err := chunks.Read(&countedBody{Response: r, left: limit})
+	if err != nil {
+		return nil, err
+	}
+	defer chunks.Release(body)
+	return chunks.Join(body), nil
+}
+
+// parsedCopies is how many times the bytes of a body are held while it is parsed.
+const parsedCopies = 4
+
+// countedBody is a body that is counted as held, and that has a limit.
+type countedBody struct {
+	*Response
+	left int64 // bytes that may follow
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.Response.Read(p)
+	if b.left -= int64(n); b.left < 0 {
+		return 0, ErrBodyTooLarge
+	}
+	more := clientbudget.Amount{Bytes: parsedCopies * int64(n)}
+	if !b.account.Hold(more) {
+		return 0, clientbudget.ErrNoRoom
+	}
+	b.held.Bytes += more.Bytes
+	return n, err
+}
+
+// Discard reads the rest of the body if it is short and arrives at once, so that the connection can be reused.
+func (r *Response) Discard() {
+	if r.keepAlive && r.conn.discard(r.body, maxDiscardedBytes, discardTimeout) {
+		r.complete = true
+	}
+}
+
 // Close releases the connection. It returns to the pool if the response was read completely and the peer keeps the connection
 // open; otherwise it is closed.
 func (r *Response) Close() {
+	r.account.Drop(r.held)
+	r.conn.source.release()
+	r.ended()
 	stopped := r.stop()
 	idle := idleTimeout(r.Header.Get("Keep-Alive"))
 	closes := strings.EqualFold(r.Header.Get("Connection"), "close")
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -85,7 +85,7 @@
 		}
 		return ok(r.Header.Get(RequestIDHeader), fmt.Sprint(n))
 	})
-	p := New(netio.Host{})
+	p := New(netio.Host{}, nil)
 	for n := range 5 {
 		if text, _, err := send(t, p, address, fmt.Sprint("r", n)); err != nil || text != fmt.Sprint(n) {
 			t.Fatalf("%q %v", text, err)
@@ -101,7 +101,7 @@
 	address, _ := startServer(t, func(_ int, r *http.Request) string {
 		return ok("earlier", "not yours") + "HTTP/1.1 103 Early Hints\r\n\r\n" + ok(r.Header.Get(RequestIDHeader), "yours")
 	})
-	if text, _, err := send(t, New(netio.Host{}), address, "r1"); err != nil || text != "yours" {
+	if text, _, err := send(t, New(netio.Host{}, nil), address, "r1"); err != nil || text != "yours" {
 		t.Errorf("%q %v", text, err)
 	}
 }
@@ -112,7 +112,7 @@
 	address, opened := startServer(t, func(_ int, r *http.Request) string {
 		return ok(r.Header.Get(RequestIDHeader), "yours") + ok(r.Header.Get(RequestIDHeader), "again")
 	})
-	p := New(netio.Host{})
+	p := New(netio.Host{}, nil)
 	for n := range 3 {
 		if text, _, err := send(t, p, address, fmt.Sprint("r", n)); err != nil || text != "yours" {
 			t.Fatalf("%q %v", text, err)
@@ -133,7 +133,7 @@
 		}
 		return ""
 	})
-	p := New(netio.Host{})
+	p := New(netio.Host{}, nil)
 	if _, _, err := send(t, p, address, "r1"); err != nil {
 		t.Fatal(err)
 	}
@@ -160,7 +160,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			address, _ := startServer(t, func(int, *http.Request) string { return c.answer })
-			if text, progress, err := send(t, New(netio.Host{}), address, "r"); (err != nil) != c.fails || progress != c.progress {
+			if text, progress, err := send(t, New(netio.Host{}, nil), address, "r"); (err != nil) != c.fails || progress != c.progress {
 				t.Errorf("%q, progress %d, %v", text, progress, err)
 			}
 		})
@@ -168,7 +168,7 @@
 	listener, _ := net.Listen("tcp4", "127.0.0.1:0")
 	address := listener.Addr().String()
 	listener.Close()
-	if _, progress, err := send(t, New(netio.Host{}), address, "r"); err == nil || progress != NotSent {
+	if _, progress, err := send(t, New(netio.Host{}, nil), address, "r"); err == nil || progress != NotSent {
 		t.Errorf("connection refused: progress %d, %v", progress, err)
 	}
 }
@@ -180,7 +180,7 @@
 	address, _ := startServer(t, func(int, *http.Request) string { <-hold; return "" })
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	_, progress, err := New(netio.Host{}).Send(ctx, address, &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+	_, progress, err := New(netio.Host{}, nil).Send(ctx, address, &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
 	if err == nil || progress != Sent {
 		t.Errorf("progress %d, %v", progress, err)
 	}
@@ -204,7 +204,7 @@
 // TestClosedWhileIdle checks that a connection which its peer has closed is not reused.
 func TestClosedWhileIdle(t *testing.T) {
 	address, opened := startServer(t, func(_ int, r *http.Request) string { return ok(r.Header.Get(RequestIDHeader), "x") + "<close>" })
-	p := New(netio.Host{})
+	p := New(netio.Host{}, nil)
 	for n := range 5 {
 		_, progress, err := send(t, p, address, fmt.Sprint("r", n))
 		if err != nil && !(progress == Sent && errors.Is(err, io.EOF)) && !strings.Contains(err.Error(), "reset") {
@@ -223,7 +223,7 @@
 	address, opened := startServer(t, func(n int, r *http.Request) string {
 		return ok(r.Header.Get(RequestIDHeader), fmt.Sprint(n))
 	})
-	p := New(netio.Host{})
+	p := New(netio.Host{}, nil)
 	for n, step := range []struct {
 		id     string
 		opened int
@@ -240,7 +240,7 @@
 // TestOnce checks that a request with DedicatedConn gets a connection of its own, which is not used before or after it.
 func TestOnce(t *testing.T) {
 	address, opened := startServer(t, func(int, *http.Request) string { return "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n" })
-	p := New(netio.Host{})
+	p := New(netio.Host{}, nil)
 	for _, once := range []bool{false, true, false, true} {
 		r, _, err := p.Send(context.Background(), address, &Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, DedicatedConn: once})
 		if err != nil {
