Large answers are copied in turns, so that other requests do not wait behind them

Callers of a sound service waited up to 5.4 s while one back end sent chunks of one byte or events without end, and callers of the faulty one had no end at their deadline.

Cause: the process runs Go code on one thread, and a copy whose bytes are always there never blocks. It runs until the runtime preempts it after 10 ms, so each step of any other request waits 10 ms for each such copy. Ruled out: memory (30 to 60 MB).

Change: package readturns.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -76,50 +76,53 @@
 	a.writer.WriteHeader(r.Status)
 }
 
-// copy forwards the response of an instance. onData is called whenever bytes of its body have been read. The head is
-// forwarded only with the first bytes of the body or at its end: until then another attempt can still replace this one.
-func (a *answer) copy(r *upstream.Response, onData func()) error {
+// copy forwards the response of an instance. The head is forwarded only with the first bytes of the body or at its end: until
+// then another attempt can still replace this one.
+func (a *answer) copy(t *transfer) error {
 	resumed := a.begun
-	if resumed && (a.committed() || r.Status != http.StatusOK || r.Header.Get(serverStamp) == "") {
+	if resumed && (a.committed() || t.response.Status != http.StatusOK || t.response.Header.Get(serverStamp) == "") {
 		return errNotResumable
 	}
-	if a.stream && r.Status == http.StatusOK {
-		return a.copyEvents(r, resumed, onData)
+	if a.stream && t.response.Status == http.StatusOK {
+		return a.copyEvents(t, resumed)
 	}
+	return a.copyBody(t)
+}
+
+// copyBody forwards a body as it arrives.
+func (a *answer) copyBody(t *transfer) error {
 	buffer := make([]byte, copyBuffer)
 	for {
-		n, err := r.Read(buffer)
+		n, err := t.read(buffer)
 		if n > 0 {
-			onData()
-			a.begin(r)
+			a.begin(t.response)
 			if !a.write(buffer[:n]) {
 				return errClientGone
 			}
 		}
 		if err == io.EOF {
-			a.begin(r)
+			a.begin(t.response)
 			return a.checkLength()
 		}
 		if err != nil {
 			return errTruncated
 		}
-		if !r.Buffered() {
+		if !t.response.Buffered() {
 			a.flush()
 		}
 	}
 }
 
 // copyEvents forwards complete events as they arrive and keeps the id of the last one.
-func (a *answer) copyEvents(r *upstream.Response, resumed bool, onData func()) error {
+func (a *answer) copyEvents(t *transfer, resumed bool) error {
 	buffer := make([]byte, copyBuffer)
 	var pending []byte
 	for {
-		n, err := r.Read(buffer)
+		n, err := t.read(buffer)
 		if n > 0 {
-			onData()
 			pending = append(pending, buffer[:n]...)
 			if end := lastEventEnd(pending); end > 0 {
-				a.begin(r)
+				a.begin(t.response)
 				if !a.forwardEvents(pending[:end], resumed) {
 					return errClientGone
 				}
@@ -131,7 +134,7 @@
 			}
 		}
 		if err == io.EOF {
-			return a.finishEvents(r, pending)
+			return a.finishEvents(t.response, pending)
 		}
 		if err != nil {
 			return errTruncated
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -250,7 +250,7 @@
 	if canceled() {
 		c.exchange.markRecalled()
 	}
-	outcome := c.processResponse(response, progress, err, instance, number, sentAt)
+	outcome := c.processResponse(ctx, response, progress, err, instance, number, sentAt)
 	if response != nil {
 		response.Close()
 	}
@@ -303,7 +303,7 @@
 }
 
 // processResponse processes the result of sending the request and returns the outcome of the attempt.
-func (c *call) processResponse(response *upstream.Response, progress upstream.Progress, err error, instance instances.Instance, number int,
+func (c *call) processResponse(ctx context.Context, response *upstream.Response, progress upstream.Progress, err error, instance instances.Instance, number int,
 	sentAt time.Time) logic.Outcome {
 	if err != nil {
 		if progress == upstream.NotSent {
@@ -323,7 +323,7 @@
 	if response.Status >= http.StatusInternalServerError {
 		return c.keepErrorResponse(response)
 	}
-	return c.forward(response, instance, number, sentAt)
+	return c.forward(ctx, response, instance, number, sentAt)
 }
 
 // rejected reports whether an instance refused the request without running it, and with which outcome.
@@ -353,13 +353,15 @@
 }
 
 // forward forwards a response to the client.
-func (c *call) forward(response *upstream.Response, instance instances.Instance, number int, sentAt time.Time) logic.Outcome {
+func (c *call) forward(ctx context.Context, response *upstream.Response, instance instances.Instance, number int, sentAt time.Time) logic.Outcome {
 	if c.answer == nil {
 		c.answer = &answer{writer: c.writer, stream: c.route.Kind == configuration.Streaming, resumable: c.route.Resumable,
 			lastSentID: c.incoming.Header.Get(lastEventID)}
 	}
+	t := c.newTransfer(ctx, response, instance.ID)
+	defer t.turn.Leave()
 	began := false
-	onData := func() {
+	t.onData = func() {
 		c.timing.record(time.Now())
 		if began || c.route.Kind != configuration.Streaming {
 			return
@@ -368,13 +370,13 @@
 		c.server.dispatcher.streamBegan(c.exchange, number, time.Since(sentAt))
 		c.recordRead(instance.ID)
 	}
-	if err := c.answer.copy(response, onData); err != nil {
-		if errors.Is(err, errClientGone) {
-			return logic.Recalled
-		}
-		return logic.Severed
+	switch err := c.answer.copy(t); {
+	case err == nil:
+		return logic.Completed
+	case errors.Is(err, errClientGone):
+		return logic.Recalled
 	}
-	return logic.Completed
+	return logic.Severed
 }
 
 // recordRead records in the table of cached parts that an instance has read the request's prompt.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"gullstair/internal/configuration"
 	"gullstair/internal/instances"
 	"gullstair/internal/netio"
+	"gullstair/internal/readturns"
 	"gullstair/internal/settings"
 	"gullstair/internal/upstream"
 	"gullstair/internal/weights"
@@ -37,6 +38,7 @@
 	logger     *log.Logger
 	dispatcher *dispatcher
 	pool       *upstream.Pool
+	turns      *readturns.Turns // of the copies of large responses
 	config     atomic.Pointer[configuration.Configuration]
 	leaving    atomic.Bool
 	closing    atomic.Bool
@@ -80,7 +82,7 @@
 // New returns the data path of a broker. ledger holds the versions of the models' weights; onDisplaced is called with the id of
 // an instance at whose address another one answered.
 func New(s *settings.Settings, logger *log.Logger, network netio.Network, seed uint64, ledger *weights.Ledger, onDisplaced func(string)) *Server {
-	server := &Server{settings: s, logger: logger, pool: upstream.New(network, nil), instances: map[string]instances.Instance{}, weights: ledger,
+	server := &Server{settings: s, logger: logger, pool: upstream.New(network, nil), turns: readturns.New(), instances: map[string]instances.Instance{}, weights: ledger,
 		loggedOldest: map[string]int64{}, onDisplaced: onDisplaced}
 	server.cacheTable = lockedTable{table: cachetable.New(), start: time.Now()}
 	server.dispatcher = newDispatcher(seed, server.fleet(1))
