Hold little of an unfinished event, and search each byte of a stream once

Callers of other services waited up to 3.4 s while a back end sent small pieces of a stream that complete no event, and memory grew with the callers (113 MB for 64 calls).

Cause: up to 1 MiB of an unfinished event was held for each call, with a copy while it grew, outside the budget; and each piece searched all of it again from its start.

Change: pendingEvents searches only what is new and holds at most 64 KiB, counted beyond 8. Without room, or beyond that, the start of the event is forwarded: an event of any size up to the limit of 1 MiB arrives whole, and only a resumption by the broker within that event is given up (a client may still resume). A resumed stream holds up to 1 MiB, counted, since it may have to skip the event.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -113,28 +113,24 @@
 	}
 }
 
-// copyEvents forwards complete events as they arrive and keeps the id of the last one.
+// copyEvents forwards complete events as they arrive and keeps the id of the last one. The start of an event that is too large
+// to be held is forwarded before its end.
 func (a *answer) copyEvents(t *transfer, resumed bool) error {
 	buffer := make([]byte, copyBuffer)
-	var pending []byte
+	pending := &pendingEvents{account: t.account, limit: heldEventBytes}
+	if resumed {
+		pending.limit = maxEventBytes // whether the client has an event already may show only at its end
+	}
+	defer pending.release()
 	for {
 		n, err := t.read(buffer)
 		if n > 0 {
-			pending = append(pending, buffer[:n]...)
-			if end := lastEventEnd(pending); end > 0 {
-				a.begin(t.response)
-				if !a.forwardEvents(pending[:end], resumed) {
-					return errClientGone
-				}
-				pending = append(pending[:0], pending[end:]...)
-				a.flush()
-			}
-			if len(pending) > maxEventBytes {
-				return errEventTooLarge
+			if err := a.addEvents(t, pending, buffer[:n], resumed); err != nil {
+				return err
 			}
 		}
 		if err == io.EOF {
-			return a.finishEvents(t.response, pending)
+			return a.finishEvents(t.response, pending.text)
 		}
 		if err != nil {
 			return errTruncated
@@ -142,6 +138,37 @@
 	}
 }
 
+// addEvents adds the next bytes of a stream and forwards what may be forwarded.
+func (a *answer) addEvents(t *transfer, pending *pendingEvents, next []byte, resumed bool) error {
+	roomy := pending.add(next)
+	if end := pending.completeEnd(); end > 0 {
+		a.begin(t.response)
+		rest := 0 // of an event whose start has been forwarded
+		if pending.forwarded > 0 {
+			rest = firstEventEnd(pending.text[:end])
+		}
+		if !a.write(pending.text[:rest]) || !a.forwardEvents(pending.text[rest:end], resumed) {
+			return errClientGone
+		}
+		pending.removeEvents(end)
+		a.flush()
+	}
+	switch {
+	case pending.forwarded+len(pending.text) > maxEventBytes:
+		return errEventTooLarge
+	case roomy:
+		return nil
+	case resumed:
+		return errEventTooLarge
+	}
+	a.begin(t.response)
+	a.lastHasID = false
+	if !pending.removeStart(a.write) {
+		return errClientGone
+	}
+	return nil
+}
+
 // finishEvents ends the stream: it forwards the bytes after the last complete event.
 func (a *answer) finishEvents(r *upstream.Response, rest []byte) error {
 	a.begin(r)
