An answer that has begun is not recalled

Cause: the module takes an instance for silent that has not completed an answer for longer than its open work explains, and recalls the attempt to send it elsewhere. It does not know that the client has the start of that answer, which no other attempt can continue, so the recall could only end it.

Change: an exchange whose answer has begun ignores a recall; one that was recalled does not begin.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -95,6 +95,9 @@
 	for {
 		n, err := t.read(buffer)
 		if n > 0 {
+			if !a.begun && !t.mayBegin() {
+				return errTruncated
+			}
 			a.begin(t.response)
 			if !a.write(buffer[:n]) {
 				return errClientGone
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -159,6 +159,7 @@
 	cancel   context.CancelFunc // of the current attempt
 	ended    bool               // the module has refused or failed the request
 	recalled bool
+	begun    bool // the client has the start of the current attempt's answer, which no other attempt can replace
 }
 
 const maxCommands = 16
@@ -171,6 +172,9 @@
 	defer x.mu.Unlock()
 	switch c.Kind {
 	case balance.CancelAttempt:
+		if x.begun {
+			return
+		}
 		x.recalled = true
 	case balance.Refuse, balance.Fail:
 		x.ended = true
@@ -192,13 +196,22 @@
 	ctx, cancel := context.WithCancel(ctx)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.cancel, x.recalled = cancel, false
+	x.cancel, x.recalled, x.begun = cancel, false, false
 	if x.ended {
 		cancel()
 	}
 	return ctx, cancel
 }
 
+// beginAnswer records that the answer to the client begins with the current attempt, which the module recalls no more. It
+// returns false if the attempt has been recalled.
+func (x *exchange) beginAnswer() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.begun = !x.recalled
+	return x.begun
+}
+
 // markRecalled records that this broker itself canceled the current attempt.
 func (x *exchange) markRecalled() {
 	x.mu.Lock()
--- a/internal/gateway/transfer.go
+++ b/internal/gateway/transfer.go
@@ -15,10 +15,12 @@
 	turn     *readturns.Copy
 	account  *clientlimit.Account // of the client
 	onData   func()               // called when bytes have been read; may be nil
+	mayBegin func() bool          // called before the answer to the client begins; it must not if false is returned
 }
 
 func (c *call) newTransfer(ctx context.Context, response *upstream.Response, instance string) *transfer {
-	return &transfer{ctx: ctx, response: response, turn: c.server.turns.Join(instance), account: c.account}
+	return &transfer{ctx: ctx, response: response, turn: c.server.turns.Join(instance), account: c.account,
+		mayBegin: c.exchange.beginAnswer}
 }
 
 // read reads the next piece of the body.
