A failure stays with its instance until it is known whether it is forwarded

Cause: the body of a failure was read whole, up to 256 KiB, and held outside the budget before the module heard that the attempt had failed.

Change: the module hears of the failure with its head. A failure of any length arrives whole.

Their sound answers have a slow body too.

--- a/cmd/gullstair/servers_sound_test.go
+++ b/cmd/gullstair/servers_sound_test.go
@@ -123,6 +123,14 @@
 		}
 		return err
 	},
+	"slowbody": func(w io.Writer, r *http.Request) error {
+		_, err := fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n", answerHead(r, "200 OK"), slowEvents)
+		for n := 0; err == nil && n < slowEvents; n++ {
+			time.Sleep(slowEventPause)
+			_, err = io.WriteString(w, "x")
+		}
+		return err
+	},
 	"event": func(w io.Writer, r *http.Request) error {
 		event := "id: 1\ndata: " + strings.Repeat("x", largeEventBytes) + "\n\n"
 		_, err := fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n%s", answerHead(r, "200 OK"), len(event), event)
@@ -168,6 +176,7 @@
 		{"sound", "failure", http.StatusInternalServerError, failureLength},
 		{"sound", "chunkedfailure", http.StatusInternalServerError, failureLength},
 		{"sound", "slowfailure", http.StatusInternalServerError, slowEvents},
+		{"sound", "slowbody", http.StatusOK, slowEvents},
 		{"soundstream", "event", http.StatusOK, largeEventBytes + int64(len("id: 1\ndata: \n\n"))},
 		{"soundstream", "slowevents", http.StatusOK, 9*int64(len("id: 1\ndata: x\n\n")) + 21*int64(len("id: 10\ndata: x\n\n"))},
 	} {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -52,13 +52,6 @@
 	errorAnswer *errorResponse // the latest error response of an instance
 }
 
-// errorResponse is an error response of an instance. It is forwarded unchanged if no other attempt follows.
-type errorResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 const (
 	requestDeadline = "X-Deadline-Ms"
 	notExecuted     = "X-Not-Executed"
@@ -66,7 +59,6 @@
 	lastEventID     = "Last-Event-Id"
 	versionsHeader  = "Versions"
 
-	maxErrorBody   = 256 << 10
 	answerSlack    = time.Second // time after the deadline of a request in which its client may still take the answer
 	discardTimeout = time.Second // time in which the rest of a denied request's body may arrive
 	maxPriority    = 9
@@ -79,6 +71,7 @@
 
 func (c *call) serve() {
 	defer func() { chunks.Release(c.body) }()
+	defer c.dropErrorResponse()
 	if !c.admit() {
 		return
 	}
@@ -240,9 +233,8 @@
 		return
 	}
 	ctx, cancel := c.exchange.beginAttempt(c.incoming.Context())
-	defer cancel()
 	ctx, stop := context.WithDeadline(ctx, c.deadline)
-	defer stop()
+	end := func() { stop(); cancel() }
 	sentAt := time.Now()
 	request, version := c.request(instance, command)
 	canceled := c.cancelWhenOutdated(cancel, instance, version)
@@ -250,9 +242,12 @@
 	if canceled() {
 		c.exchange.markRecalled()
 	}
-	outcome := c.processResponse(ctx, response, progress, err, instance, number, sentAt)
-	if response != nil {
-		response.Close()
+	outcome := logic.ConnRefused
+	if err != nil {
+		outcome = c.sendFailed(progress)
+		end()
+	} else {
+		outcome = c.processResponse(ctx, end, response, instance, number, sentAt)
 	}
 	outcome = c.adjustOutcome(outcome)
 	c.server.logger.Debug().Str("request", c.id).Str("instance", instance.ID).Str("source", command.Source).Int("attempt", number).
@@ -302,28 +297,34 @@
 	return outcome
 }
 
-// processResponse processes the result of sending the request and returns the outcome of the attempt.
-func (c *call) processResponse(ctx context.Context, response *upstream.Response, progress upstream.Progress, err error, instance instances.Instance, number int,
-	sentAt time.Time) logic.Outcome {
-	if err != nil {
-		if progress == upstream.NotSent {
-			return logic.ConnRefused
-		}
-		c.mayRun = true
-		return logic.Severed
-	}
-	c.learnVersion(instance, response.Header)
-	if rejected, outcome := c.rejected(response, instance); rejected {
-		return outcome
+// sendFailed returns the outcome of an attempt without a response.
+func (c *call) sendFailed(progress upstream.Progress) logic.Outcome {
+	if progress == upstream.NotSent {
+		return logic.ConnRefused
 	}
 	c.mayRun = true
-	if response.Header.Get("Content-Encoding") != "" || response.Status < http.StatusOK {
-		return logic.Errored // encoded or interim: not the response that the client expects
-	}
-	if response.Status >= http.StatusInternalServerError {
-		return c.keepErrorResponse(response)
-	}
-	return c.forward(ctx, response, instance, number, sentAt)
+	return logic.Severed
+}
+
+// processResponse processes a response and returns the outcome of the attempt. It closes the response and calls end, which
+// ends the context, unless it stores the response as an error response.
+func (c *call) processResponse(ctx context.Context, end func(), response *upstream.Response, instance instances.Instance, number int,
+	sentAt time.Time) logic.Outcome {
+	c.learnVersion(instance, response.Header)
+	rejected, outcome := c.rejected(response, instance)
+	c.mayRun = c.mayRun || !rejected
+	switch {
+	case rejected:
+	case response.Header.Get("Content-Encoding") != "" || response.Status < http.StatusOK:
+		outcome = logic.Errored // encoded or interim: not the response that the client expects
+	case response.Status >= http.StatusInternalServerError:
+		return c.keepErrorResponse(ctx, end, response, instance.ID)
+	default:
+		outcome = c.forward(ctx, response, instance, number, sentAt)
+	}
+	response.Close()
+	end()
+	return outcome
 }
 
 // rejected reports whether an instance refused the request without running it, and with which outcome.
@@ -342,16 +343,6 @@
 	return true, logic.Saturated
 }
 
-// keepErrorResponse stores an error response of an instance, which is forwarded unless the module starts another attempt.
-func (c *call) keepErrorResponse(response *upstream.Response) logic.Outcome {
-	body, err := io.ReadAll(io.LimitReader(response, maxErrorBody))
-	if err != nil {
-		return logic.Severed
-	}
-	c.errorAnswer = &errorResponse{status: response.Status, header: response.Header, body: body}
-	return logic.Errored
-}
-
 // forward forwards a response to the client.
 func (c *call) forward(ctx context.Context, response *upstream.Response, instance instances.Instance, number int, sentAt time.Time) logic.Outcome {
 	if c.answer == nil {
@@ -527,10 +518,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.setRequestID()
-	if f := c.errorAnswer; f != nil {
-		copyHeader(c.writer.Header(), f.header)
-		c.writer.WriteHeader(f.status)
-		_, _ = c.writer.Write(f.body)
+	if c.forwardErrorResponse() {
 		return
 	}
 	if !time.Now().Before(c.deadline.Add(-time.Duration(endMargin))) {
