Small receive buffers of connections to instances do not stall them

A sound answer of more than some 40 KB arrived at 0.2 MB/s over loopback if its server wrote it in pieces of 1 to 50 KB: the receive buffer of a connection to an instance was 16 KiB, set after the connection was up, and a segment of loopback has 64 KiB. A window that is smaller than a segment makes the sender wait for its persist timer, 200 ms, for each window. Found because an instance that sends events without end could send only 42 KB before its caller's deadline.

The buffer is now set before the connection is made, with a segment of a quarter of it; connections with larger paths are as before. What the kernel may hold for a connection stays the same.

--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -16,6 +16,9 @@
 	userTimeout     = 2 * time.Second // bytes unacknowledged for longer close a connection
 	keepAliveIdle   = time.Second     // idle time before the first keep-alive probe, and interval between probes
 	keepAliveProbes = 2               // unanswered probes that close a connection
+	// minSegments is how many segments a small receive buffer must have room for. If the window is smaller than a segment, which
+	// on loopback has 64 KiB, the sender waits for its persist timer, 200 ms.
+	minSegments = 4
 )
 
 // Network opens listeners, connections and datagram sockets.
@@ -25,6 +28,19 @@
 	ListenDatagrams(address string) (Datagrams, error)
 }
 
+// BufferedDialer is a Network that can limit the receive buffer of a connection, in bytes.
+type BufferedDialer interface {
+	DialBuffered(ctx context.Context, address string, timeout time.Duration, receiveBuffer int) (net.Conn, error)
+}
+
+// DialBuffered opens a connection. If the network can, it limits the connection's receive buffer, in bytes.
+func DialBuffered(ctx context.Context, network Network, address string, timeout time.Duration, receiveBuffer int) (net.Conn, error) {
+	if dialer, can := network.(BufferedDialer); can {
+		return dialer.DialBuffered(ctx, address, timeout, receiveBuffer)
+	}
+	return network.Dial(ctx, address, timeout)
+}
+
 // Datagrams is a datagram socket.
 type Datagrams interface {
 	Receive(b []byte) (int, error)
@@ -43,11 +59,28 @@
 func (Host) Listen(address string) (net.Listener, error) { return net.Listen("tcp4", address) }
 
 // Dial opens a TCP connection that detects an unresponsive peer within seconds.
-func (Host) Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+func (h Host) Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	return h.dial(ctx, address, timeout, setUserTimeout)
+}
+
+// DialBuffered implements BufferedDialer.
+func (h Host) DialBuffered(ctx context.Context, address string, timeout time.Duration, receiveBuffer int) (net.Conn, error) {
+	return h.dial(ctx, address, timeout, func(network, address string, raw syscall.RawConn) error {
+		if err := setUserTimeout(network, address, raw); err != nil {
+			return err
+		}
+		return raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, receiveBuffer/minSegments)
+		})
+	})
+}
+
+func (Host) dial(ctx context.Context, address string, timeout time.Duration, control func(network, address string, raw syscall.RawConn) error) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveProbes},
-		Control:         setUserTimeout,
+		Control:         control,
 	}
 	conn, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
@@ -110,13 +143,6 @@
 	})
 }
 
-// SetReceiveBuffer sets the size in bytes of the receive buffer of a connection.
-func SetReceiveBuffer(conn net.Conn, size int) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetReadBuffer(size)
-	}
-}
-
 // Quiet reports whether a connection has no unread input, neither bytes nor EOF. Another goroutine may be reading from
 // it.
 func Quiet(conn net.Conn) bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -99,11 +99,10 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
-	conn, err := p.network.Dial(ctx, address, dialTimeout)
+	conn, err := netio.DialBuffered(ctx, p.network, address, dialTimeout, receiveBuffer)
 	if err != nil {
 		return nil, err
 	}
-	netio.SetReceiveBuffer(conn, receiveBuffer)
 	s := &source{conn: conn}
 	return &Conn{Conn: conn, source: s, reader: bufio.NewReaderSize(s, readBuffer), address: address}, nil
 }
