An instance whose answers have no end is ejected

Callers of streaming routes were sent to one faulty server of four again and again: its streams begin at once, never fail by themselves and end at the caller's deadline, which counts as overdue and says nothing of the server.

Change: package outlier keeps the largest whole answer of each route. An answer 16 times as large, and over 256 KiB, is an outlier; three of one instance without a whole answer between them eject it, while they go on to be forwarded: nothing is cut. A whole answer of any size raises the mark. The balancer hears of it as of a verdict, so the module needs no change.

TestAnswersWithoutEndEjectTheirInstance.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -245,6 +245,11 @@
 	return b.step(now, logic.Event{Kind: logic.DispatchEnded, ID: part, Dispatch: attempt, Outcome: outcome, Elapsed: elapsed})
 }
 
+// Eject reports that an instance fails, although none of its attempts has ended.
+func (b *Balancer) Eject(now float64, instance string) []Command {
+	return b.step(now, logic.Event{Kind: logic.VerdictReceived, Node: b.number(instance), Outcome: logic.Errored})
+}
+
 // ClientLeft reports that the client of a request has disconnected.
 func (b *Balancer) ClientLeft(now float64, request int64) []Command {
 	return b.step(now, logic.Event{Kind: logic.ClientLeft, ID: request})
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -363,6 +363,7 @@
 	}
 	switch err := c.answer.copy(t); {
 	case err == nil:
+		c.server.observeWhole(c.route.Name, instance.ID, response.Received())
 		return logic.Completed
 	case errors.Is(err, errClientGone):
 		return logic.Recalled
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -141,6 +141,13 @@
 	d.apply(d.balancer.AttemptEnded(d.now(), x.number, attempt, outcome, float64(elapsed)/float64(time.Millisecond)))
 }
 
+// eject tells the balancer that an instance fails, although none of its attempts has ended.
+func (d *dispatcher) eject(instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.apply(d.balancer.Eject(d.now(), instance))
+}
+
 // forget removes an exchange whose client has its response or has disconnected.
 func (d *dispatcher) forget(x *exchange) {
 	d.mu.Lock()
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -11,15 +11,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
-
-	"github.com/phuslu/log"
-
-	"gullstair/internal/configuration"
-	"gullstair/internal/instances"
-	"gullstair/internal/netio"
-	"gullstair/internal/settings"
-	"gullstair/internal/weights"
 )
 
 // These tests check the table in section "Calls" of docs/control.md on real connections: the behavior of the first instance
@@ -222,28 +213,9 @@
 
 // startGateway starts a gateway with two instances that follow the script.
 func startGateway(t *testing.T, s *script) *httptest.Server {
-	parsed, err := settings.Parse([]byte("node_name=n\nip=127.0.0.1\nzone=a\nlisten.front=127.0.0.1:1\nephemeral_ports=7000,7015\n" +
-		"bounds.retry_budget_ratio=0.2\nbounds.retry_budget_slack=100"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	config, err := configuration.Parse([]byte(exchangeConfiguration))
-	if err != nil {
-		t.Fatal(err)
-	}
-	logger := &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
-	server := New(parsed, logger, netio.Host{}, 1, weights.New(6*time.Second), func(string) {})
-	server.SetConfiguration(config)
 	arrivals := make(chan int, 1)
 	arrivals <- 0
-	var all []instances.Instance
-	for _, id := range []string{"i1", "i2"} {
-		all = append(all, instances.Instance{ID: id, Service: "s", Address: s.serve(t, id, arrivals), Zone: "a", Slots: 8, State: instances.Ready})
-	}
-	server.SetInstances(all)
-	front := httptest.NewServer(server)
-	t.Cleanup(front.Close)
-	return front
+	return startGatewayOf(t, s.serve(t, "i1", arrivals), s.serve(t, "i2", arrivals))
 }
 
 // exchangeOnce sends one request and describes the response that its client got and how often the request ran.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"gullstair/internal/configuration"
 	"gullstair/internal/instances"
 	"gullstair/internal/netio"
+	"gullstair/internal/outlier"
 	"gullstair/internal/readturns"
 	"gullstair/internal/settings"
 	"gullstair/internal/upstream"
@@ -46,6 +48,7 @@
 
 	mu           sync.Mutex
 	instances    map[string]instances.Instance // instances that are not gone, by id
+	outliers     *outlier.Detector
 	cacheTable   lockedTable
 	weights      *weights.Ledger
 	loggedOldest map[string]int64 // by model: the version below which instances get no requests, as logged last
@@ -82,7 +85,7 @@
 // New returns the data path of a broker. ledger holds the versions of the models' weights; onDisplaced is called with the id of
 // an instance at whose address another one answered.
 func New(s *settings.Settings, logger *log.Logger, network netio.Network, seed uint64, ledger *weights.Ledger, onDisplaced func(string)) *Server {
-	server := &Server{settings: s, logger: logger, pool: upstream.New(network, nil), turns: readturns.New(), instances: map[string]instances.Instance{}, weights: ledger,
+	server := &Server{settings: s, logger: logger, pool: upstream.New(network, nil), turns: readturns.New(), outliers: outlier.New(), instances: map[string]instances.Instance{}, weights: ledger,
 		loggedOldest: map[string]int64{}, onDisplaced: onDisplaced}
 	server.cacheTable = lockedTable{table: cachetable.New(), start: time.Now()}
 	server.dispatcher = newDispatcher(seed, server.fleet(1))
@@ -116,6 +119,11 @@
 	s.dispatcher.setConfiguration(c)
 	s.config.Store(c)
 	s.streams.retain(c)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outliers.RetainRoutes(func(name string) bool {
+		return slices.ContainsFunc(c.Routes, func(r *configuration.Route) bool { return r.Name == name })
+	})
 }
 
 // awaitConfiguration returns the current configuration. A broker that has just started waits for its first one up to
@@ -152,6 +160,7 @@
 		}
 	}
 	s.instances = known
+	s.outliers.RetainServers(func(id string) bool { _, still := known[id]; return still })
 	s.mu.Unlock()
 	s.dispatcher.setInstances(list)
 }
