The answer of discovery's agent is bounded with its head

Found by looking for the same cause elsewhere: the watch of gullstair serve read the head of an agent's answer without a limit until its deadline, up to 3.5 s. Now head and list together are at most 4 MiB and 64 KiB. TestEndlessHead fails without it (the agent could send without end until the deadline).

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -41,7 +41,8 @@
 	maxPullBackoff = 800 * time.Millisecond
 	// firstCallHold is the hold time of a process's first call, which returns what the agent already has.
 	firstCallHold  = time.Millisecond
-	maxAnswerBytes = 4 << 20
+	maxAnswerBytes = 4 << 20  // of a list
+	maxHeadBytes   = 64 << 10 // of an answer, besides the list
 	mailboxSize    = 16
 )
 
@@ -357,8 +358,10 @@
 
 // read posts the answers that arrive on a connection to the mailbox, until the connection ends.
 func (w *Watch) read(conn net.Conn) {
-	in := bufio.NewReaderSize(conn, 4<<10)
+	limited := &io.LimitedReader{R: conn}
+	in := bufio.NewReaderSize(limited, 4<<10)
 	for {
+		limited.N = maxHeadBytes + maxAnswerBytes
 		l, last, err := readAnswer(in)
 		if err != nil {
 			w.post(lostMsg{conn, err})
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -271,3 +271,29 @@
 	assert.Equal(t, logic.Draining, next(t, a.updates).Nodes[0].Readiness)
 	assert.Less(t, time.Since(start), 6*time.Second)
 }
+
+// TestEndlessHead: an agent whose answer is one header line without end is given up at the limit, not at the deadline.
+func TestEndlessHead(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	sent := make(chan int, 100)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			n, piece := 0, []byte(strings.Repeat("x", 64<<10))
+			for _, err = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Line: "); err == nil; n += len(piece) {
+				_, err = conn.Write(piece)
+			}
+			conn.Close()
+			sent <- n
+		}
+	}()
+	w := Follow(ln.Addr().String(), Options{}, func(core.List) {}, zerolog.Nop())
+	defer w.Stop()
+	const queues = 16 << 20 // bytes that the kernel may hold for a connection
+	require.Less(t, next(t, sent), maxAnswerBytes+maxHeadBytes+queues)
+}
