--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -76,62 +76,64 @@
 	a.writer.WriteHeader(r.Status)
 }
 
-// copy forwards the response of an instance. onData is called whenever bytes of its body have been read. The head is
-// forwarded only with the first bytes of the body or at its end: until then another attempt can still replace this one.
-func (a *answer) copy(r *upstream.Response, onData func()) error {
+// copy forwards the response of an instance. The head is forwarded only with the first bytes of the body or at its end: until
+// then another attempt can still replace this one.
+func (a *answer) copy(t *transfer) error {
 	resumed := a.begun
-	if resumed && (a.committed() || r.Status != http.StatusOK || r.Header.Get(serverStamp) == "") {
+	if resumed && (a.committed() || t.response.Status != http.StatusOK || t.response.Header.Get(serverStamp) == "") {
 		return errNotResumable
 	}
-	if a.stream && r.Status == http.StatusOK {
-		return a.copyEvents(r, resumed, onData)
+	if a.stream && t.response.Status == http.StatusOK {
+		return a.copyEvents(t, resumed)
 	}
+	return a.copyBody(t)
+}
+
+// copyBody forwards a body as it arrives.
+func (a *answer) copyBody(t *transfer) error {
 	buffer := make([]byte, copyBuffer)
 	for {
-		n, err := r.Read(buffer)
+		n, err := t.read(buffer)
 		if n > 0 {
-			onData()
-			a.begin(r)
+			if !a.begun && !t.mayBegin() {
+				return errTruncated
+			}
+			a.begin(t.response)
 			if !a.write(buffer[:n]) {
 				return errClientGone
 			}
 		}
 		if err == io.EOF {
-			a.begin(r)
+			a.begin(t.response)
 			return a.checkLength()
 		}
 		if err != nil {
 			return errTruncated
 		}
-		if !r.Buffered() {
+		if !t.response.Buffered() {
 			a.flush()
 		}
 	}
 }
 
-// copyEvents forwards complete events as they arrive and keeps the id of the last one.
-func (a *answer) copyEvents(r *upstream.Response, resumed bool, onData func()) error {
+// copyEvents forwards complete events as they arrive and keeps the id of the last one. The start of an event that is too large
+// to be held is forwarded before its end.
+func (a *answer) copyEvents(t *transfer, resumed bool) error {
 	buffer := make([]byte, copyBuffer)
-	var pending []byte
+	pending := &pendingEvents{account: t.account, limit: heldEventBytes}
+	if resumed {
+		pending.limit = maxEventBytes // whether the client has an event already may show only at its end
+	}
+	defer pending.release()
 	for {
-		n, err := r.Read(buffer)
+		n, err := t.read(buffer)
 		if n > 0 {
-			onData()
-			pending = append(pending, buffer[:n]...)
-			if end := lastEventEnd(pending); end > 0 {
-				a.begin(r)
-				if !a.forwardEvents(pending[:end], resumed) {
-					return errClientGone
-				}
-				pending = append(pending[:0], pending[end:]...)
-				a.flush()
-			}
-			if len(pending) > maxEventBytes {
-				return errEventTooLarge
+			if err := a.addEvents(t, pending, buffer[:n], resumed); err != nil {
+				return err
 			}
 		}
 		if err == io.EOF {
-			return a.finishEvents(r, pending)
+			return a.finishEvents(t.response, pending.text)
 		}
 		if err != nil {
 			return errTruncated
@@ -139,6 +141,37 @@
 	}
 }
 
+// addEvents adds the next bytes of a stream and forwards what may be forwarded.
+func (a *answer) addEvents(t *transfer, pending *pendingEvents, next []byte, resumed bool) error {
+	roomy := pending.add(next)
+	if end := pending.completeEnd(); end > 0 {
+		a.begin(t.response)
+		rest := 0 // of an event whose start has been forwarded
+		if pending.forwarded > 0 {
+			rest = firstEventEnd(pending.text[:end])
+		}
+		if !a.write(pending.text[:rest]) || !a.forwardEvents(pending.text[rest:end], resumed) {
+			return errClientGone
+		}
+		pending.removeEvents(end)
+		a.flush()
+	}
+	switch {
+	case pending.forwarded+len(pending.text) > maxEventBytes:
+		return errEventTooLarge
+	case roomy:
+		return nil
+	case resumed:
+		return errEventTooLarge
+	}
+	a.begin(t.response)
+	a.lastHasID = false
+	if !pending.removeStart(a.write) {
+		return errClientGone
+	}
+	return nil
+}
+
 // finishEvents ends the stream: it forwards the bytes after the last complete event.
 func (a *answer) finishEvents(r *upstream.Response, rest []byte) error {
 	a.begin(r)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -17,8 +17,10 @@
 	"gullstair/internal/cachetable"
 	"gullstair/internal/chunks"
 	"gullstair/internal/clientbudget"
+	"gullstair/internal/clientlimit"
 	"gullstair/internal/configuration"
 	"gullstair/internal/instances"
+	"gullstair/internal/keepalive"
 	"gullstair/internal/lifecycle"
 	"gullstair/internal/upstream"
 	"gullstair/logic"
@@ -38,6 +40,7 @@
 	prompt   *prompt
 	body     [][]byte // in chunks
 	id       string
+	account  *clientlimit.Account // of what the client holds; nil: not bounded
 
 	exchange    *exchange
 	attempts    int
@@ -49,13 +52,6 @@
 	errorAnswer *errorResponse // the latest error response of an instance
 }
 
-// errorResponse is an error response of an instance. It is forwarded unchanged if no other attempt follows.
-type errorResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 const (
 	requestDeadline = "X-Deadline-Ms"
 	notExecuted     = "X-Not-Executed"
@@ -63,18 +59,19 @@
 	lastEventID     = "Last-Event-Id"
 	versionsHeader  = "Versions"
 
-	maxErrorBody   = 256 << 10
 	answerSlack    = time.Second // time after the deadline of a request in which its client may still take the answer
 	discardTimeout = time.Second // time in which the rest of a denied request's body may arrive
 	maxPriority    = 9
 )
 
 func newCall(server *Server, writer http.ResponseWriter, incoming *http.Request) *call {
-	return &call{server: server, writer: writer, incoming: incoming, arrived: time.Now(), id: incoming.Header.Get(upstream.RequestIDHeader)}
+	return &call{server: server, writer: writer, incoming: incoming, arrived: time.Now(), id: incoming.Header.Get(upstream.RequestIDHeader),
+		account: keepalive.Account(incoming.Context())}
 }
 
 func (c *call) serve() {
 	defer func() { chunks.Release(c.body) }()
+	defer c.dropErrorResponse()
 	if !c.admit() {
 		return
 	}
@@ -236,9 +233,8 @@
 		return
 	}
 	ctx, cancel := c.exchange.beginAttempt(c.incoming.Context())
-	defer cancel()
 	ctx, stop := context.WithDeadline(ctx, c.deadline)
-	defer stop()
+	end := func() { stop(); cancel() }
 	sentAt := time.Now()
 	request, version := c.request(instance, command)
 	canceled := c.cancelWhenOutdated(cancel, instance, version)
@@ -246,9 +242,12 @@
 	if canceled() {
 		c.exchange.markRecalled()
 	}
-	outcome := c.processResponse(response, progress, err, instance, number, sentAt)
-	if response != nil {
-		response.Close()
+	outcome := logic.ConnRefused
+	if err != nil {
+		outcome = c.sendFailed(progress)
+		end()
+	} else {
+		outcome = c.processResponse(ctx, end, response, instance, number, sentAt)
 	}
 	outcome = c.adjustOutcome(outcome)
 	c.server.logger.Debug().Str("request", c.id).Str("instance", instance.ID).Str("source", command.Source).Int("attempt", number).
@@ -298,34 +297,40 @@
 	return outcome
 }
 
-// processResponse processes the result of sending the request and returns the outcome of the attempt.
-func (c *call) processResponse(response *upstream.Response, progress upstream.Progress, err error, instance instances.Instance, number int,
-	sentAt time.Time) logic.Outcome {
-	if err != nil {
-		if progress == upstream.NotSent {
-			return logic.ConnRefused
-		}
-		c.mayRun = true
-		return logic.Severed
-	}
-	c.learnVersion(instance, response.Header)
-	if rejected, outcome := c.rejected(response, instance); rejected {
-		return outcome
+// sendFailed returns the outcome of an attempt without a response.
+func (c *call) sendFailed(progress upstream.Progress) logic.Outcome {
+	if progress == upstream.NotSent {
+		return logic.ConnRefused
 	}
 	c.mayRun = true
-	if response.Header.Get("Content-Encoding") != "" || response.Status < http.StatusOK {
-		return logic.Errored // encoded or interim: not the response that the client expects
-	}
-	if response.Status >= http.StatusInternalServerError {
-		return c.keepErrorResponse(response)
-	}
-	return c.forward(response, instance, number, sentAt)
+	return logic.Severed
+}
+
+// processResponse processes a response and returns the outcome of the attempt. It closes the response and calls end, which
+// ends the context, unless it stores the response as an error response.
+func (c *call) processResponse(ctx context.Context, end func(), response *upstream.Response, instance instances.Instance, number int,
+	sentAt time.Time) logic.Outcome {
+	c.learnVersion(instance, response.Header)
+	rejected, outcome := c.rejected(response, instance)
+	c.mayRun = c.mayRun || !rejected
+	switch {
+	case rejected:
+	case response.Header.Get("Content-Encoding") != "" || response.Status < http.StatusOK:
+		outcome = logic.Errored // encoded or interim: not the response that the client expects
+	case response.Status >= http.StatusInternalServerError:
+		return c.keepErrorResponse(ctx, end, response, instance.ID)
+	default:
+		outcome = c.forward(ctx, response, instance, number, sentAt)
+	}
+	response.Close()
+	end()
+	return outcome
 }
 
 // rejected reports whether an instance refused the request without running it, and with which outcome.
 func (c *call) rejected(response *upstream.Response, instance instances.Instance) (bool, logic.Outcome) {
 	if response.Status == http.StatusMisdirectedRequest {
-		_, _ = io.Copy(io.Discard, response)
+		response.Discard()
 		if response.Misdirected(instance.ID) {
 			c.server.onDisplaced(instance.ID)
 		}
@@ -334,28 +339,20 @@
 	if response.Header.Get(notExecuted) == "" {
 		return false, 0
 	}
-	_, _ = io.Copy(io.Discard, response)
+	response.Discard()
 	return true, logic.Saturated
 }
 
-// keepErrorResponse stores an error response of an instance, which is forwarded unless the module starts another attempt.
-func (c *call) keepErrorResponse(response *upstream.Response) logic.Outcome {
-	body, err := io.ReadAll(io.LimitReader(response, maxErrorBody))
-	if err != nil {
-		return logic.Severed
-	}
-	c.errorAnswer = &errorResponse{status: response.Status, header: response.Header, body: body}
-	return logic.Errored
-}
-
 // forward forwards a response to the client.
-func (c *call) forward(response *upstream.Response, instance instances.Instance, number int, sentAt time.Time) logic.Outcome {
+func (c *call) forward(ctx context.Context, response *upstream.Response, instance instances.Instance, number int, sentAt time.Time) logic.Outcome {
 	if c.answer == nil {
 		c.answer = &answer{writer: c.writer, stream: c.route.Kind == configuration.Streaming, resumable: c.route.Resumable,
 			lastSentID: c.incoming.Header.Get(lastEventID)}
 	}
+	t := c.newTransfer(ctx, response, instance.ID)
+	defer t.turn.Leave()
 	began := false
-	onData := func() {
+	t.onData = func() {
 		c.timing.record(time.Now())
 		if began || c.route.Kind != configuration.Streaming {
 			return
@@ -364,13 +361,14 @@
 		c.server.dispatcher.streamBegan(c.exchange, number, time.Since(sentAt))
 		c.recordRead(instance.ID)
 	}
-	if err := c.answer.copy(response, onData); err != nil {
-		if errors.Is(err, errClientGone) {
-			return logic.Recalled
-		}
-		return logic.Severed
+	switch err := c.answer.copy(t); {
+	case err == nil:
+		c.server.observeWhole(c.route.Name, instance.ID, response.Received())
+		return logic.Completed
+	case errors.Is(err, errClientGone):
+		return logic.Recalled
 	}
-	return logic.Completed
+	return logic.Severed
 }
 
 // recordRead records in the table of cached parts that an instance has read the request's prompt.
@@ -439,7 +437,7 @@
 		}
 	}
 	return &upstream.Request{Method: c.incoming.Method, Target: c.incoming.RequestURI, Host: c.incoming.Host, Header: header, Body: c.body, ID: c.id,
-		SetHeaders: func(h http.Header) {
+		Account: c.account, SetHeaders: func(h http.Header) {
 			h.Set(requestDeadline, strconv.FormatInt(max(1, time.Until(c.deadline).Milliseconds()), 10))
 		}}, version
 }
@@ -521,10 +519,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.setRequestID()
-	if f := c.errorAnswer; f != nil {
-		copyHeader(c.writer.Header(), f.header)
-		c.writer.WriteHeader(f.status)
-		_, _ = c.writer.Write(f.body)
+	if c.forwardErrorResponse() {
 		return
 	}
 	if !time.Now().Before(c.deadline.Add(-time.Duration(endMargin))) {
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -141,6 +141,13 @@
 	d.apply(d.balancer.AttemptEnded(d.now(), x.number, attempt, outcome, float64(elapsed)/float64(time.Millisecond)))
 }
 
+// eject tells the balancer that an instance fails, although none of its attempts has ended.
+func (d *dispatcher) eject(instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.apply(d.balancer.Eject(d.now(), instance))
+}
+
 // forget removes an exchange whose client has its response or has disconnected.
 func (d *dispatcher) forget(x *exchange) {
 	d.mu.Lock()
@@ -159,6 +166,7 @@
 	cancel   context.CancelFunc // of the current attempt
 	ended    bool               // the module has refused or failed the request
 	recalled bool
+	begun    bool // the client has the start of the current attempt's answer, which no other attempt can replace
 }
 
 const maxCommands = 16
@@ -171,6 +179,9 @@
 	defer x.mu.Unlock()
 	switch c.Kind {
 	case balance.CancelAttempt:
+		if x.begun {
+			return
+		}
 		x.recalled = true
 	case balance.Refuse, balance.Fail:
 		x.ended = true
@@ -192,13 +203,22 @@
 	ctx, cancel := context.WithCancel(ctx)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.cancel, x.recalled = cancel, false
+	x.cancel, x.recalled, x.begun = cancel, false, false
 	if x.ended {
 		cancel()
 	}
 	return ctx, cancel
 }
 
+// beginAnswer records that the answer to the client begins with the current attempt, which the module recalls no more. It
+// returns false if the attempt has been recalled.
+func (x *exchange) beginAnswer() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.begun = !x.recalled
+	return x.begun
+}
+
 // markRecalled records that this broker itself canceled the current attempt.
 func (x *exchange) markRecalled() {
 	x.mu.Lock()
