Servers that send bytes without end: forms together, within a stream, and at the broker's end

Three more tests of the program as a process: 15 forms in an order drawn from a seed while the configuration changes and servers drain, streams that turn faulty after two events, and SIGTERM beside 120 callers.

--- a/cmd/gullstair/servers_faulty_test.go
+++ b/cmd/gullstair/servers_faulty_test.go
@@ -42,6 +42,7 @@
 	slowReaderEvery  = 3 // every third caller reads slowly
 	slowReaderBytes  = 1 << 10
 	slowReaderPause  = 100 * time.Millisecond
+	faultyGrace      = 8 * time.Second // of the broker
 	faultyHeartbeats = 300 * time.Millisecond
 )
 
@@ -58,6 +59,7 @@
 	calls  [faultyServers]atomic.Int64 // of the servers of the faulty service
 	faulty int                         // of these servers are faulty, the first ones
 	paths  []string                    // of the routes to the faulty service, which the callers use in turn
+	drains atomic.Int64                // the number of the server that announces that it drains; 0: none
 
 	sent      atomic.Int64 // requests of callers
 	served    atomic.Int64 // whole sound answers to callers
@@ -80,13 +82,13 @@
 	program := faultyProgramPath(t)
 	ip := fmt.Sprintf("127.7.%d.1", number)
 	broker := &controlProcess{t: t, ip: ip, seeds: ip + ":18381", folder: t.TempDir(), disk: true, bootstrap: true, programs: []string{program},
-		extra: []string{"fault_tolerance.machines=0", "bounds.retry_budget_slack=200", fmt.Sprintf("limits.memory_mb=%d", *faultyMemory), fmt.Sprintf("limits.max_fds=%d", manyDescriptors)}}
+		extra: []string{"fault_tolerance.machines=0", "bounds.retry_budget_slack=200", fmt.Sprintf("bounds.grace_s=%d", faultyGrace/time.Second), fmt.Sprintf("limits.memory_mb=%d", *faultyMemory), fmt.Sprintf("limits.max_fds=%d", manyDescriptors)}}
 	t.Cleanup(func() { broker.process.Kill() })
 	broker.start()
 	f := &faultyFleet{broker: broker, form: form, faulty: faulty, status: alternating, paths: []string{"safe", "unsafe", "stream", "resumable"},
 		crowd: &crowd{t: t, process: broker.process, ip: ip, memoryMB: int64(*faultyMemory), files: manyDescriptors, stop: make(chan struct{})}}
 	for n := range faultyServers {
-		f.startServer(fmt.Sprintf("f-%d", n), "f", func(c net.Conn) { f.serveFaultyService(c, n) })
+		f.startServer(serverID(n), "f", func(c net.Conn) { f.serveFaultyService(c, n) })
 	}
 	for n := range soundServers {
 		f.startServer(fmt.Sprintf("s-%d", n), "s", func(c net.Conn) { f.serveConnection(c, sendSound) })
@@ -121,6 +123,9 @@
 	return filepath.Join(builtProgram.folder, "gullstair")
 }
 
+// serverID returns the id of a server of the faulty service.
+func serverID(number int) string { return fmt.Sprintf("f-%d", number) }
+
 // startServer starts a server that sends heartbeats to the broker until the test ends.
 func (f *faultyFleet) startServer(id, service string, serve func(net.Conn)) {
 	listener, err := net.Listen("tcp4", "127.7.250.1:0")
@@ -138,7 +143,11 @@
 	var beating sync.WaitGroup
 	beating.Go(func() {
 		for sequence := 1; ; sequence++ {
-			body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","slots":2000,"state":"ready","sequence":%d}`, service, listener.Addr(), sequence)
+			state := "ready"
+			if number := f.drains.Load(); number > 0 && id == serverID(int(number)) {
+				state = "draining"
+			}
+			body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","slots":2000,"state":%q,"sequence":%d}`, service, listener.Addr(), state, sequence)
 			f.broker.call(time.Second, http.MethodPost, "/v1/instances/"+id+"/heartbeat", "", body)
 			select {
 			case <-over:
@@ -154,7 +163,13 @@
 	})
 }
 
+// configure puts the first configuration in force.
 func (f *faultyFleet) configure() {
+	require.NoError(f.t, fleettest.WaitUntil(controlTimeout, func() bool { return f.replaceConfiguration(1) }), "the configuration is not taken")
+}
+
+// replaceConfiguration replaces the configuration by the next version and reports whether it was taken.
+func (f *faultyFleet) replaceConfiguration(version int) bool {
 	route := func(name, kind, service string, attempts int) string {
 		return fmt.Sprintf(`{"name":%q,"host":"h","path_prefix":"/%s/","kind":%s,"timeout_ms":9000,"target_latency_ms":500,"service":%q,"max_attempts":%d}`,
 			name, name, kind, service, attempts)
@@ -162,12 +177,10 @@
 	routes := []string{route("safe", `"safe"`, "f", 2), route("unsafe", `"unsafe"`, "f", 1), route("stream", `"streaming"`, "f", 1),
 		route("resumable", `"streaming","resumable":true`, "f", 2), route("sound", `"safe"`, "s", 2),
 		route("soundstream", `"streaming"`, "s", 1)}
-	text := fmt.Sprintf(`{"version":1,"routes":[%s],"services":[{"name":"f","max_connections":2000},{"name":"s","max_connections":2000}],"limits":{"max_header_bytes":%d,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
-		strings.Join(routes, ","), crowdHeaderBytes, crowdBodyBytes)
-	require.NoError(f.t, fleettest.WaitUntil(controlTimeout, func() bool {
-		status, _ := f.broker.call(2*time.Second, http.MethodPost, "/v1/config/replace", "0", text)
-		return status == http.StatusOK
-	}), "the configuration is not taken")
+	text := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"f","max_connections":2000},{"name":"s","max_connections":2000}],"limits":{"max_header_bytes":%d,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
+		version, strings.Join(routes, ","), crowdHeaderBytes, crowdBodyBytes)
+	status, _ := f.broker.call(2*time.Second, http.MethodPost, "/v1/config/replace", fmt.Sprint(version-1), text)
+	return status == http.StatusOK
 }
 
 // serveFaultyService serves a connection of one server of the faulty service.
--- a/cmd/gullstair/servers_test.go
+++ b/cmd/gullstair/servers_test.go
@@ -3,10 +3,15 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 // Each test starts one broker as a process, a service whose servers send bytes without end in one form, behind 200 and 500
@@ -199,3 +204,86 @@
 var answersAnotherEndlessly = startsBare(func(status string) string {
 	return "HTTP/1.1 " + status + "\r\nX-Request-Id: another\r\n\r\n"
 }, "x")
+
+// turnsFaulty sends sound events, and then an event without end.
+func turnsFaulty(w io.Writer, r *http.Request, _ string) error {
+	return startsWith("\r\nid: 1\ndata: sound\n\nid: 2\ndata: sound\n\nid: 3\ndata: ", "x")(w, r, "200 OK")
+}
+
+// TestServersTurnFaultyWithinAStream: sound events, then one without end.
+func TestServersTurnFaultyWithinAStream(t *testing.T) { playStreams(t, 23, turnsFaulty) }
+
+// togetherForms are the forms that TestServersFormsTogether mixes.
+var togetherForms = []answerForm{
+	startsWith("X-Line: ", "x"),
+	startsWith("X-Line: x\r\n", " folded line\r\n"),
+	startsWith("", "x:\r\n"),
+	startsBare(func(string) string { return "HTTP/1.1 103 Early Hints\r\nLink: " }, "x"),
+	startsWith(chunkedBody, "junk"),
+	startsWith(chunkedBody+"7fffffffffffffff\r\n", "x"),
+	startsWith(chunkedBody, "1\r\nx\r\n"),
+	startsWith("Content-Length: 9000000000000000000\r\n\r\n", "x"),
+	startsWith("\r\n", "x"),
+	startsWith(chunkedBody, "9\r\ndata: 12\n\r\n"),
+	startsWith(chunkedBody, "d\r\ndata: hello\n\n\r\n"),
+	answersAnotherEndlessly, misdirectsEndlessly, refusesEndlessly, turnsFaulty,
+}
+
+// TestServersFormsTogether: all forms at once, in an order drawn from a seed, while the operator changes the configuration
+// and the servers announce in turn that they drain.
+func TestServersFormsTogether(t *testing.T) {
+	var mu sync.Mutex
+	draw := rand.New(rand.NewPCG(87, 0))
+	f := newFaultyFleet(t, 24, faultyServers, func(w io.Writer, r *http.Request, status string) error {
+		mu.Lock()
+		form := togetherForms[draw.IntN(len(togetherForms))]
+		mu.Unlock()
+		return form(w, r, status)
+	})
+	var operating sync.WaitGroup
+	changes := 0
+	operating.Go(func() {
+		for version := 2; ; {
+			if f.replaceConfiguration(version) {
+				version++
+				changes++
+			}
+			f.drains.Store(int64(version % faultyServers))
+			select {
+			case <-f.stop:
+				return
+			case <-time.After(faultyHeartbeats):
+			}
+		}
+	})
+	f.play()
+	operating.Wait()
+	require.Greater(t, changes, 2, "changes of the configuration that were taken")
+}
+
+// TestServersEndlessWhileTheBrokerEnds: a broker that is told to end does so within its grace period, beside callers of servers
+// that send chunks of one byte without end.
+func TestServersEndlessWhileTheBrokerEnds(t *testing.T) {
+	f := newFaultyFleet(t, 25, faultyServers, startsWith(chunkedBody, "1\r\nx\r\n"))
+	var callers sync.WaitGroup
+	for n := range *faultyCallers {
+		callers.Go(func() {
+			for begun := time.Now(); time.Since(begun) < faultySpan && f.process.Running(); time.Sleep(crowdPause) {
+				f.callOnce(n)
+			}
+		})
+	}
+	time.Sleep(faultySpan / 4)
+	begun := time.Now()
+	f.process.Signal(syscall.SIGTERM)
+	select {
+	case <-f.process.Ended():
+	case <-time.After(faultyGrace + time.Second):
+		t.Errorf("the broker still runs %v after SIGTERM", faultyGrace+time.Second)
+	}
+	t.Logf("ended after %.1f s", time.Since(begun).Seconds())
+	close(f.stop)
+	callers.Wait()
+	require.Zero(t, f.process.ExitCode())
+	require.Zero(t, f.endsLate.Load(), "callers without an end in time")
+}
