--- a/cmd/gullstair/servers_sound_test.go
+++ b/cmd/gullstair/servers_sound_test.go
@@ -92,6 +92,18 @@
 	slowEventPause  = 100 * time.Millisecond
 )
 
+// slowAnswer returns an answer whose body comes byte by byte.
+func slowAnswer(status string) func(w io.Writer, r *http.Request) error {
+	return func(w io.Writer, r *http.Request) error {
+		_, err := fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n", answerHead(r, status), slowEvents)
+		for n := 0; err == nil && n < slowEvents; n++ {
+			time.Sleep(slowEventPause)
+			_, err = io.WriteString(w, "x")
+		}
+		return err
+	}
+}
+
 // soundAnswers are whole answers that a server may give, by the last part of the request's path.
 var soundAnswers = map[string]func(w io.Writer, r *http.Request) error{
 	"large": func(w io.Writer, r *http.Request) error {
@@ -115,22 +127,8 @@
 		_, err := fmt.Fprintf(w, "%s%s%x\r\n%s\r\n0\r\n\r\n", answerHead(r, "500 Internal Server Error"), chunkedBody, failureLength, strings.Repeat("x", failureLength))
 		return err
 	},
-	"slowfailure": func(w io.Writer, r *http.Request) error {
-		_, err := fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n", answerHead(r, "500 Internal Server Error"), slowEvents)
-		for n := 0; err == nil && n < slowEvents; n++ {
-			time.Sleep(slowEventPause)
-			_, err = io.WriteString(w, "x")
-		}
-		return err
-	},
-	"slowbody": func(w io.Writer, r *http.Request) error {
-		_, err := fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n", answerHead(r, "200 OK"), slowEvents)
-		for n := 0; err == nil && n < slowEvents; n++ {
-			time.Sleep(slowEventPause)
-			_, err = io.WriteString(w, "x")
-		}
-		return err
-	},
+	"slowfailure": slowAnswer("500 Internal Server Error"),
+	"slowbody": slowAnswer("200 OK"),
 	"event": func(w io.Writer, r *http.Request) error {
 		event := "id: 1\ndata: " + strings.Repeat("x", largeEventBytes) + "\n\n"
 		_, err := fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n%s", answerHead(r, "200 OK"), len(event), event)
