--- a/cmd/gullstair/servers_sound_test.go
+++ b/cmd/gullstair/servers_sound_test.go
@@ -128,7 +128,7 @@
 		return err
 	},
 	"slowfailure": slowAnswer("500 Internal Server Error"),
-	"slowbody": slowAnswer("200 OK"),
+	"slowbody":    slowAnswer("200 OK"),
 	"event": func(w io.Writer, r *http.Request) error {
 		event := "id: 1\ndata: " + strings.Repeat("x", largeEventBytes) + "\n\n"
 		_, err := fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n%s", answerHead(r, "200 OK"), len(event), event)
